--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Local sites for developers."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and its workers."""
--- /dev/null
+++ b/verbenapost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/verbenapost/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without sockets or clocks."""
--- /dev/null
+++ b/verbenapost/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on each entry VM."""
--- /dev/null
+++ b/verbenapost/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, codecs, error kinds and ports."""
--- /dev/null
+++ b/verbenapost/state/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen records and views."""
--- /dev/null
+++ b/verbenapost/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP, peer streams and the store client."""
