--- /dev/null
+++ b/verbenapost/daemon/faults.py
@@ -0,0 +1,107 @@
+"""Faults of a JSON document, each with its path, value and rule."""
+
+import dataclasses
+import json
+from collections.abc import Iterable
+from typing import Any, final
+
+import pydantic
+
+#: Shown in place of a value that is or may hold a secret.
+MASK = '***'
+
+#: Characters of a value that a fault shows.
+MAX_SHOWN = 80
+
+_SECRET_PARTS = ('key', 'token', 'secret', 'password', 'authorization')
+_ROOT = '(document)'
+_MISSING = '(missing)'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One breach of a rule.
+
+    Examples
+    ========
+
+    >>> print(Fault('listen.port', '70000', 'must be at most 65535'))
+    listen.port: 70000: must be at most 65535
+
+    :param path: where, such as ``peers[2].address``.
+    :param value: what was found, shortened, or a mask for secrets.
+    :param rule: what is asked for.
+    """
+
+    path: str
+    value: str
+    rule: str
+
+    def __str__(self) -> str:
+        """Return one line for people."""
+        return f'{self.path}: {self.value}: {self.rule}'
+
+
+def is_secret_name(name: str) -> bool:
+    """Return whether a field of this name holds a secret.
+
+    >>> is_secret_name('peer_key'), is_secret_name('peer_key_file')
+    (True, False)
+    """
+    lowered = name.lower()
+    if lowered.endswith('_file'):
+        return False
+    return any(part in lowered for part in _SECRET_PARTS)
+
+
+def list_faults(error: pydantic.ValidationError) -> list[Fault]:
+    """Return a fault for each error that the library found."""
+    return [
+        _make_fault(detail)
+        for detail in error.errors(include_url=False, include_context=False)
+    ]
+
+
+def format_path(steps: Iterable[str | int]) -> str:
+    """Join keys and indices.
+
+    >>> format_path(('peers', 2, 'address'))
+    'peers[2].address'
+    """
+    path = ''
+    for step in steps:
+        if isinstance(step, int):
+            path = f'{path}[{step}]'
+        else:
+            path = f'{path}.{step}' if path else step
+    return path or _ROOT
+
+
+def show_value(path: Iterable[str | int], found: Any) -> str:
+    """Return a value as short JSON, masked when it may be secret.
+
+    :param path: keys and indices that lead to the value.
+    :param found: the value as decoded from JSON.
+    """
+    if any(isinstance(step, str) and is_secret_name(step) for step in path):
+        return MASK
+    if isinstance(found, (dict, list, tuple)):
+        return 'an object' if isinstance(found, dict) else 'an array'
+    if isinstance(found, str) and '@' in found:
+        return MASK
+    shown = json.dumps(found, default=str)
+    if len(shown) > MAX_SHOWN:
+        return f'{shown[:MAX_SHOWN]}...'
+    return shown
+
+
+def _make_fault(detail: Any) -> Fault:
+    location = detail['loc']
+    if detail['type'] == 'missing':
+        return Fault(format_path(location), _MISSING, 'this key is needed')
+    rule = detail['msg'].removeprefix('Value error, ')
+    if detail['type'] == 'unexpected_keyword_argument':
+        rule = 'this key is not known'
+    shown = show_value(location, detail['input'])
+    return Fault(format_path(location), shown, rule)
