--- a/verbenapost/daemon/faults.py
+++ b/verbenapost/daemon/faults.py
@@ -13,7 +13,7 @@
 #: Characters of a value that a fault shows.
 MAX_SHOWN = 80
 
-_SECRET_PARTS = ('key', 'token', 'secret', 'password', 'authorization')
+_SECRET_PARTS = ('_key', 'token', 'secret', 'password', 'authorization')
 _ROOT = '(document)'
 _MISSING = '(missing)'
 
