--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,203 @@
+"""Stand-in for workers: several targets in one process.
+
+A request takes its run time from ``X-Run-Seconds`` and the size of its answer
+from ``X-Answer-Bytes``. ``GET /-/runs`` lists how often each key and request
+identifier ran; ``POST /-/faults`` sets a fault.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import signal
+import sys
+from typing import Any
+
+import fire
+from aiohttp import web
+
+#: Largest body that a stand-in accepts, in bytes.
+MAX_BODY = 64 * 1024 * 1024
+
+_NAMED = ('slow', 'fail_all', 'cut', 'cross', 'late', 'refuse')
+
+
+@dataclasses.dataclass
+class Faults:
+    """What one target does wrong.
+
+    :param slow: seconds added to each run.
+    :param fail_all: answer 500 at once, as a worker that is broken does.
+    :param cut: break the connection in the middle of each answer.
+    :param cross: give an answer the request identifier of the one before.
+    :param late: seconds between the end of a run and its answer.
+    :param refuse: close each connection before anything runs.
+    """
+
+    slow: float = 0
+    fail_all: bool = False
+    cut: bool = False
+    cross: bool = False
+    late: float = 0
+    refuse: bool = False
+
+
+class Target:
+    """One target with its own port, runs and faults."""
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.faults = Faults()
+        self.keys: collections.Counter[str] = collections.Counter()
+        self.requests: collections.Counter[str] = collections.Counter()
+        self.starts: dict[str, float] = {}
+        self.running = 0
+        self.most_running = 0
+        self._before = 'none'
+
+    def make_app(self) -> web.Application:
+        """Return the web application of this target."""
+        app = web.Application(client_max_size=MAX_BODY)
+        app.router.add_get('/-/runs', self.list_runs)
+        app.router.add_post('/-/faults', self.set_faults)
+        app.router.add_route('*', '/{path:.*}', self.run)
+        return app
+
+    async def list_runs(self, _request: web.Request) -> web.Response:
+        """Answer with the number of runs of each key and request."""
+        return web.json_response(
+            {
+                'name': self.name,
+                'service': self.service,
+                'keys': self.keys,
+                'requests': self.requests,
+                'starts': self.starts,
+                'running': self.running,
+                'most_running': self.most_running,
+            }
+        )
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Replace the faults by those in the body."""
+        wanted = await request.json()
+        unknown = set(wanted) - set(_NAMED)
+        if unknown:
+            raise web.HTTPBadRequest(text=f'unknown faults {sorted(unknown)}')
+        self.faults = Faults(**wanted)
+        return web.json_response(dataclasses.asdict(self.faults))
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Run a request and answer it."""
+        if self.faults.refuse and request.transport is not None:
+            request.transport.abort()
+            return web.Response()
+        body = await request.read()
+        self._count(request)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await self._work(request)
+        finally:
+            self.running -= 1
+        return await self._answer(request, body)
+
+    def _count(self, request: web.Request) -> None:
+        key = request.headers.get('Idempotency-Key')
+        request_id = request.headers.get('X-Request-Id', '')
+        self.requests[request_id] += 1
+        self.starts[request_id] = asyncio.get_running_loop().time()
+        if key:
+            self.keys[key] += 1
+
+    async def _work(self, request: web.Request) -> None:
+        if self.faults.fail_all:
+            return
+        seconds = float(request.headers.get('X-Run-Seconds', 0))
+        seconds += self.faults.slow
+        if seconds > 0:
+            await asyncio.sleep(seconds)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        body: bytes,
+    ) -> web.StreamResponse:
+        faults = self.faults
+        request_id = request.headers.get('X-Request-Id', '')
+        if faults.late > 0:
+            await asyncio.sleep(faults.late)
+        shown = self._before if faults.cross else request_id
+        self._before = request_id
+        content = self._make_content(request, request_id, len(body))
+        if faults.cut:
+            return await self._cut(request, shown, content)
+        return web.Response(
+            status=500 if faults.fail_all else 200,
+            body=content,
+            content_type='application/json',
+            headers={'X-Request-Id': shown},
+        )
+
+    def _make_content(
+        self,
+        request: web.Request,
+        request_id: str,
+        received: int,
+    ) -> bytes:
+        size = int(request.headers.get('X-Answer-Bytes', 0))
+        shown: dict[str, Any] = {
+            'target': self.name,
+            'service': self.service,
+            'path': request.path,
+            'request_id': request_id,
+            'received': received,
+        }
+        content = json.dumps(shown).encode()
+        return content.ljust(size)
+
+    async def _cut(
+        self,
+        request: web.Request,
+        shown: str,
+        content: bytes,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={'X-Request-Id': shown})
+        response.content_length = len(content)
+        await response.prepare(request)
+        await response.write(content[: len(content) // 2])
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
+
+async def serve(targets: list[dict[str, Any]], host: str) -> None:
+    """Serve each target on its port until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    runners = []
+    for row in targets:
+        target = Target(row['name'], row['service'])
+        runner = web.AppRunner(target.make_app(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, row['port']).start()
+        runners.append(runner)
+    sys.stderr.write(f'worker: serving {len(runners)} targets\n')
+    await stop.wait()
+    for served in runners:
+        await served.cleanup()
+
+
+def main(targets: str, host: str = '127.0.0.1') -> None:
+    """Serve the targets of a JSON text ``[{"name","service","port"}]``.
+
+    :param targets: JSON text, or as fire has already parsed it.
+    """
+    rows = json.loads(targets) if isinstance(targets, str) else targets
+    asyncio.run(serve(list(rows), host))
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/verbenapost/protocol/handshake.py
@@ -0,0 +1,73 @@
+"""Mutual proof of the shared key when two daemons connect."""
+
+import dataclasses
+import hashlib
+import hmac
+
+from verbenapost.protocol.codec import register_message
+
+#: Bytes of random challenge.
+NONCE_BYTES = 16
+
+
+@register_message(1)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """First message of the accepting side."""
+
+    nonce: bytes
+
+
+@register_message(2)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """Answer of the connecting side.
+
+    :param name: name of the connecting daemon.
+    :param identity: random text made at each start of its process.
+    :param nonce: challenge to the accepting side.
+    :param proof: see :func:`make_proof`.
+    """
+
+    name: str
+    identity: str
+    nonce: bytes
+    proof: bytes
+
+
+@register_message(3)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Welcome:
+    """Proof of the accepting side; messages may follow."""
+
+    name: str
+    identity: str
+    proof: bytes
+
+
+def make_proof(key: str, nonce: bytes, name: str, identity: str) -> bytes:
+    """Return the proof that the holder of ``key`` answers ``nonce``.
+
+    Examples
+    ========
+
+    >>> check_proof(make_proof('k', b'n', 'a', 'i'), 'k', b'n', 'a', 'i')
+    True
+    >>> check_proof(make_proof('k', b'n', 'a', 'i'), 'x', b'n', 'a', 'i')
+    False
+    """
+    text = b'\0'.join((nonce, name.encode(), identity.encode()))
+    return hmac.digest(key.encode(), text, hashlib.sha256)
+
+
+def check_proof(
+    proof: object,
+    key: str,
+    nonce: bytes,
+    name: str,
+    identity: str,
+) -> bool:
+    """Compare a proof in constant time."""
+    if not isinstance(proof, bytes):
+        return False
+    return hmac.compare_digest(proof, make_proof(key, nonce, name, identity))
