--- /dev/null
+++ b/standins/memory.py
@@ -0,0 +1,196 @@
+"""The store's stand-in inside one process, for tests and benches."""
+
+import asyncio
+import functools
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from standins.core import StoreCore
+from standins.faults import Fate, StoreFaults
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.store import Entry, Listing, WatchBatch
+
+#: Seconds after which the caller of a hung call gives up.
+DEFAULT_TIMEOUT = 1.0
+
+_UNAVAILABLE: Result[Any, Failure] = Err(Failure(ErrorKind.STORE_UNAVAILABLE))
+_UNKNOWN: Result[Any, Failure] = Err(Failure(ErrorKind.STORE_UNKNOWN))
+
+Operation = Callable[[], Result[Any, Failure]]
+
+
+async def wait_for_events(
+    core: StoreCore,
+    prefix: str,
+    after: int,
+    wait: float,
+    now: Callable[[], float],
+) -> WatchBatch:
+    """Wait until a watch has something to report or its time is up."""
+    deadline = now() + wait
+    changed = asyncio.Event()
+    with core.notify(changed.set):
+        while True:
+            changed.clear()
+            batch = core.read_events(prefix, after, now())
+            left = deadline - now()
+            if batch.events or batch.truncated or left <= 0:
+                return batch
+            await _wait_for_change(changed, core, left, now())
+
+
+async def _wait_for_change(
+    changed: asyncio.Event, core: StoreCore, left: float, moment: float
+) -> None:
+    expiry = core.find_next_expiry()
+    if expiry is not None:
+        left = min(left, max(0, expiry - moment))
+    try:
+        await asyncio.wait_for(changed.wait(), left)
+    except TimeoutError:
+        return
+
+
+class MemoryStore:
+    """A ``StorePort`` on a core that several clients may share.
+
+    Explanation
+    ===========
+
+    A hung write takes effect at a random later moment, also long after its
+    caller gave up, as a request in a frozen server's socket would. All
+    chances come from the seed.
+
+    :param core: state that several clients may share.
+    :param now: clock that returns seconds.
+    :param seed: seed of all chances.
+    :param timeout: seconds after which the caller of a hung call gives up.
+    """
+
+    def __init__(
+        self,
+        core: StoreCore,
+        now: Callable[[], float],
+        seed: int = 0,
+        timeout: float = DEFAULT_TIMEOUT,
+    ) -> None:
+        self.core = core
+        self.faults = StoreFaults()
+        self.calls: Counter[str] = Counter()
+        self._now = now
+        self._chance = random.Random(seed)
+        self._timeout = timeout
+
+    async def get(self, key: str) -> Result[Entry | None, Failure]:
+        """Read one key."""
+        return await self._read('get', key, functools.partial(self._get, key))
+
+    async def list_prefix(self, prefix: str) -> Result[Listing, Failure]:
+        """Read all keys that start with the prefix."""
+        operation = functools.partial(self._list, prefix)
+        return await self._read('list', prefix, operation)
+
+    async def swap(
+        self,
+        key: str,
+        expected: int,
+        value: bytes,
+        lease: str = '',
+    ) -> Result[int, Failure]:
+        """Write the key when its revision is the expected one."""
+        return await self._write(
+            'swap',
+            key,
+            lambda: self.core.swap(
+                key, expected, value, lease, now=self._now()
+            ),
+        )
+
+    async def delete(self, key: str, expected: int) -> Result[int, Failure]:
+        """Delete the key when its revision is the expected one."""
+        return await self._write(
+            'delete',
+            key,
+            lambda: self.core.delete(key, expected, self._now()),
+        )
+
+    async def grant_lease(self, ttl: float) -> Result[str, Failure]:
+        """Create a lease."""
+        return await self._write(
+            'grant_lease',
+            '',
+            lambda: Ok(self.core.grant_lease(ttl, self._now())),
+        )
+
+    async def renew_lease(self, lease: str) -> Result[None, Failure]:
+        """Renew a lease."""
+        return await self._write(
+            'renew_lease',
+            '',
+            lambda: self.core.renew_lease(lease, self._now()),
+        )
+
+    async def revoke_lease(self, lease: str) -> Result[None, Failure]:
+        """End a lease."""
+        return await self._write(
+            'revoke_lease', '', lambda: self.core.revoke_lease(lease)
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[WatchBatch, Failure]:
+        """Wait for changes after a revision."""
+        admitted = await self._read('watch', prefix, lambda: Ok(None))
+        if isinstance(admitted, Err):
+            return admitted
+        batch = await wait_for_events(self.core, prefix, after, wait, self._now)
+        return Ok(batch)
+
+    def _get(self, key: str) -> Result[Entry | None, Failure]:
+        if self.faults.draw_stale(key, self._chance):
+            return Ok(self.core.get_stale(key))
+        return Ok(self.core.get(key, self._now()))
+
+    def _list(self, prefix: str) -> Result[Listing, Failure]:
+        if self.faults.draw_stale(prefix, self._chance):
+            return Ok(self.core.list_stale(prefix))
+        return Ok(self.core.list_prefix(prefix, self._now()))
+
+    async def _read(
+        self, kind: str, key: str, operation: Operation
+    ) -> Result[Any, Failure]:
+        fate = await self._start(kind, key)
+        if fate is Fate.REFUSED:
+            return _UNAVAILABLE
+        if fate is Fate.ANSWERED:
+            return operation()
+        await asyncio.sleep(self._timeout)
+        return _UNAVAILABLE
+
+    async def _write(
+        self, kind: str, key: str, operation: Operation
+    ) -> Result[Any, Failure]:
+        fate = await self._start(kind, key)
+        if fate is Fate.REFUSED:
+            return _UNAVAILABLE
+        if fate is Fate.ANSWERED:
+            return operation()
+        if fate is Fate.HUNG:
+            delay = self.faults.hang_seconds * self._chance.random()
+            asyncio.get_running_loop().call_later(delay, operation)
+        else:
+            operation()
+        await asyncio.sleep(self._timeout)
+        return _UNKNOWN
+
+    async def _start(self, kind: str, key: str) -> Fate:
+        self.calls[kind] += 1
+        await asyncio.sleep(self.faults.draw_latency(self._chance))
+        return self.faults.draw_fate(key, self._chance)
