Add the VM list stand-in and the client of the pool interface

Cause: the manager reads a lagging VM list and drains and reboots VMs over the platform's pool interface; neither had a stand-in or a client. Ruled out: a drain without a boot count. A keeper frozen between reading a record and its call would drain the VM in its later life, in another pool; so drain and reboot name the boot count they mean and the stand-in refuses others with 409. Conclusion: tests run the client against the stand-in, with lag, duplicates, gaps, refusals and lost answers.

--- /dev/null
+++ b/standins/vm_list.py
@@ -0,0 +1,168 @@
+"""HTTP stand-in for the platform's VM list and pool interface.
+
+Run it with ``python -m standins.vm_list --port 7200 --vms vms.json``; the
+file holds a JSON array of VMs.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import pathlib
+import time
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, final
+
+from aiohttp import web
+
+from standins.vm_platform import (
+    Machine,
+    Platform,
+    RefusedError,
+    UnknownVmError,
+)
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@final
+class VmListServer:
+    """The HTTP face of a :class:`Platform`."""
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self.calls: dict[str, int] = {}
+
+    def build_app(self) -> web.Application:
+        """Return the application with all routes."""
+        app = web.Application(middlewares=[self._apply_faults])
+        app.router.add_get('/vms', self._list_vms)
+        app.router.add_get('/vms/{name}', self._inspect)
+        app.router.add_post('/vms/{name}/drain', self._drain)
+        app.router.add_post('/vms/{name}/reboot', self._reboot)
+        app.router.add_post('/-/faults', self._set_faults)
+        app.router.add_get('/-/calls', self._count_calls)
+        app.router.add_post('/-/vms/{name}', self._change_vm)
+        return app
+
+    @web.middleware
+    async def _apply_faults(
+        self,
+        request: web.Request,
+        handler: _Handler,
+    ) -> web.StreamResponse:
+        if request.path.startswith('/-/'):
+            return await handler(request)
+        faults = self._platform.faults
+        draw = self._platform.random
+        await asyncio.sleep(faults.latency)
+        if draw.random() < faults.refuse:
+            return _refuse(HTTPStatus.SERVICE_UNAVAILABLE, 'refused')
+        answer = await self._answer(request, handler)
+        if draw.random() < faults.lose and request.transport is not None:
+            request.transport.abort()
+        return answer
+
+    async def _answer(
+        self,
+        request: web.Request,
+        handler: _Handler,
+    ) -> web.StreamResponse:
+        route = request.path.rpartition('/')[2]
+        call = f'{request.method} {route}'
+        if route not in {'vms', 'drain', 'reboot'}:
+            call = f'{request.method} inspect'
+        self.calls[call] = self.calls.get(call, 0) + 1
+        try:
+            return await handler(request)
+        except UnknownVmError as missing:
+            return _refuse(HTTPStatus.NOT_FOUND, str(missing))
+        except RefusedError as refused:
+            return _refuse(HTTPStatus.CONFLICT, str(refused))
+
+    async def _list_vms(self, _request: web.Request) -> web.Response:
+        return web.json_response({'vms': self._platform.list_vms()})
+
+    async def _inspect(self, request: web.Request) -> web.Response:
+        return _describe(self._platform.inspect(request.match_info['name']))
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        body = await _read_json(request)
+        name = request.match_info['name']
+        return _describe(self._platform.drain(name, body.get('boot')))
+
+    async def _reboot(self, request: web.Request) -> web.Response:
+        body = await _read_json(request)
+        machine = self._platform.reboot(
+            request.match_info['name'],
+            body.get('pool', ''),
+            body.get('boot'),
+        )
+        return _describe(machine)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            faults = self._platform.change_faults(await request.json())
+        except TypeError as fault:
+            return _refuse(HTTPStatus.BAD_REQUEST, str(fault))
+        return web.json_response(dataclasses.asdict(faults))
+
+    async def _count_calls(self, _request: web.Request) -> web.Response:
+        return web.json_response(self.calls)
+
+    async def _change_vm(self, request: web.Request) -> web.Response:
+        name = request.match_info['name']
+        body = await _read_json(request)
+        try:
+            machine = self._change(name, body)
+        except (TypeError, KeyError) as fault:
+            return _refuse(HTTPStatus.BAD_REQUEST, str(fault))
+        return _describe(machine)
+
+    def _change(self, name: str, body: dict[str, Any]) -> Machine:
+        if 'address' in body:
+            return self._platform.add({**body, 'name': name})
+        return self._platform.mark(name, body['state'])
+
+
+async def _read_json(request: web.Request) -> dict[str, Any]:
+    if not request.can_read_body:
+        return {}
+    body: dict[str, Any] = await request.json()
+    return body
+
+
+def _describe(machine: Machine) -> web.Response:
+    return web.json_response(
+        {
+            'name': machine.name,
+            'state': machine.operation,
+            'boot': machine.boot,
+            'pool': machine.pool,
+            'list_state': machine.state,
+        }
+    )
+
+
+def _refuse(status: HTTPStatus, detail: str) -> web.Response:
+    return web.json_response({'detail': detail}, status=status)
+
+
+def main() -> None:
+    """Serve the VMs of a file until stopped."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--vms', type=pathlib.Path, required=True)
+    parser.add_argument('--seed', type=int, default=0)
+    options = parser.parse_args()
+    platform = Platform(time.monotonic, options.seed)
+    for row in json.loads(options.vms.read_text()):
+        platform.add(row)
+    app = VmListServer(platform).build_app()
+    web.run_app(app, host=options.host, port=options.port, print=None)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/verbenapost/protocol/platform.py
@@ -0,0 +1,103 @@
+"""The port to the platform's VM list and pool interface."""
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+from typing import Protocol, final
+
+from result import Result
+
+from verbenapost.protocol.errors import Failure
+
+
+@enum.unique
+class ListState(enum.StrEnum):
+    """State of a VM in the VM list."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@enum.unique
+class PoolOperation(enum.StrEnum):
+    """State of a VM at the pool interface."""
+
+    RUNNING = 'running'
+    DRAINING = 'draining'
+    DRAINED = 'drained'
+    REBOOTING = 'rebooting'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedVm:
+    """One entry of the VM list, which lags behind.
+
+    :param name: name of the VM.
+    :param address: ``IP:port`` of its worker process.
+    :param state: whether the platform is about to take the VM away.
+    """
+
+    name: str
+    address: str
+    data_centre: str = ''
+    rack: str = ''
+    cores: int = 0
+    memory_gb: int = 0
+    accelerators: int = 0
+    state: ListState = ListState.LIVE
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmStatus:
+    """A VM at the pool interface.
+
+    :param operation: whether it takes work, drains or reboots.
+    :param boot: number of boots so far.
+    :param pool: pool for which it serves since its last boot; empty when it
+        was never rebooted into one.
+    """
+
+    name: str
+    operation: PoolOperation
+    boot: int
+    pool: str = ''
+
+
+class PlatformPort(Protocol):
+    """VM list and pool interface of the platform.
+
+    Explanation
+    ===========
+
+    ``drain`` and ``reboot`` name the boot count that they mean. The platform
+    refuses them with ``CONFLICT`` once the VM has booted again, so that a
+    call that was held up can't touch the VM in its later life. Both are
+    idempotent. ``NOT_FOUND`` means that the VM is gone, ``STORE_UNAVAILABLE``
+    that the call was not applied and ``STORE_UNKNOWN`` that it may have been.
+    """
+
+    async def list_vms(self) -> Result[Sequence[ListedVm], Failure]:
+        """Read the VM list; each name occurs once."""
+
+    async def inspect(self, name: str) -> Result[VmStatus, Failure]:
+        """Read the state of a VM at the pool interface."""
+
+    async def drain(self, name: str, boot: int) -> Result[VmStatus, Failure]:
+        """Let a VM finish its work and take no more.
+
+        :param boot: boot count of the VM that is meant.
+        """
+
+    async def reboot(
+        self,
+        name: str,
+        boot: int,
+        pool: str,
+    ) -> Result[VmStatus, Failure]:
+        """Reboot a drained VM into a pool.
+
+        :param boot: boot count before the reboot.
+        :param pool: pool for which it serves afterwards.
+        """
--- /dev/null
+++ b/verbenapost/transport/platform.py
@@ -0,0 +1,142 @@
+"""HTTP client of the platform's VM list and pool interface."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from http import HTTPStatus
+from typing import Any, final
+
+import aiohttp
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.platform import (
+    ListedVm,
+    ListState,
+    PoolOperation,
+    VmStatus,
+)
+
+#: Seconds that a call to the platform may take.
+CALL_TIMEOUT = 5.0
+
+_LISTED_FIELDS = frozenset(ListedVm.__slots__)
+
+_KINDS: Mapping[int, ErrorKind] = {
+    HTTPStatus.NOT_FOUND: ErrorKind.NOT_FOUND,
+    HTTPStatus.CONFLICT: ErrorKind.CONFLICT,
+    HTTPStatus.SERVICE_UNAVAILABLE: ErrorKind.STORE_UNAVAILABLE,
+}
+
+
+@final
+class HttpPlatform:
+    """Implementation of ``PlatformPort`` over HTTP and JSON.
+
+    :param session: session of the daemon; its owner closes it.
+    :param base_url: URL of the platform with an IP number.
+    :param timeout: seconds that a call may take.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip('/')
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+
+    async def list_vms(self) -> Result[Sequence[ListedVm], Failure]:
+        """Read the VM list; of repeated entries the last one counts."""
+        answer = await self._call('GET', '/vms')
+        return answer.and_then(_parse_list)
+
+    async def inspect(self, name: str) -> Result[VmStatus, Failure]:
+        """Read the state of a VM at the pool interface."""
+        answer = await self._call('GET', f'/vms/{name}')
+        return answer.and_then(_parse_status)
+
+    async def drain(self, name: str, boot: int) -> Result[VmStatus, Failure]:
+        """Let a VM finish its work and take no more."""
+        answer = await self._call(
+            'POST',
+            f'/vms/{name}/drain',
+            {'boot': boot},
+        )
+        return answer.and_then(_parse_status)
+
+    async def reboot(
+        self,
+        name: str,
+        boot: int,
+        pool: str,
+    ) -> Result[VmStatus, Failure]:
+        """Reboot a drained VM into a pool."""
+        answer = await self._call(
+            'POST',
+            f'/vms/{name}/reboot',
+            {'boot': boot, 'pool': pool},
+        )
+        return answer.and_then(_parse_status)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+    ) -> Result[Any, Failure]:
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                json=body,
+                timeout=self._timeout,
+            ) as response:
+                return await _read_answer(response)
+        except aiohttp.ClientConnectorError as fault:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(fault)))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
+            return Err(Failure(ErrorKind.STORE_UNKNOWN, str(fault)))
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse,
+) -> Result[Any, Failure]:
+    if response.status == HTTPStatus.OK:
+        return Ok(await response.json())
+    kind = _KINDS.get(response.status, ErrorKind.STORE_UNKNOWN)
+    return Err(Failure(kind, await response.text()))
+
+
+def _parse_list(answer: Any) -> Result[Sequence[ListedVm], Failure]:
+    try:
+        rows = [_parse_vm(row) for row in answer['vms']]
+    except (KeyError, TypeError, ValueError) as fault:
+        return Err(Failure(ErrorKind.INTERNAL, f'bad VM list: {fault!r}'))
+    return Ok(_drop_duplicates(rows))
+
+
+def _parse_vm(row: Mapping[str, Any]) -> ListedVm:
+    known = {
+        name: value for name, value in row.items() if name in _LISTED_FIELDS
+    }
+    known['state'] = ListState(row.get('state', ListState.LIVE))
+    return ListedVm(**known)
+
+
+def _drop_duplicates(rows: Iterable[ListedVm]) -> list[ListedVm]:
+    by_name = {row.name: row for row in rows}
+    return list(by_name.values())
+
+
+def _parse_status(answer: Any) -> Result[VmStatus, Failure]:
+    try:
+        status = VmStatus(
+            name=answer['name'],
+            operation=PoolOperation(answer['state']),
+            boot=answer['boot'],
+            pool=answer.get('pool', ''),
+        )
+    except (KeyError, TypeError, ValueError) as fault:
+        return Err(Failure(ErrorKind.INTERNAL, f'bad VM status: {fault!r}'))
+    return Ok(status)
--- /dev/null
+++ b/verbenapost/transport/tests/test_platform.py
@@ -0,0 +1,103 @@
+"""Tests of the VM list stand-in with the daemon's client of it."""
+
+import aiohttp
+import pytest
+from aiohttp import test_utils
+
+from standins.vm_list import VmListServer
+from standins.vm_platform import Platform
+from verbenapost.protocol.errors import ErrorKind
+from verbenapost.protocol.platform import ListState, PoolOperation
+from verbenapost.transport.platform import HttpPlatform
+
+VMS = (
+    {'name': 'cs-1', 'address': '127.0.0.1:1', 'rack': 'r1'},
+    {'name': 'cs-2', 'address': '127.0.0.1:2', 'rack': 'r2'},
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.fixture
+async def world():
+    clock = Clock()
+    platform = Platform(clock, seed=3)
+    for row in VMS:
+        platform.add(row)
+    app = VmListServer(platform).build_app()
+    async with (
+        test_utils.TestServer(app) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        yield clock, platform, HttpPlatform(session, str(server.make_url('')))
+
+
+async def list_names(client):
+    return [vm.name for vm in (await client.list_vms()).unwrap()]
+
+
+class TestList:
+    async def test_lags_and_marks(self, world):
+        clock, platform, client = world
+        platform.change_faults({'lag': 5})
+        clock.now += 10
+        platform.mark('cs-1', 'leaving')
+        platform.mark('cs-2', 'dead')
+        assert await list_names(client) == ['cs-1', 'cs-2']
+        clock.now += 5
+        (entry,) = (await client.list_vms()).unwrap()
+        assert (entry.name, entry.state) == ('cs-1', ListState.LEAVING)
+
+    async def test_duplicates_are_dropped_by_the_client(self, world):
+        _, platform, client = world
+        platform.change_faults({'duplicates': 1})
+        assert len(platform.list_vms()) == 4
+        assert await list_names(client) == ['cs-1', 'cs-2']
+
+    async def test_gaps(self, world):
+        _, platform, client = world
+        platform.change_faults({'gaps': 1})
+        assert await list_names(client) == []
+
+
+class TestPoolInterface:
+    async def test_drain_and_reboot(self, world):
+        clock, _, client = world
+        for _repeat in range(2):
+            status = (await client.drain('cs-1', 1)).unwrap()
+            assert status.operation is PoolOperation.DRAINING
+        refused = (await client.reboot('cs-1', 1, 'booking')).unwrap_err()
+        assert refused.kind is ErrorKind.CONFLICT
+        clock.now += 1
+        for _repeat in range(2):
+            status = (await client.reboot('cs-1', 1, 'booking')).unwrap()
+            assert status.operation is PoolOperation.REBOOTING
+        clock.now += 1
+        status = (await client.inspect('cs-1')).unwrap()
+        assert status.operation is PoolOperation.RUNNING
+        assert (status.boot, status.pool) == (2, 'booking')
+
+    async def test_held_up_call_is_refused_after_a_boot(self, world):
+        _, platform, client = world
+        platform.machines['cs-1'].boot = 2
+        refused = (await client.drain('cs-1', 1)).unwrap_err()
+        assert refused.kind is ErrorKind.CONFLICT
+
+    async def test_failures(self, world):
+        _, platform, client = world
+        platform.mark('cs-2', 'dead')
+        gone = (await client.inspect('cs-2')).unwrap_err()
+        assert gone.kind is ErrorKind.NOT_FOUND
+        platform.change_faults({'refuse': 1})
+        refused = (await client.drain('cs-1', 1)).unwrap_err()
+        assert refused.kind is ErrorKind.STORE_UNAVAILABLE
+        platform.change_faults({'refuse': 0, 'lose': 1})
+        lost = (await client.drain('cs-1', 1)).unwrap_err()
+        assert lost.kind is ErrorKind.STORE_UNKNOWN
+        assert platform.inspect('cs-1').operation == 'draining'
