--- /dev/null
+++ b/verbenapost/daemon/queues.py
@@ -0,0 +1,192 @@
+"""Holds the queues that this daemon owns."""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Any
+
+from verbenapost.coordination.directory import VmDirectory
+from verbenapost.coordination.queue import ServiceQueue
+from verbenapost.coordination.targets import Target
+from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.metrics import Metrics
+from verbenapost.daemon.routing import MessageRouter
+from verbenapost.protocol.slots import (
+    AskSlot,
+    BorrowSlots,
+    CancelAsk,
+    Envelope,
+    LendSlots,
+    ReleaseSlot,
+    ReportSlots,
+    ReturnSlots,
+)
+from verbenapost.state.configuration import ANY, ConfigurationView, OwnedService
+from verbenapost.state.documents import Quota
+from verbenapost.state.vms import VmRecord
+
+Send = Callable[[str, Any], bool]
+Clock = Callable[[], float]
+OwnerOf = Callable[[str], str | None]
+
+
+class QueueHost:
+    """Creates, feeds and drops the queues as their owner changes.
+
+    :param name: name of this daemon.
+    :param send: sends to a member.
+    :param owner_of: returns the owner of a service's queue now.
+    :param clock: returns monotonic seconds.
+    :param metrics: counts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        send: Send,
+        owner_of: OwnerOf,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._send = send
+        self._owner_of = owner_of
+        self._clock = clock
+        self._metrics = metrics
+        self._queues: dict[str, ServiceQueue] = {}
+        self._log = make_logger('queue')
+
+    @property
+    def services(self) -> Collection[str]:
+        """Services whose queue is held here."""
+        return self._queues.keys()
+
+    def register_routes(self, router: MessageRouter) -> None:
+        """Take the messages of the slot protocol for the owning side."""
+        router.register(AskSlot)(self._take_ask)
+        router.register(CancelAsk)(self._take_cancel)
+        router.register(ReleaseSlot)(self._take_release)
+        router.register(ReportSlots)(self._take_report)
+        router.register(BorrowSlots)(self._take_borrow)
+        router.register(LendSlots)(self._take_loan)
+        router.register(ReturnSlots)(self._take_return)
+
+    def settle(self, services: Iterable[str], members: Collection[str]) -> None:
+        """Create the queues that this daemon owns now and drop the others.
+
+        :param services: all services of the configuration.
+        :param members: live members, this daemon included.
+        """
+        owned = {name for name in services if self._owns(name)}
+        for lost in set(self._queues) - owned:
+            self._queues.pop(lost)
+            self._metrics.queue_length.drop(lost)
+            self._log.info('queue given up', service=lost)
+        for service in sorted(owned):
+            if service not in self._queues:
+                self._open(service)
+            queue = self._queues[service]
+            self._post(queue.set_members(self._clock(), members))
+        self._metrics.duties.put(len(self._queues), 'queue_owner')
+
+    def configure(self, view: ConfigurationView, vms: VmDirectory) -> None:
+        """Give the queues their limits and targets."""
+        for service, queue in self._queues.items():
+            owned = view.services.get(service)
+            if owned is not None:
+                self._configure_queue(queue, owned, view, vms)
+
+    def mark_leaving(self, target: str) -> None:
+        """Give a target no new work from now on."""
+        for queue in self._queues.values():
+            self._post(queue.mark_leaving(self._clock(), target))
+
+    def tick(self) -> None:
+        """Let time pass in every queue."""
+        now = self._clock()
+        for service, queue in self._queues.items():
+            self._post(queue.tick(now))
+            self._metrics.queue_length.put(queue.waiting, service)
+
+    def _owns(self, service: str) -> bool:
+        return self._owner_of(service) == self._name
+
+    def _open(self, service: str) -> None:
+        self._queues[service] = ServiceQueue(service, now=self._clock())
+        self._log.info('queue taken over', service=service)
+
+    def _configure_queue(
+        self,
+        queue: ServiceQueue,
+        owned: OwnedService,
+        view: ConfigurationView,
+        vms: VmDirectory,
+    ) -> None:
+        now = self._clock()
+        quotas = _find_quotas(view, queue.service, owned.team)
+        self._post(queue.set_limits(now, owned.spec, quotas))
+        targets = [
+            _make_target(record, owned.spec.slots)
+            for record in vms.list_serving(owned.spec.pool)
+        ]
+        self._post(queue.set_targets(now, targets))
+
+    def _take_ask(self, _sender: str, ask: AskSlot) -> None:
+        queue = self._queues.get(ask.service)
+        # An entry with another view asks again when its view changes.
+        if queue is not None:
+            self._post(queue.ask(self._clock(), ask))
+
+    def _take_cancel(self, _sender: str, cancel: CancelAsk) -> None:
+        queue = self._queues.get(cancel.service)
+        if queue is not None:
+            self._post(queue.cancel(self._clock(), cancel))
+
+    def _take_release(self, _sender: str, release: ReleaseSlot) -> None:
+        queue = self._queues.get(release.service)
+        if queue is not None:
+            self._post(queue.release(self._clock(), release))
+
+    def _take_report(self, _sender: str, report: ReportSlots) -> None:
+        queue = self._queues.get(report.service)
+        if queue is not None:
+            self._post(queue.report(self._clock(), report))
+
+    def _take_borrow(self, _sender: str, borrow: BorrowSlots) -> None:
+        queue = self._queues.get(borrow.lender)
+        if queue is not None:
+            self._post(queue.borrow(self._clock(), borrow))
+
+    def _take_loan(self, _sender: str, loan: LendSlots) -> None:
+        queue = self._queues.get(loan.borrower)
+        if queue is not None:
+            self._post(queue.accept_loan(self._clock(), loan))
+
+    def _take_return(self, _sender: str, kept: ReturnSlots) -> None:
+        queue = self._queues.get(kept.lender)
+        if queue is not None:
+            self._post(queue.accept_return(self._clock(), kept))
+
+    def _post(self, envelopes: Iterable[Envelope]) -> None:
+        for envelope in envelopes:
+            receiver: str | None = envelope.to
+            if envelope.to_owner:
+                receiver = self._owner_of(envelope.to)
+            if receiver is not None:
+                self._send(receiver, envelope.message)
+
+
+def _make_target(record: VmRecord, slots: int) -> Target:
+    return Target(record.name, record.address, slots, record.epoch)
+
+
+def _find_quotas(
+    view: ConfigurationView,
+    service: str,
+    team: str,
+) -> Mapping[str, Quota]:
+    quotas = view.teams[team].quotas
+    found = {}
+    for caller, rows in quotas.items():
+        quota = rows.get(service) or rows.get(ANY)
+        if quota is not None:
+            found[caller] = quota
+    return found
--- a/verbenapost/protocol/callers.py
+++ b/verbenapost/protocol/callers.py
@@ -1,7 +1,9 @@
 """Messages between a caller and an entry."""
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,7 +16,7 @@
     """
 
     status: int
-    headers: Sequence[tuple[bytes, bytes]]
+    headers: RawHeaders
     content: bytes
 
 
@@ -23,14 +25,12 @@
     """A request as it came, before it is checked.
 
     :param method: HTTP method.
-    :param path: raw path with the query.
-    :param headers: lower-case names; the last of several values.
-    :param pairs: all end-to-end headers to pass on.
+    :param path: path and query as they were sent, percent-encoded.
+    :param headers: lower-case names with their values.
     :param content: whole body.
     """
 
     method: str
     path: str
-    headers: Mapping[str, str]
-    pairs: Sequence[tuple[str, str]]
+    headers: Sequence[tuple[str, str]]
     content: bytes
--- a/verbenapost/protocol/targets.py
+++ b/verbenapost/protocol/targets.py
@@ -26,6 +26,9 @@
 
 Headers = Sequence[tuple[str, str]]
 
+# A caller's token and its own request identifier stop at the entry.
+_DROPPED = HOP_HEADERS | {'authorization', 'x-request-id'}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetRequest:
@@ -53,3 +56,23 @@
     status: int
     headers: Headers
     content: bytes
+
+
+def select_headers(headers: Headers) -> Headers:
+    """Return the end-to-end headers of a caller's request.
+
+    Examples
+    ========
+
+    >>> select_headers([('connection', 'x-hop'), ('x-hop', '1'),
+    ...                 ('x-kept', '2')])
+    [('x-kept', '2')]
+
+    :param headers: lower-case names with their values.
+    """
+    dropped = _DROPPED
+    for name, text in headers:
+        if name == 'connection':
+            named = (part.strip() for part in text.lower().split(','))
+            dropped = dropped.union(named)
+    return [row for row in headers if row[0] not in dropped]
--- a/verbenapost/transport/callers.py
+++ b/verbenapost/transport/callers.py
@@ -11,7 +11,6 @@
 from verbenapost.protocol.callers import CallerAnswer, ReceivedRequest
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.problems import make_problem
-from verbenapost.protocol.targets import HOP_HEADERS
 from verbenapost.transport.bodies import BodyReader, ByteBudget, Receive
 
 #: Seconds after which the connection is watched for the caller's leaving.
@@ -187,19 +186,14 @@
 
 
 def _build_request(scope: Scope, content: bytes) -> ReceivedRequest:
-    pairs = [
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in scope['headers']
-    ]
-    headers = dict(pairs)
     path = scope['raw_path'].decode('latin-1')
     query = scope['query_string'].decode('latin-1')
-    named = headers.get('connection', '').lower()
-    dropped = HOP_HEADERS | {part.strip() for part in named.split(',')}
     return ReceivedRequest(
         method=scope['method'],
         path=f'{path}?{query}' if query else path,
-        headers=headers,
-        pairs=[row for row in pairs if row[0] not in dropped],
+        headers=[
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in scope['headers']
+        ],
         content=content,
     )
