Add ownership, operators' rights and the configuration service

Cause: the thin path needs the configuration in force, changes by compare-and-swap with their audit entry in the same write, and owners. A change of what rules on other documents read (service names, pools) is announced in its own key first, because two keys can not be swapped together: of two announced changes that can not stand together the later one gives way. Ruled out: a lock key with a lease, which a paused holder outlives; reserved names in keys of their own, which a refused change would leave behind. Conclusion: apply, history, load, follow, offer and adopt can be wired.

--- /dev/null
+++ b/verbenapost/coordination/archive.py
@@ -0,0 +1,112 @@
+"""Archive of the audit entries that no longer fit a document's key."""
+
+import dataclasses
+from typing import final
+
+import pydantic
+from result import Err, Ok, Result
+
+from verbenapost.coordination.writes import SettledWriter
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.store import NO_REVISION, StorePort
+from verbenapost.state.audit import (
+    AUDIT_PREFIX,
+    AuditEntry,
+    name_archive,
+    pack_entries,
+    unpack_entries,
+)
+
+#: Audit entries that stay with the document.
+MAX_KEPT_ENTRIES = 40
+
+#: Bytes of audit entries that stay with the document.
+MAX_KEPT_BYTES = 250_000
+
+Entries = tuple[AuditEntry, ...]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Split:
+    """Audit entries parted into those that leave the key and the rest."""
+
+    archived: Entries
+    kept: Entries
+
+
+def split_entries(entries: Entries, limit: int = MAX_KEPT_ENTRIES) -> Split:
+    """Part the older half off once there are too many entries.
+
+    The newest entry always stays. The result depends on the entries only, so
+    that writers that race archive the same ones.
+
+    :param entries: audit entries in the document's key, the newest last.
+    :param limit: entries that may stay.
+    """
+    small = len(pack_entries(entries)) <= MAX_KEPT_BYTES
+    if len(entries) < 2 or (small and len(entries) <= limit):
+        return Split((), entries)
+    half = len(entries) // 2
+    return Split(entries[:half], entries[half:])
+
+
+@final
+class AuditArchive:
+    """Archived audit entries in the store, under keys that never change.
+
+    :param store: the platform's store.
+    :param writer: settles lost answers.
+    """
+
+    def __init__(self, store: StorePort, writer: SettledWriter) -> None:
+        self._store = store
+        self._writer = writer
+
+    async def save(
+        self,
+        team: str,
+        entries: Entries,
+        deadline: float,
+    ) -> Result[int, Failure]:
+        """Keep entries for good, before they are cut from the document.
+
+        :param deadline: monotonic seconds after which to give up.
+        :returns: ``Ok`` only when the store holds just these entries.
+        """
+        key = name_archive(team, entries)
+        packed = pack_entries(entries)
+        outcome = await self._writer.settle_swap(
+            key,
+            NO_REVISION,
+            packed,
+            packed.__eq__,
+            deadline,
+        )
+        if isinstance(outcome, Ok) or not _is_conflict(outcome):
+            return outcome
+        reading = await self._store.get(key)
+        if isinstance(reading, Err):
+            return reading
+        entry = reading.ok_value
+        if entry is None or entry.value != packed:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, f'stale {key}'))
+        return Ok(entry.revision)
+
+    async def load(self, team: str) -> Result[Entries, Failure]:
+        """Return the archived entries of a team, the newest last."""
+        answer = await self._store.list_prefix(f'{AUDIT_PREFIX}{team}/')
+        if isinstance(answer, Err):
+            return answer
+        found: dict[int, AuditEntry] = {}
+        try:
+            for entry in answer.ok_value.entries:
+                for line in unpack_entries(entry.value):
+                    found[line.number] = line
+        except pydantic.ValidationError as error:
+            return Err(Failure(ErrorKind.INTERNAL, str(error)))
+        return Ok(tuple(found[number] for number in sorted(found)))
+
+
+def _is_conflict(outcome: Err[Failure]) -> bool:
+    return outcome.err_value.kind is ErrorKind.CONFLICT
--- /dev/null
+++ b/verbenapost/coordination/configuration.py
@@ -0,0 +1,147 @@
+"""The configuration service of a daemon."""
+
+from collections.abc import Callable
+from typing import final
+
+from result import Err, Ok, Result
+
+from verbenapost.coordination.changes import Applied, ChangeRequest
+from verbenapost.coordination.documents import Clocks, DocumentStore
+from verbenapost.coordination.publication import Publisher
+from verbenapost.coordination.replica import ConfigurationReplica
+from verbenapost.coordination.rights import Rights
+from verbenapost.coordination.writes import SettledWriter
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.store import Listing, StorePort
+from verbenapost.state.audit import AuditEntry
+from verbenapost.state.configuration import CONFIG_PREFIX, ConfigurationView
+
+#: Seconds that one watch waits for changes.
+WATCH_WAIT = 20.0
+
+Subscriber = Callable[[ConfigurationView], None]
+
+
+@final
+class ConfigurationService:
+    """Follows the configuration in the store and applies changes to it.
+
+    Examples
+    ========
+
+    A daemon loads once and follows in a loop, with a pause after each
+    failure::
+
+        await service.load()
+        while running:
+            await service.follow()
+
+    :param store: the platform's store.
+    :param instance: random identity of this process start.
+    :param writer: settles lost answers of the same store.
+    :param clocks: times of the daemon.
+    """
+
+    def __init__(
+        self,
+        store: StorePort,
+        instance: str,
+        writer: SettledWriter,
+        clocks: Clocks,
+    ) -> None:
+        self._store = store
+        self._replica = ConfigurationReplica()
+        self._documents = DocumentStore(
+            store,
+            self._replica,
+            instance,
+            writer,
+            clocks,
+        )
+        self._publisher = Publisher(self._documents)
+        self._subscribers: list[Subscriber] = []
+
+    @property
+    def view(self) -> ConfigurationView:
+        """Return the configuration in force on this daemon."""
+        return self._replica.view
+
+    @property
+    def unreadable(self) -> tuple[str, ...]:
+        """Return the documents that this version can't read."""
+        return self._replica.unreadable
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Call a subscriber with each view in which a document is new."""
+        self._subscribers.append(subscriber)
+
+    async def load(self) -> Result[bool, Failure]:
+        """List all documents and adopt them.
+
+        :returns: whether a document is new; ``STORE_UNAVAILABLE`` when the
+            listing is older than what is known.
+        """
+        answer = await self._store.list_prefix(CONFIG_PREFIX)
+        if isinstance(answer, Err):
+            return answer
+        if self._replica.is_stale(answer.ok_value):
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, 'stale read'))
+        return Ok(self.adopt(answer.ok_value))
+
+    async def follow(self, wait: float = WATCH_WAIT) -> Result[bool, Failure]:
+        """Wait once for changes and adopt them.
+
+        A watch that has lost history is made up for by a listing.
+
+        :param wait: seconds to wait for a change.
+        :returns: whether a document is new. ``Ok`` means that the store has
+            confirmed the view.
+        """
+        position = self._replica.position
+        answer = await self._store.watch(CONFIG_PREFIX, position, wait)
+        if isinstance(answer, Err):
+            return answer
+        batch = answer.ok_value
+        if batch.truncated:
+            return await self.load()
+        if batch.revision < self._replica.position:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, 'stale read'))
+        before = self.view
+        self._replica.adopt_batch(batch)
+        return Ok(self._notify(before))
+
+    def adopt(self, listing: Listing) -> bool:
+        """Adopt a complete listing, from the store or from a peer.
+
+        :returns: whether a document is new.
+        """
+        before = self.view
+        self._replica.adopt_listing(listing)
+        return self._notify(before)
+
+    def offer(self) -> Listing:
+        """Return the whole configuration for a member without a store."""
+        return Listing(self._replica.list_entries(), self._replica.position)
+
+    async def apply(
+        self,
+        request: ChangeRequest,
+        rights: Rights,
+    ) -> Result[Applied, Failure]:
+        """Put a document in force, or refuse it without a trace."""
+        return await self._publisher.apply(request, rights)
+
+    async def load_history(
+        self,
+        team: str,
+    ) -> Result[tuple[AuditEntry, ...], Failure]:
+        """Return all audit entries of a document, the newest last."""
+        return await self._documents.load_history(team)
+
+    def _notify(self, before: ConfigurationView) -> bool:
+        view = self.view
+        if view.revisions == before.revisions:
+            return False
+        for subscriber in self._subscribers:
+            subscriber(view)
+        return True
--- /dev/null
+++ b/verbenapost/coordination/tests/sites.py
@@ -0,0 +1,44 @@
+"""Helpers of the configuration tests."""
+
+import random
+
+from standins.memory import MemoryStore
+from verbenapost.coordination.changes import ChangeRequest
+from verbenapost.coordination.configuration import ConfigurationService
+from verbenapost.coordination.documents import Clocks
+from verbenapost.coordination.rights import OperatorToken, Rights, Role
+from verbenapost.coordination.writes import SettledWriter
+
+#: Unix time at the start of the virtual time.
+START = 1_790_000_000.0
+
+ROOT = Rights('kim', (OperatorToken('kim', '', '/', Role.WRITE),))
+
+PLATFORM = {
+    'pools': {
+        'counter': {'vms': 6},
+        'ledger': {'vms': 4},
+        'clerical': {'vms': 6, 'spare': True},
+    }
+}
+
+
+def make_service(core, now, instance='a', seed=1, **faults):
+    """Return a service and its own client of a shared store."""
+    store = MemoryStore(core, now, seed)
+    for name, setting in faults.items():
+        setattr(store.faults, name, setting)
+    writer = SettledWriter(store, now, random.Random(seed))
+    clocks = Clocks(lambda: START + now(), now)
+    return ConfigurationService(store, instance, writer, clocks), store
+
+
+def make_team(service='counter-orders', pool='counter', **fields):
+    """Return a team's document with one service."""
+    return {'services': {service: {'pool': pool, **fields}}}
+
+
+async def publish(service, team, document, expected=None, rights=ROOT):
+    """Apply a document with plain author and reason."""
+    request = ChangeRequest('kim', 'because', team, document, expected)
+    return await service.apply(request, rights)
--- /dev/null
+++ b/verbenapost/state/configuration.py
@@ -0,0 +1,162 @@
+"""The stored form of a configuration document and the merged view."""
+
+import dataclasses
+import itertools
+from collections.abc import Mapping
+from typing import Any, final
+
+import pydantic
+from pydantic.dataclasses import dataclass
+
+from verbenapost.state.audit import AuditEntry
+from verbenapost.state.documents import (
+    PLATFORM,
+    PlatformDocument,
+    PoolSpec,
+    Quota,
+    ServiceSpec,
+    TeamDocument,
+)
+
+#: Prefix of the store keys that hold documents.
+CONFIG_PREFIX = 'config/'
+
+#: Stands for any team or any service in a quota.
+ANY = '*'
+
+_LOOSE = pydantic.ConfigDict(extra='ignore')
+
+
+@dataclass(frozen=True, config=_LOOSE)
+class Proposal:
+    """A change that is announced and not in force.
+
+    :param document: the whole new document.
+    :param writer: ``instance:sequence`` of the announcing write.
+    :param proposed_at: Unix time in seconds.
+    """
+
+    document: Any
+    writer: str
+    proposed_at: float
+
+
+@dataclass(frozen=True, config=_LOOSE)
+class ConfigurationRecord:
+    """The value of ``config/<team>``: a document with its audit entries.
+
+    :param document: document in force, or ``None`` before the first change.
+    :param audit: latest audit entries, the newest last.
+    :param writer: ``instance:sequence`` of this write.
+    :param proposal: announced change, or ``None``.
+    :param since: revision of the write that put the document in force, or 0
+        when it is this write.
+    """
+
+    document: Any = None
+    audit: tuple[AuditEntry, ...] = ()
+    writer: str = ''
+    proposal: Proposal | None = None
+    since: int = 0
+
+    @property
+    def last_number(self) -> int:
+        """Return the number of the newest audit entry, 0 for none."""
+        return self.audit[-1].number if self.audit else 0
+
+
+_RECORD = pydantic.TypeAdapter(ConfigurationRecord)
+_TEAM = pydantic.TypeAdapter(TeamDocument)
+_PLATFORM = pydantic.TypeAdapter(PlatformDocument)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnedService:
+    """A service with the team that owns it."""
+
+    team: str
+    spec: ServiceSpec
+
+
+@final
+@dataclasses.dataclass(frozen=True)
+class ConfigurationView:
+    """Snapshot of the whole configuration in force.
+
+    :param revision: store revision up to which the view is complete.
+    :param platform: document that no team owns.
+    :param teams: documents by team.
+    :param revisions: revision of each document in force, by team or
+        ``platform``.
+    """
+
+    revision: int = 0
+    platform: PlatformDocument = dataclasses.field(
+        default_factory=PlatformDocument,
+    )
+    teams: Mapping[str, TeamDocument] = dataclasses.field(default_factory=dict)
+    revisions: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    services: Mapping[str, OwnedService] = dataclasses.field(
+        init=False,
+        compare=False,
+    )
+
+    def __post_init__(self) -> None:
+        """Build the merged lookup of the services."""
+        object.__setattr__(self, 'services', _merge_services(self.teams))
+
+    @property
+    def pools(self) -> Mapping[str, PoolSpec]:
+        """Return the pools by name."""
+        return self.platform.pools
+
+    def find_quota(self, service: str, caller: str) -> Quota | None:
+        """Return the quota of a calling team at a service.
+
+        The owner of the service writes it. The team's own line goes before
+        ``*``, and the service's before ``*``.
+
+        :param service: name of the service.
+        :param caller: name of the calling team.
+        """
+        owned = self.services.get(service)
+        if owned is None:
+            return None
+        quotas = self.teams[owned.team].quotas
+        places = itertools.product((caller, ANY), (service, ANY))
+        found = (quotas.get(team, {}).get(name) for team, name in places)
+        return next((quota for quota in found if quota is not None), None)
+
+
+def pack_record(record: ConfigurationRecord) -> bytes:
+    """Return the record as JSON bytes for the store."""
+    return _RECORD.dump_json(record)
+
+
+def unpack_record(value: bytes) -> ConfigurationRecord:
+    """Return the record from JSON bytes.
+
+    :raises pydantic.ValidationError: when the value is no record.
+    """
+    return _RECORD.validate_json(value)
+
+
+def parse_document(team: str, document: Any) -> TeamDocument | PlatformDocument:
+    """Return the typed form of a document.
+
+    :raises pydantic.ValidationError: when the document breaks a rule.
+    """
+    if team == PLATFORM:
+        return _PLATFORM.validate_python(document)
+    return _TEAM.validate_python(document)
+
+
+def _merge_services(
+    teams: Mapping[str, TeamDocument],
+) -> Mapping[str, OwnedService]:
+    return {
+        name: OwnedService(team, spec)
+        for team, document in sorted(teams.items())
+        for name, spec in document.services.items()
+    }
