--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -1,5 +1,6 @@
 """Holds the queues that this daemon owns."""
 
+import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
@@ -11,18 +12,18 @@
 from verbenapost.daemon.routing import MessageRouter
 from verbenapost.protocol.slots import (
     AskSlot,
-    BorrowSlots,
     CancelAsk,
     Envelope,
-    LendSlots,
     ReleaseSlot,
     ReportSlots,
-    ReturnSlots,
 )
 from verbenapost.state.configuration import ANY, ConfigurationView, OwnedService
 from verbenapost.state.documents import Quota
 from verbenapost.state.vms import VmRecord
 
+#: Milliseconds of a second.
+MILLISECONDS = 1000
+
 Send = Callable[[str, Any], bool]
 Clock = Callable[[], float]
 OwnerOf = Callable[[str], str | None]
@@ -65,9 +66,6 @@
         router.register(CancelAsk)(self._take_cancel)
         router.register(ReleaseSlot)(self._take_release)
         router.register(ReportSlots)(self._take_report)
-        router.register(BorrowSlots)(self._take_borrow)
-        router.register(LendSlots)(self._take_loan)
-        router.register(ReturnSlots)(self._take_return)
 
     def settle(self, services: Iterable[str], members: Collection[str]) -> None:
         """Create the queues that this daemon owns now and drop the others.
@@ -82,7 +80,7 @@
             self._log.info('queue given up', service=lost)
         for service in sorted(owned):
             if service not in self._queues:
-                self._open(service)
+                self._open(service, members)
             queue = self._queues[service]
             self._post(queue.set_members(self._clock(), members))
         self._metrics.duties.put(len(self._queues), 'queue_owner')
@@ -109,8 +107,11 @@
     def _owns(self, service: str) -> bool:
         return self._owner_of(service) == self._name
 
-    def _open(self, service: str) -> None:
-        self._queues[service] = ServiceQueue(service, now=self._clock())
+    def _open(self, service: str, members: Collection[str]) -> None:
+        epoch = _make_epoch()
+        queue = ServiceQueue(service, epoch)
+        self._queues[service] = queue
+        self._post(queue.start(self._clock(), members))
         self._log.info('queue taken over', service=service)
 
     def _configure_queue(
@@ -122,7 +123,8 @@
     ) -> None:
         now = self._clock()
         quotas = _find_quotas(view, queue.service, owned.team)
-        self._post(queue.set_limits(now, owned.spec, quotas))
+        weights = owned.spec.weights
+        self._post(queue.set_limits(now, weights, quotas))
         targets = [
             _make_target(record, owned.spec.slots)
             for record in vms.list_serving(owned.spec.pool)
@@ -138,7 +140,7 @@
     def _take_cancel(self, _sender: str, cancel: CancelAsk) -> None:
         queue = self._queues.get(cancel.service)
         if queue is not None:
-            self._post(queue.cancel(self._clock(), cancel))
+            self._post(queue.cancel(self._clock(), cancel.ask_id))
 
     def _take_release(self, _sender: str, release: ReleaseSlot) -> None:
         queue = self._queues.get(release.service)
@@ -150,21 +152,6 @@
         if queue is not None:
             self._post(queue.report(self._clock(), report))
 
-    def _take_borrow(self, _sender: str, borrow: BorrowSlots) -> None:
-        queue = self._queues.get(borrow.lender)
-        if queue is not None:
-            self._post(queue.borrow(self._clock(), borrow))
-
-    def _take_loan(self, _sender: str, loan: LendSlots) -> None:
-        queue = self._queues.get(loan.borrower)
-        if queue is not None:
-            self._post(queue.accept_loan(self._clock(), loan))
-
-    def _take_return(self, _sender: str, kept: ReturnSlots) -> None:
-        queue = self._queues.get(kept.lender)
-        if queue is not None:
-            self._post(queue.accept_return(self._clock(), kept))
-
     def _post(self, envelopes: Iterable[Envelope]) -> None:
         for envelope in envelopes:
             receiver: str | None = envelope.to
@@ -190,3 +177,8 @@
         if quota is not None:
             found[caller] = quota
     return found
+
+
+def _make_epoch() -> int:
+    # Unix milliseconds: a later owner, on any VM, has a higher epoch.
+    return int(time.time() * MILLISECONDS)
--- /dev/null
+++ b/verbenapost/daemon/web.py
@@ -0,0 +1,81 @@
+"""HTTP server of a daemon, with its own start and stop."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import final
+
+import uvicorn
+
+from verbenapost.daemon.settings import Settings
+from verbenapost.transport.callers import AsgiApp
+
+#: Seconds after which an idle connection of a caller is closed.
+IDLE_SECONDS = 30
+
+#: Seconds between two looks at whether the server has started.
+START_POLL = 0.01
+
+
+@final
+class _Server(uvicorn.Server):
+    """A server that leaves the signals to the daemon."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Handle no signal."""
+        yield
+
+
+class WebServer:
+    """Serves one ASGI application on the address in the settings."""
+
+    def __init__(self, app: AsgiApp, settings: Settings) -> None:
+        config = uvicorn.Config(
+            app,
+            host=settings.listen.address,
+            port=settings.listen.port,
+            loop='asyncio',
+            http='httptools',
+            ws='none',
+            lifespan='off',
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            date_header=False,
+            backlog=settings.limits.connections,
+            timeout_keep_alive=IDLE_SECONDS,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._server.server_state.connections)
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: when the address can not be used.
+        """
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+                raise OSError('the HTTP server did not start')
+            await asyncio.sleep(START_POLL)
+
+    async def stop(self) -> None:
+        """Close the connections whose requests have ended, then return."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def _serve(self) -> None:
+        # The library ends the process when it can not listen; the daemon
+        # decides that itself.
+        try:
+            await self._server.serve()
+        except SystemExit as ended:
+            raise OSError('the HTTP server did not start') from ended
