Parse callers' requests in the form that the entry receives

Cause: the entry holds header texts and the path with its query. Ruled out: nothing. Change: parse_caller_request takes pairs of text and splits the query off; a query with other than visible ASCII is refused. Conclusion: shown by the tests.

--- a/verbenapost/protocol/requests.py
+++ b/verbenapost/protocol/requests.py
@@ -37,11 +37,11 @@
 _HEXADECIMAL: Final = 16
 _TIME_DIGITS: Final = 12
 
-_KEY = b'idempotency-key'
-_PRIORITY = b'priority'
-_TIMEOUT = b'x-request-timeout'
-_TEAM = b'x-team'
-_AUTHORIZATION = b'authorization'
+_KEY = 'idempotency-key'
+_PRIORITY = 'priority'
+_TIMEOUT = 'x-request-timeout'
+_TEAM = 'x-team'
+_AUTHORIZATION = 'authorization'
 _READ = frozenset((_KEY, _PRIORITY, _TIMEOUT, _TEAM, _AUTHORIZATION))
 
 _UUID7 = re.compile(
@@ -62,7 +62,7 @@
     r'[ \t]*(?:,[ \t]*(?=.)|$)',
 )
 
-Headers = Iterable[tuple[bytes, bytes]]
+Headers = Iterable[tuple[str, str]]
 
 
 @final
@@ -85,8 +85,10 @@
 
     :param method: HTTP method.
     :param service: first segment of the path.
-    :param path: rest of the path as it was sent, percent-encoded.
-    :param route_path: rest of the path decoded, to match rules against.
+    :param path: rest of the path as it was sent, percent-encoded, with the
+        query.
+    :param route_path: rest of the path decoded, without the query, to match
+        rules against.
     :param key: idempotency key in lower case, empty for none.
     :param key_time: Unix time in the key, in seconds.
     :param priority: urgency and whether incremental.
@@ -129,13 +131,13 @@
     ========
 
     >>> request = parse_caller_request(
-    ...     'POST', '/booking/visits', [(b'priority', b'u=1')]
+    ...     'POST', '/booking/visits', [('priority', 'u=1')]
     ... ).unwrap()
     >>> request.service, request.path, request.priority.urgency
     ('booking', '/visits', 1)
 
     :param method: HTTP method, upper case.
-    :param path: path as it was sent, percent-encoded, without the query.
+    :param path: path as it was sent, percent-encoded, with the query.
     :param headers: lower-case names with their values.
     :returns: the request, or a failure of kind ``BAD_REQUEST``.
     """
@@ -148,13 +150,16 @@
 def _parse(method: str, path: str, headers: Headers) -> CallerRequest:
     if method not in METHODS:
         raise _RefusedError('The method is not supported.')
-    service, rest, route_path = _split_path(path)
+    location, mark, query = path.partition('?')
+    if query and not _VISIBLE.fullmatch(query):
+        raise _RefusedError('The query in the path must be visible ASCII.')
+    service, rest, route_path = _split_path(location)
     found = _collect(headers)
     key = _parse_key(found.get(_KEY))
     return CallerRequest(
         method,
         service,
-        rest,
+        f'{rest}{mark}{query}',
         route_path,
         key,
         _read_key_time(key) if key else 0,
@@ -165,16 +170,16 @@
     )
 
 
-def _collect(headers: Headers) -> dict[bytes, str]:
-    found: dict[bytes, str] = {}
+def _collect(headers: Headers) -> dict[str, str]:
+    found: dict[str, str] = {}
     for name, raw in headers:
         if name not in _READ:
             continue
-        text = raw.decode('latin-1').strip(' \t')
+        text = raw.strip(' \t')
         earlier = found.get(name)
         if earlier is not None:
             if name != _PRIORITY:
-                raise _RefusedError(f'{name.decode()} is given twice.')
+                raise _RefusedError(f'{name} is given twice.')
             text = f'{earlier}, {text}'
         found[name] = text
     return found
