--- a/verbenapost/protocol/requests.py
+++ b/verbenapost/protocol/requests.py
@@ -151,6 +151,8 @@
     if method not in METHODS:
         raise _RefusedError('The method is not supported.')
     location, mark, query = path.partition('?')
+    if query and not _VISIBLE.fullmatch(query):
+        raise _RefusedError('The query in the path must be visible ASCII.')
     service, rest, route_path = _split_path(location)
     found = _collect(headers)
     key = _parse_key(found.get(_KEY))
