--- /dev/null
+++ b/verbenapost/daemon/assembly.py
@@ -0,0 +1,84 @@
+"""Makes the parts of a daemon from its settings."""
+
+import random
+import time
+
+from verbenapost.coordination.configuration import ConfigurationService
+from verbenapost.coordination.documents import Clocks
+from verbenapost.coordination.writes import SettledWriter
+from verbenapost.daemon.probes import Probed, make_own_app
+from verbenapost.daemon.settings import Settings
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol.store import StorePort
+from verbenapost.transport.bodies import ByteBudget
+from verbenapost.transport.callers import (
+    CallerApp,
+    CallerLimits,
+    RequestServer,
+)
+from verbenapost.transport.peers import Deliver, Identity, PeerNetwork
+from verbenapost.transport.store import HttpStore, StoreSettings
+from verbenapost.transport.targets import TargetClient, TargetLimits
+
+#: Connections to one target.
+TARGET_CONNECTIONS = 64
+
+
+def make_network(
+    settings: Settings,
+    start_id: str,
+    deliver: Deliver,
+) -> PeerNetwork:
+    """Return the peer streams.
+
+    :param start_id: random text made at each start of the process.
+    :param deliver: takes each message with its sender.
+    """
+    key = settings.peer_key
+    secret = '' if key is None else key.get_secret_value()
+    identity = Identity(settings.name, start_id, secret)
+    addresses = {
+        peer.name: (str(peer.address), peer.port) for peer in settings.peers
+    }
+    return PeerNetwork(identity, addresses, deliver)
+
+
+def make_store(settings: Settings) -> HttpStore:
+    """Return the client of the platform's store."""
+    return HttpStore(StoreSettings(url=settings.store.url))
+
+
+def make_targets(settings: Settings) -> TargetClient:
+    """Return the client of the targets."""
+    limits = TargetLimits(settings.limits.answer_bytes, TARGET_CONNECTIONS)
+    return TargetClient(limits)
+
+
+def make_app(
+    settings: Settings,
+    server: RequestServer,
+    probed: Probed,
+) -> CallerApp:
+    """Return the application for callers and for the daemon's own paths."""
+    limits = settings.limits
+    return CallerApp(
+        server,
+        make_own_app(probed),
+        CallerLimits(limits.header_bytes, limits.body_bytes),
+        ByteBudget(limits.bodies_total_bytes),
+    )
+
+
+def make_configuration(
+    store: StorePort,
+    start_id: str,
+) -> ConfigurationService:
+    """Return the configuration service.
+
+    :param store: the platform's store.
+    :param start_id: random text made at each start of the process.
+    """
+    chance = random.Random(start_id)  # noqa: S311
+    writer = SettledWriter(store, read_clock, chance)
+    clocks = Clocks(unix=time.time, monotonic=read_clock)
+    return ConfigurationService(store, start_id, writer, clocks)
--- /dev/null
+++ b/verbenapost/daemon/main.py
@@ -0,0 +1,52 @@
+"""Entry point of ``verbenapostd``."""
+
+import asyncio
+import signal
+import sys
+
+import fire
+from result import Err
+
+from verbenapost.daemon.check import check_settings, load_settings
+from verbenapost.daemon.logs import configure_logs
+from verbenapost.daemon.node import Daemon
+from verbenapost.daemon.settings import Settings
+
+#: Exit status for settings that can not be used.
+EXIT_SETTINGS = 2
+
+
+async def serve(settings: Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT."""
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    daemon = Daemon(settings)
+    await daemon.start()
+    await ended.wait()
+    await daemon.stop()
+
+
+def main(settings: str, *, check: bool = False) -> None:
+    """Run the daemon of one entry VM.
+
+    :param settings: path of the JSON settings file.
+    :param check: check the file, report each fault and exit.
+    """
+    if check:
+        sys.exit(check_settings(settings))
+    loaded = load_settings(settings)
+    if isinstance(loaded, Err):
+        sys.exit(check_settings(settings) or EXIT_SETTINGS)
+    configure_logs(loaded.ok_value.logs)
+    asyncio.run(serve(loaded.ok_value))
+
+
+def run() -> None:
+    """Parse the command line of ``verbenapostd``."""
+    fire.Fire(main, name='verbenapostd')
+
+
+if __name__ == '__main__':
+    run()
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import time
 from collections.abc import Callable
 from typing import Protocol, final
 
@@ -293,11 +292,6 @@
         return CallerAnswer(answer.status, headers, answer.content)
 
 
-def read_unix_time() -> float:
-    """Return Unix time in seconds."""
-    return time.time()
-
-
 def _is_server_error(outcome: Ok[TargetAnswer]) -> bool:
     return outcome.ok_value.status >= FIRST_SERVER_ERROR
 
