--- a/examples/ports.py
+++ b/examples/ports.py
@@ -12,4 +12,4 @@
         probes = [held.enter_context(socket.socket()) for _ in range(count)]
         for probe in probes:
             probe.bind((LOOPBACK, 0))
-        return [probe.getsockname()[1] for probe in probes]
+        return [bound.getsockname()[1] for bound in probes]
