Ask an entry to report again when it knows another owner

Cause: the whole-path test failed on both sites (KeyError: the answer was a deadline refusal after 30 s). An ask that reached a member before it held the queue was dropped, and the entry's later reports named epoch 0, which the queue ignores, so the ask waited to its end. Ruled out: static shares alone, which would hide the lost ask. Change: the host answers a report of another epoch, and a newly seen member, with a request for a report. Readiness needs the VM records too. Conclusion: a lost ask is found again by the next report.

--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -67,7 +67,9 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer may send new requests."""
-        return self.entry.accepting and bool(self.configuration.view.revision)
+        loaded = self.configuration.view.revision and self.directory.position
+        leaving = self.entry.closing or not self.entry.accepting
+        return bool(loaded) and not leaving
 
     def find_owner(self, service: str) -> str | None:
         """Return the owner of a service's queue."""
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -16,6 +16,7 @@
     Envelope,
     ReleaseSlot,
     ReportSlots,
+    RequestReport,
 )
 from verbenapost.state.configuration import ANY, ConfigurationView, OwnedService
 from verbenapost.state.documents import Quota
@@ -53,6 +54,7 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
+        self._members: frozenset[str] = frozenset()
         self._log = make_logger('queue')
 
     @property
@@ -79,10 +81,8 @@
             self._metrics.queue_length.drop(lost)
             self._log.info('queue given up', service=lost)
         for service in sorted(owned):
-            if service not in self._queues:
-                self._open(service, members)
-            queue = self._queues[service]
-            self._post(queue.set_members(self._clock(), members))
+            self._settle_queue(service, members)
+        self._members = frozenset(members)
         self._metrics.duties.put(len(self._queues), 'queue_owner')
 
     def configure(self, view: ConfigurationView, vms: VmDirectory) -> None:
@@ -107,6 +107,16 @@
     def _owns(self, service: str) -> bool:
         return self._owner_of(service) == self._name
 
+    def _settle_queue(self, service: str, members: Collection[str]) -> None:
+        queue = self._queues.get(service)
+        if queue is None:
+            self._open(service, members)
+            return
+        self._post(queue.set_members(self._clock(), members))
+        # What a member asked before it was seen here may have been dropped.
+        for member in sorted(set(members) - self._members):
+            self._send(member, RequestReport(service, queue.epoch))
+
     def _open(self, service: str, members: Collection[str]) -> None:
         epoch = _make_epoch()
         queue = ServiceQueue(service, epoch)
@@ -147,10 +157,16 @@
         if queue is not None:
             self._post(queue.release(self._clock(), release))
 
-    def _take_report(self, _sender: str, report: ReportSlots) -> None:
+    def _take_report(self, sender: str, report: ReportSlots) -> None:
         queue = self._queues.get(report.service)
-        if queue is not None:
+        if queue is None:
+            return
+        if report.owner_epoch == queue.epoch:
             self._post(queue.report(self._clock(), report))
+        else:
+            # The entry knows another owner; it reports again for this one.
+            request = RequestReport(report.service, queue.epoch)
+            self._send(sender, request)
 
     def _post(self, envelopes: Iterable[Envelope]) -> None:
         for envelope in envelopes:
