End the stand-in's open calls at shutdown

Cause: a waiting watch was cut with a traceback when the stand-in ended. Change: open calls are answered with status 500, which the client takes as unknown for writes.

--- a/standins/store.py
+++ b/standins/store.py
@@ -149,6 +149,7 @@
             StoreCore(history), time.monotonic, seed, HELD_SECONDS
         )
         self._bytes: Counter[str] = Counter()
+        self._open: set[asyncio.Task[Any]] = set()
 
     def build(self) -> Starlette:
         """Return the ASGI application."""
@@ -170,11 +171,18 @@
         body = await request.body()
         self._bytes[name] += len(body)
         try:
-            outcome = await operation(self.store, await request.json())
+            outcome = await self._track(operation, await request.json())
         except (KeyError, TypeError, ValueError) as fault:
             return JSONResponse({'detail': repr(fault)}, 400)
+        except asyncio.CancelledError:
+            return JSONResponse({'detail': 'the server ends'}, 500)
         return answer_result(outcome)
 
+    def end_calls(self) -> None:
+        """Answer the calls that still wait, without saying what they did."""
+        for task in self._open:
+            task.cancel()
+
     async def show_calls(self, _request: Request) -> JSONResponse:
         """Show the calls and request bytes so far by kind."""
         return JSONResponse(
@@ -198,6 +206,12 @@
             return JSONResponse({'detail': str(fault)}, 400)
         return JSONResponse({})
 
+    async def _track(self, operation: Operation, call: Any) -> Any:
+        task = asyncio.ensure_future(operation(self.store, call))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+        return await task
+
 
 def answer_result(outcome: Result[Any, Failure]) -> JSONResponse:
     """Return the HTTP form of a result."""
@@ -213,6 +227,12 @@
 class StandinServer(uvicorn.Server):
     """Server that reports when it listens and ends with status 0."""
 
+    def __init__(
+        self, config: uvicorn.Config, application: StoreApplication
+    ) -> None:
+        super().__init__(config)
+        self._application = application
+
     async def startup(self, sockets: Any = None) -> None:
         """Listen, then print the address."""
         await super().startup(sockets)
@@ -232,6 +252,7 @@
 
     def _stop(self) -> None:
         self.should_exit = True
+        self._application.end_calls()
 
 
 def run_store(
@@ -247,8 +268,9 @@
     :param seed: seed of all chances of faults.
     :param history: changes that the watch history holds.
     """
+    application = StoreApplication(seed, history)
     config = uvicorn.Config(
-        StoreApplication(seed, history).build(),
+        application.build(),
         host=host,
         port=port,
         http='httptools',
@@ -258,7 +280,7 @@
         access_log=False,
         timeout_graceful_shutdown=SHUTDOWN_SECONDS,
     )
-    asyncio.run(StandinServer(config).serve())
+    asyncio.run(StandinServer(config, application).serve())
 
 
 if __name__ == '__main__':
--- a/standins/tests/test_store.py
+++ b/standins/tests/test_store.py
@@ -119,6 +119,15 @@
             async with session.get(f'{site.url}/-/calls') as answer:
                 assert (await answer.json())['calls'] == {'get': 1}
 
+    async def test_open_calls_end_with_the_server(self, site):
+        site.store._settings = StoreSettings(site.url)
+        site.faults.lose_answer = 1
+        write = asyncio.create_task(site.store.swap('vm/a', 0, b'1'))
+        while not site.application.store.core.revision:
+            await asyncio.sleep(0.01)
+        site.application.end_calls()
+        assert (await write).err().kind is ErrorKind.STORE_UNKNOWN
+
     async def test_nobody_listens(self):
         with socket.create_server(('127.0.0.1', 0)) as unused:
             url = f'http://127.0.0.1:{unused.getsockname()[1]}'
