--- /dev/null
+++ b/verbenapost/coordination/claims/keys.py
@@ -0,0 +1,124 @@
+"""Idempotency keys: their form, their time and their window."""
+
+import dataclasses
+import enum
+import uuid
+from typing import final
+
+import xxhash
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.state.claims import read_key_time
+
+#: Seconds that a key may be used, counted from its time.
+DEFAULT_LIFE = 300.0
+
+#: Seconds that a key's time may lie in the future.
+DEFAULT_SKEW = 30.0
+
+_KEY_VERSION = 7
+_MILLISECONDS = 1000
+
+
+@enum.unique
+class KeyAge(enum.Enum):
+    """Where a key's time lies."""
+
+    IN_WINDOW = 'in_window'
+    TOO_OLD = 'too_old'
+    TOO_NEW = 'too_new'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyWindow:
+    """Times that a key may have.
+
+    Examples
+    ========
+
+    >>> window = KeyWindow(life=300, skew=30)
+    >>> key = parse_key('017f22e2-79b0-7cc3-98c4-dc0c0c07398f').ok()
+    >>> window.judge(key, wall=1645557742.0 + 100).value
+    'in_window'
+    >>> window.judge(key, wall=1645557742.0 + 301).value
+    'too_old'
+
+    :param life: seconds that a key may be used, counted from its time.
+    :param skew: seconds that a key's time may lie in the future.
+    """
+
+    life: float = DEFAULT_LIFE
+    skew: float = DEFAULT_SKEW
+
+    def judge(self, key: bytes, wall: float) -> KeyAge:
+        """Return where the key's time lies.
+
+        :param key: key in its 16 bytes.
+        :param wall: Unix time in seconds.
+        """
+        age = wall - read_key_time(key) / _MILLISECONDS
+        if age > self.life:
+            return KeyAge.TOO_OLD
+        if age < -self.skew:
+            return KeyAge.TOO_NEW
+        return KeyAge.IN_WINDOW
+
+    def is_over(self, moment: int, wall: float) -> bool:
+        """Return whether keys of a time in milliseconds are too old."""
+        return wall - moment / _MILLISECONDS > self.life
+
+
+def parse_key(text: str) -> Result[bytes, Failure]:
+    """Return the 16 bytes of a UUIDv7.
+
+    Examples
+    ========
+
+    >>> parse_key('5c146b14-3c52-4afd-938a-375d0df1fbf6').err().detail
+    'the idempotency key is no UUIDv7'
+    """
+    try:
+        parsed = uuid.UUID(text)
+    except (ValueError, AttributeError, TypeError):
+        return _refuse_key()
+    if parsed.version != _KEY_VERSION:
+        return _refuse_key()
+    return Ok(parsed.bytes)
+
+
+def show_key(key: bytes) -> str:
+    """Return the text form of a key."""
+    return str(uuid.UUID(bytes=key))
+
+
+def fingerprint_request(
+    method: str, service: str, path: str, body: bytes
+) -> bytes:
+    """Return the digest that tells requests with one key apart.
+
+    Examples
+    ========
+
+    >>> first = fingerprint_request('POST', 'booking', '/visits', b'1')
+    >>> first == fingerprint_request('POST', 'booking', '/visits', b'2')
+    False
+    """
+    digest = xxhash.xxh3_64()
+    for part in (method, service, path):
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, 'big'))
+        digest.update(encoded)
+    digest.update(body)
+    return digest.digest()
+
+
+def pick_shard(key: bytes, shards: int) -> int:
+    """Return the claim shard of a key; the key's tail is random."""
+    return int.from_bytes(key[-4:], 'big') % shards
+
+
+def _refuse_key() -> Err[Failure]:
+    detail = 'the idempotency key is no UUIDv7'
+    return Err(Failure(ErrorKind.BAD_REQUEST, detail))
--- /dev/null
+++ b/verbenapost/coordination/claims/tests/histories.py
@@ -0,0 +1,277 @@
+"""Concurrent runs of claim owners and entries, and their checker."""
+
+import asyncio
+import dataclasses
+import random
+import uuid
+
+from result import Err, Ok
+
+from standins.core import StoreCore
+from standins.memory import MemoryStore
+from standins.virtual import run_virtual
+from verbenapost.coordination.claims.client import ClaimClient
+from verbenapost.coordination.claims.keys import KeyWindow
+from verbenapost.coordination.claims.owner import (
+    ClaimOwner,
+    ClaimPorts,
+    ClaimSettings,
+)
+from verbenapost.protocol.claims import ClaimRepeated
+from verbenapost.protocol.errors import Outcome
+
+#: Unix time at the start of a run.
+EPOCH = 1_700_000_000.0
+
+
+@dataclasses.dataclass
+class Request:
+    """One attempt as its caller saw it."""
+
+    key: str
+    number: int
+    ran: bool = False
+    outcome: str | None = None
+    answer: bytes | None = None
+
+
+class History:
+    """What happened in a run."""
+
+    def __init__(self):
+        self.requests = []
+        self.runs = []
+        self.granted = set()
+
+    def add(self, key):
+        request = Request(key, len(self.requests))
+        self.requests.append(request)
+        return request
+
+    def run(self, request):
+        """Note that a target ran the request and return its answer."""
+        self.runs.append((request.key, request.number))
+        request.ran = True
+        return f'{request.key} {request.number}'.encode()
+
+
+def check_history(history):
+    """Return every broken promise as a sentence."""
+    faults = []
+    by_key = {}
+    for key, number in history.runs:
+        by_key.setdefault(key, []).append(number)
+    for key, numbers in by_key.items():
+        if len(numbers) > 1:
+            faults.append(f'{key} ran twice, by {numbers}')
+    for request in history.requests:
+        numbers = by_key.get(request.key, [])
+        if request.outcome == Outcome.NOT_RUN and request.number in numbers:
+            faults.append(f'request {request.number} ran after not_run')
+        if request.answer is not None:
+            true = [f'{request.key} {one}'.encode() for one in numbers]
+            if request.answer not in true:
+                faults.append(f'request {request.number} got a wrong answer')
+    return faults
+
+
+class PausingStore:
+    """A store whose process may freeze before and after each call."""
+
+    def __init__(self, store, chance, chaos):
+        self._store = store
+        self._chance = chance
+        self._chaos = chaos
+
+    def __getattr__(self, name):
+        call = getattr(self._store, name)
+
+        async def freeze(*parts):
+            await self._pause()
+            outcome = await call(*parts)
+            await self._pause()
+            return outcome
+
+        return freeze
+
+    async def _pause(self):
+        if self._chaos.active and self._chance.random() < 0.008:
+            await asyncio.sleep(self._chance.uniform(0, 40))
+
+
+class Chaos:
+    """Faults of the stores, drawn anew every few seconds."""
+
+    def __init__(self, stores, core, chance, kinds):
+        self.active = bool(kinds)
+        self._stores = stores
+        self._core = core
+        self._chance = chance
+        self._kinds = kinds
+
+    async def run(self):
+        while self.active:
+            for store in self._stores:
+                self._draw(store.faults)
+            if self._kinds and self._chance.random() < 0.1:
+                for store in self._stores:
+                    store.faults.refuse = 1
+            await asyncio.sleep(self._chance.uniform(0.2, 6))
+
+    def stop(self):
+        self.active = False
+        for store in self._stores:
+            for kind in ('refuse', 'hang', 'lose_answer', 'stale'):
+                setattr(store.faults, kind, 0)
+
+    def _draw(self, faults):
+        faults.latency = 0.002
+        faults.jitter = self._chance.choice((0.002, 0.1, 1))
+        faults.hang_seconds = 30
+        for kind in self._kinds:
+            share = self._chance.choice((0, 0, 0, 0.1, 0.4))
+            setattr(faults, kind, share)
+
+
+class Site:
+    """Two or three owners of one shard and entries that ask any of them."""
+
+    def __init__(self, now, seed, owner_type, kinds, slots):
+        self.now = now
+        self.chance = random.Random(seed)
+        self.core = StoreCore()
+        self.history = History()
+        self.owners = {}
+        self.clients = {}
+        self.stores = []
+        self.chaos = Chaos(self.stores, self.core, self.chance, kinds)
+        for number in range(self.chance.choice((2, 3))):
+            self._add_owner(f'owner-{number}', owner_type, slots)
+        for number in range(3):
+            self._add_client(f'entry-{number}')
+        self.favourite = 'owner-0'
+
+    def _add_owner(self, name, owner_type, slots):
+        store = MemoryStore(self.core, self.now, self.chance.random())
+        self.stores.append(store)
+        skew = self.chance.uniform(-6, 6) if self.chaos.active else 0
+        ports = ClaimPorts(
+            PausingStore(store, self.chance, self.chaos),
+            self.now,
+            lambda: EPOCH + skew + self.now(),
+            self._answer,
+            self.chance,
+        )
+        settings = ClaimSettings(0, slots, 10, KeyWindow(life=8, skew=8))
+        self.owners[name] = owner_type(ports, name, settings)
+
+    def _add_client(self, name):
+        self.clients[name] = ClaimClient(
+            lambda owner, message: self._carry(
+                lambda: self.owners[owner].receive(name, message)
+            ),
+            lambda key: self._find_owner(),
+            self.now,
+            self.chance,
+        )
+
+    def _find_owner(self):
+        if self.chance.random() < 0.05:
+            self.favourite = self.chance.choice(list(self.owners))
+        if self.chance.random() < 0.2:
+            return self.chance.choice(list(self.owners))
+        return self.favourite
+
+    def _answer(self, entry, message):
+        self._carry(lambda: self.clients[entry].receive(message))
+
+    def _carry(self, deliver):
+        """Deliver a message late, seldom very late, rarely never."""
+        draw = self.chance.random() if self.chaos.active else 1
+        if draw < 0.01:
+            return
+        delay = self.chance.uniform(0, 20 if draw < 0.05 else 0.01)
+        asyncio.get_running_loop().call_later(delay, deliver)
+
+    def make_key(self):
+        age = self.chance.uniform(-2, 5) if self.chaos.active else 0
+        moment = EPOCH + self.now() - age
+        bits = int(moment * 1000) << 80 | self.chance.getrandbits(76)
+        value = bits & ~(0xF << 76) | 7 << 76
+        value = value & ~(3 << 62) | 2 << 62
+        return str(uuid.UUID(int=value))
+
+    async def ask(self, key):
+        """Send one request, as an entry would."""
+        request = self.history.add(key)
+        client = self.clients[self.chance.choice(list(self.clients))]
+        wait = self.chance.choice((0.3, 2, 10))
+        outcome = await client.claim(key, b'12345678', wait)
+        if isinstance(outcome, Err):
+            request.outcome = outcome.err_value.outcome
+        elif isinstance(outcome, Ok):
+            await self._act(client, request, outcome.ok_value)
+
+    async def _act(self, client, request, claimed):
+        if isinstance(claimed, ClaimRepeated):
+            request.answer = claimed.body
+            return
+        self.history.granted.add(request.key)
+        draw = self.chance.random()
+        if draw < 0.15:
+            request.outcome = Outcome.NOT_RUN
+            client.release(claimed)
+            return
+        await asyncio.sleep(self.chance.choice((0, 0.1, 5)))
+        body = self.history.run(request)
+        if draw > 0.3:
+            client.finish(claimed, 200, 'text/plain', body)
+
+    async def ask_repeatedly(self, key):
+        """Send a request and its repeats."""
+        for _ in range(self.chance.choice((1, 2, 4, 6))):
+            task = asyncio.ensure_future(self.ask(key))
+            if self.chance.random() < 0.6:
+                await task
+            await asyncio.sleep(self.chance.choice((0, 0.05, 1, 8)))
+
+    async def tick(self):
+        while True:
+            for owner in self.owners.values():
+                owner.tick(self.now())
+            await asyncio.sleep(0.1)
+
+
+def run_history(
+    seed,
+    owner_type=ClaimOwner,
+    kinds=('hang', 'lose_answer', 'stale', 'refuse'),
+    keys=60,
+    slots=40,
+):
+    """Run a site under faults in virtual time and return its history."""
+
+    async def scenario(now):
+        site = Site(now, seed, owner_type, kinds, slots)
+        tasks = [
+            asyncio.ensure_future(job)
+            for job in (
+                site.tick(),
+                site.chaos.run(),
+                *(owner.run() for owner in site.owners.values()),
+            )
+        ]
+        callers = []
+        for _ in range(keys):
+            work = site.ask_repeatedly(site.make_key())
+            callers.append(asyncio.ensure_future(work))
+            await asyncio.sleep(site.chance.choice((0, 0.1, 2)))
+        await asyncio.wait(callers)
+        site.chaos.stop()
+        await asyncio.sleep(150)
+        for task in tasks:
+            if task.done():
+                task.result()
+        return site
+
+    return run_virtual(scenario)
