--- /dev/null
+++ b/verbenapost/coordination/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of VMs: records, moves, budgets, waves and assignment."""
--- /dev/null
+++ b/verbenapost/coordination/pools/plan.py
@@ -0,0 +1,113 @@
+"""Whether every VM is maintained once in the configured time."""
+
+import dataclasses
+import math
+from collections.abc import Sequence
+from typing import final
+
+from verbenapost.coordination.pools.policy import FleetPolicy
+from verbenapost.coordination.pools.records import Fleet
+from verbenapost.coordination.pools.waves import WavePlan, build_queue
+from verbenapost.state.vms import VmRecord, VmState
+
+_DAY_SECONDS = 86_400
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolForecast:
+    """What becomes of the maintenance of one pool.
+
+    :param pool: name of the pool.
+    :param together: VMs that may be out together when nothing has failed.
+    :param late: VMs that are maintained after their deadline.
+    :param finished_in: seconds until all VMs are maintained; infinite when
+        none may go out.
+    :param binding: what keeps the wave from going faster.
+    """
+
+    pool: str
+    together: int
+    late: tuple[str, ...]
+    finished_in: float
+    binding: str
+
+    @property
+    def met(self) -> bool:
+        """Return whether all deadlines are met."""
+        return not self.late
+
+
+def forecast_pools(
+    policy: FleetPolicy,
+    fleet: Fleet,
+    now: float,
+    outage_seconds: float,
+) -> list[PoolForecast]:
+    """Forecast the maintenance of each pool.
+
+    :param now: Unix time in seconds.
+    :param outage_seconds: seconds that one VM is out.
+    """
+    pools = sorted({vm.pool for vm in fleet})
+    return [
+        _forecast(policy, fleet, pool, now, outage_seconds) for pool in pools
+    ]
+
+
+def _forecast(
+    policy: FleetPolicy,
+    fleet: Fleet,
+    pool: str,
+    now: float,
+    outage_seconds: float,
+) -> PoolForecast:
+    whole = _assume_in_service(fleet)
+    members = whole.list_pool(pool)
+    plan = build_queue(policy, whole, {}, pool, members).choose()
+    together = len(plan.starts)
+    binding = _find_binding(plan)
+    if not together:
+        names = tuple(vm.name for vm in members)
+        return PoolForecast(pool, 0, names, math.inf, binding)
+    period = policy.maintenance_days * _DAY_SECONDS
+    return PoolForecast(
+        pool=pool,
+        together=together,
+        late=_find_late(members, together, now - period, outage_seconds),
+        finished_in=math.ceil(len(members) / together) * outage_seconds,
+        binding=binding,
+    )
+
+
+def _find_late(
+    members: Sequence[VmRecord],
+    together: int,
+    oldest: float,
+    outage_seconds: float,
+) -> tuple[str, ...]:
+    """Return the VMs that are late when the oldest go first."""
+    in_order = sorted(members, key=lambda vm: vm.maintained_at)
+    return tuple(
+        vm.name
+        for place, vm in enumerate(in_order)
+        if vm.maintained_at < oldest + (place // together + 1) * outage_seconds
+    )
+
+
+def _find_binding(plan: WavePlan) -> str:
+    return next(iter(plan.waiting.values()), 'nothing')
+
+
+def _assume_in_service(fleet: Fleet) -> Fleet:
+    entries = {
+        name: dataclasses.replace(
+            entry,
+            record=dataclasses.replace(
+                entry.record,
+                state=VmState.IN_SERVICE,
+            ),
+        )
+        for name, entry in fleet.entries.items()
+    }
+    return Fleet(entries, fleet.revision)
--- /dev/null
+++ b/verbenapost/coordination/pools/reconcile.py
@@ -0,0 +1,196 @@
+"""Bringing VM records in line with the platform's VM list."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import final
+
+from result import Err, Ok, Result
+
+from verbenapost.coordination.pools.moves import make_failed
+from verbenapost.coordination.pools.records import (
+    Fleet,
+    VmEntry,
+    VmRecords,
+)
+from verbenapost.coordination.pools.sequence import collect
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.platform import (
+    ListedVm,
+    ListState,
+    PlatformPort,
+    PoolOperation,
+    VmStatus,
+)
+from verbenapost.state.vms import VmRecord, VmState
+
+#: Seconds by which the VM list may be late, and the longest gap in it.
+LIST_LAG_SECONDS = 15.0
+
+#: Reason of a VM that the platform is about to take away.
+LEAVING = 'leaving'
+
+
+@final
+class Sightings:
+    """When each VM was last seen in the list.
+
+    :param lag: seconds after which a missing VM is looked at.
+    """
+
+    def __init__(self, lag: float = LIST_LAG_SECONDS) -> None:
+        self._lag = lag
+        self._seen_at: dict[str, float] = {}
+
+    def observe(self, listed: Iterable[str], now: float) -> None:
+        """Note the names in a list read at ``now``."""
+        self._seen_at.update(dict.fromkeys(listed, now))
+
+    def find_missing(self, known: Iterable[str], now: float) -> list[str]:
+        """Return the known VMs that were not listed for too long."""
+        return [
+            name
+            for name in known
+            if now - self._seen_at.setdefault(name, now) > self._lag
+        ]
+
+
+@final
+class Reconciler:
+    """Creates records of new VMs and marks those that are gone.
+
+    Explanation
+    ===========
+
+    The list lags, repeats and leaves out VMs. So a VM counts as gone only
+    when it was missing for long and the pool interface does not know it
+    either, and as replaced only when its boot count has changed as well.
+
+    :param records: VM records.
+    :param platform: VM list and pool interface.
+    :param sightings: what this keeper saw in earlier lists.
+    """
+
+    def __init__(
+        self,
+        records: VmRecords,
+        platform: PlatformPort,
+        sightings: Sightings,
+    ) -> None:
+        self._records = records
+        self._platform = platform
+        self._sightings = sightings
+
+    async def reconcile(
+        self,
+        listed: Mapping[str, ListedVm],
+        fleet: Fleet,
+        spare_pool: str,
+        now: float,
+    ) -> None:
+        """Write what the list shows and the records lack.
+
+        :param spare_pool: pool of new VMs; empty when none are taken in.
+        :param now: Unix time in seconds.
+        """
+        self._sightings.observe(listed, now)
+        known = fleet.entries
+        new = [vm for vm in listed.values() if vm.name not in known]
+        if spare_pool:
+            await collect(lambda vm: self._adopt(vm, spare_pool, now), new)
+        changed = [
+            (known[vm.name], vm) for vm in listed.values() if vm.name in known
+        ]
+        await collect(lambda pair: self._compare(*pair, now), changed)
+        missing = self._sightings.find_missing(known, now)
+        await collect(lambda name: self._check_gone(known[name], now), missing)
+
+    async def _adopt(
+        self,
+        vm: ListedVm,
+        pool: str,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        inspected = await self._platform.inspect(vm.name)
+        if isinstance(inspected, Err):
+            return inspected
+        record = _make_record(vm, inspected.ok_value, pool, now)
+        return await self._records.create(record)
+
+    async def _compare(
+        self,
+        entry: VmEntry,
+        vm: ListedVm,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        record = entry.record
+        if record.address != vm.address:
+            return await self._replace(entry, vm, now)
+        if vm.state is not ListState.LEAVING:
+            return Ok(entry)
+        if record.state is not VmState.IN_SERVICE:
+            return Ok(entry)
+        draining = dataclasses.replace(
+            record,
+            state=VmState.DRAINING,
+            reason=LEAVING,
+            changed_at=now,
+        )
+        return await self._records.write(entry, draining)
+
+    async def _replace(
+        self,
+        entry: VmEntry,
+        vm: ListedVm,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        inspected = await self._platform.inspect(vm.name)
+        if isinstance(inspected, Err):
+            return inspected
+        if inspected.ok_value.boot == entry.record.boot:
+            return Ok(entry)
+        replaced = dataclasses.replace(
+            make_failed(entry.record, 'replaced', now),
+            address=vm.address,
+            data_centre=vm.data_centre,
+            rack=vm.rack,
+            boot=inspected.ok_value.boot,
+        )
+        return await self._records.write(entry, replaced)
+
+    async def _check_gone(
+        self,
+        entry: VmEntry,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        if entry.record.state is VmState.FAILED:
+            return Ok(entry)
+        inspected = await self._platform.inspect(entry.record.name)
+        if not isinstance(inspected, Err):
+            return Ok(entry)
+        if inspected.err_value.kind is not ErrorKind.NOT_FOUND:
+            return inspected
+        failed = make_failed(entry.record, 'gone', now)
+        return await self._records.write(entry, failed)
+
+
+def _make_record(
+    vm: ListedVm,
+    status: VmStatus,
+    pool: str,
+    now: float,
+) -> VmRecord:
+    ready = status.operation is PoolOperation.RUNNING
+    serves_pool = status.pool in {'', pool}
+    fresh = ready and serves_pool and vm.state is ListState.LIVE
+    return VmRecord(
+        name=vm.name,
+        address=vm.address,
+        pool=pool,
+        state=VmState.IN_SERVICE if fresh else VmState.DRAINING,
+        data_centre=vm.data_centre,
+        rack=vm.rack,
+        reason='' if fresh else 'new',
+        changed_at=now,
+        maintained_at=now,
+        boot=status.boot,
+    )
--- /dev/null
+++ b/verbenapost/coordination/pools/sequence.py
@@ -0,0 +1,38 @@
+"""Awaiting an action for one member of a collection after the other."""
+
+import collections
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import Failure
+
+_Item = TypeVar('_Item')
+_Answer = TypeVar('_Answer')
+_Checked = Awaitable[Result[Any, Failure]]
+
+
+async def collect(
+    action: Callable[[_Item], Awaitable[_Answer]],
+    members: Iterable[_Item],
+) -> list[_Answer]:
+    """Return the answers for all members."""
+    waiting = collections.deque(members)
+    answers: list[_Answer] = []
+    while waiting:
+        answers.append(await action(waiting.popleft()))
+    return answers
+
+
+async def run_until_failure(
+    action: Callable[[_Item], _Checked],
+    members: Iterable[_Item],
+) -> Result[None, Failure]:
+    """Return the first failure and run no action after it."""
+    waiting = collections.deque(members)
+    while waiting:
+        answer = await action(waiting.popleft())
+        if isinstance(answer, Err):
+            return answer
+    return Ok(None)
--- /dev/null
+++ b/verbenapost/coordination/pools/swap.py
@@ -0,0 +1,62 @@
+"""Writes whose lost answers are settled by the writer's own mark."""
+
+from typing import final
+
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.store import Entry, StorePort
+
+
+@final
+class MarkedWriter:
+    """Compare-and-swap of values that no other writer produces.
+
+    :param store: the platform's store.
+    :param instance: identity of this process start.
+    """
+
+    def __init__(self, store: StorePort, instance: str) -> None:
+        self.store = store
+        self.instance = instance
+        self._sequence = 0
+
+    def issue_mark(self) -> str:
+        """Return a mark that makes the next value unique."""
+        self._sequence += 1
+        return f'{self.instance}:{self._sequence}'
+
+    async def write(
+        self,
+        key: str,
+        expected: int,
+        value: bytes,
+    ) -> Result[int, Failure]:
+        """Swap a value that holds a mark of :meth:`issue_mark`.
+
+        :returns: the new revision. ``STORE_UNKNOWN`` is left only when the
+            key can't be read or still has the expected revision, since the
+            write may then yet be applied.
+        """
+        outcome = await self.store.swap(key, expected, value)
+        if not isinstance(outcome, Err):
+            return outcome
+        if outcome.err_value.kind is not ErrorKind.STORE_UNKNOWN:
+            return outcome
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            return outcome
+        return _settle(read.ok_value, expected, value, outcome.err_value)
+
+
+def _settle(
+    entry: Entry | None,
+    expected: int,
+    value: bytes,
+    unknown: Failure,
+) -> Result[int, Failure]:
+    if entry is not None and entry.value == value:
+        return Ok(entry.revision)
+    if entry is None or entry.revision <= expected:
+        return Err(unknown)
+    return Err(Failure(ErrorKind.CONFLICT, 'overwritten since'))
--- /dev/null
+++ b/verbenapost/coordination/pools/wave_store.py
@@ -0,0 +1,92 @@
+"""The record of the maintenance wave in the store."""
+
+import dataclasses
+from typing import final
+
+from result import Err, Result
+
+from verbenapost.coordination.pools.swap import MarkedWriter
+from verbenapost.protocol.errors import Failure
+from verbenapost.protocol.store import NO_REVISION, Entry
+from verbenapost.state.waves import (
+    WAVE_KEY,
+    WaveRecord,
+    pack_wave,
+    unpack_wave,
+)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaveEntry:
+    """The wave's record with the revision at which it was read."""
+
+    record: WaveRecord
+    revision: int
+
+
+@final
+class WaveStore:
+    """Reads and swaps the wave's record.
+
+    :param writer: store client with this instance's marks.
+    """
+
+    def __init__(self, writer: MarkedWriter) -> None:
+        self._writer = writer
+
+    async def read(self) -> Result[WaveEntry, Failure]:
+        """Read the record, empty when there was no wave yet."""
+        answer = await self._writer.store.get(WAVE_KEY)
+        return answer.map(_parse_entry)
+
+    async def start(
+        self,
+        name: str,
+        due_before: float,
+        reason: str,
+    ) -> Result[None, Failure]:
+        """Start a wave over the VMs last maintained before a time.
+
+        :param due_before: Unix time in seconds.
+        """
+        return await self._change(
+            name=name,
+            due_before=due_before,
+            stopped=False,
+            reason=reason,
+        )
+
+    async def stop(self, reason: str) -> Result[None, Failure]:
+        """Start no more planned work."""
+        return await self._change(stopped=True, reason=reason)
+
+    async def resume(self, reason: str) -> Result[None, Failure]:
+        """Go on after a stop."""
+        return await self._change(stopped=False, reason=reason)
+
+    async def _change(
+        self,
+        **fields: str | float | bool,
+    ) -> Result[None, Failure]:
+        stored = await self.read()
+        if isinstance(stored, Err):
+            return stored
+        entry = stored.ok_value
+        after = dataclasses.replace(
+            entry.record,
+            writer=self._writer.issue_mark(),
+            **fields,  # type: ignore[arg-type]
+        )
+        written = await self._writer.write(
+            WAVE_KEY,
+            entry.revision,
+            pack_wave(after),
+        )
+        return written.map(lambda _: None)
+
+
+def _parse_entry(entry: Entry | None) -> WaveEntry:
+    if entry is None:
+        return WaveEntry(WaveRecord(), NO_REVISION)
+    return WaveEntry(unpack_wave(entry.value), entry.revision)
--- /dev/null
+++ b/verbenapost/coordination/pools/waves.py
@@ -0,0 +1,142 @@
+"""Which VMs a maintenance wave takes out now, and why others wait."""
+
+import dataclasses
+from collections.abc import Collection, Mapping
+from typing import final
+
+from verbenapost.coordination.pools.budget_rules import BudgetView, build_view
+from verbenapost.coordination.pools.policy import FleetPolicy, find_domain
+from verbenapost.coordination.pools.records import Fleet
+from verbenapost.state.budgets import BudgetRecord, Grant
+from verbenapost.state.vms import VmRecord, VmState
+from verbenapost.state.waves import WaveRecord
+
+#: Reason of a VM that a maintenance wave takes out.
+MAINTENANCE = 'maintenance'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WavePlan:
+    """What a wave does next.
+
+    :param starts: VMs that may go out now, together.
+    :param waiting: reason for each other VM that is due.
+    """
+
+    starts: tuple[str, ...]
+    waiting: Mapping[str, str]
+
+
+@final
+class PoolQueue:
+    """The VMs of one pool that are due, with the budgets they need.
+
+    :param views: budget view of each service of the pool.
+    :param due: VMs of the pool that are due.
+    """
+
+    def __init__(
+        self,
+        views: Mapping[str, BudgetView],
+        due: Collection[VmRecord],
+    ) -> None:
+        self._views = dict(views)
+        self._due = list(due)
+
+    def choose(self) -> WavePlan:
+        """Take VMs as long as all budgets allow one more."""
+        starts: list[str] = []
+        while True:
+            vm = self._find_next()
+            if vm is None:
+                return WavePlan(tuple(starts), self._explain())
+            starts.append(vm.name)
+            self._due.remove(vm)
+            self._assume_granted(vm)
+
+    def _find_next(self) -> VmRecord | None:
+        allowed = (vm for vm in self._due if not self._refuse(vm))
+        return min(allowed, key=self._rank, default=None)
+
+    def _rank(self, vm: VmRecord) -> tuple[int, float, str]:
+        """Prefer the largest domains, whose loss binds the budgets."""
+        sizes = (_measure_domain(view, vm) for view in self._views.values())
+        return -sum(sizes), vm.maintained_at, vm.name
+
+    def _refuse(self, vm: VmRecord) -> str:
+        for service, view in self._views.items():
+            refusal = view.refuse(vm)
+            if refusal:
+                return f'{service}: {refusal}'
+        return ''
+
+    def _assume_granted(self, vm: VmRecord) -> None:
+        grant = Grant(vm.name, MAINTENANCE, 0, '', 0)
+        for service, view in self._views.items():
+            grants = (*view.record.grants, grant)
+            record = dataclasses.replace(view.record, grants=grants)
+            self._views[service] = dataclasses.replace(view, record=record)
+
+    def _explain(self) -> dict[str, str]:
+        return {vm.name: self._refuse(vm) for vm in self._due}
+
+
+def plan_wave(
+    policy: FleetPolicy,
+    fleet: Fleet,
+    budgets: Mapping[str, BudgetRecord],
+    wave: WaveRecord,
+    leaving: Collection[str] = (),
+) -> WavePlan:
+    """Choose the VMs that the wave takes out next.
+
+    :param budgets: budget records by service.
+    :param leaving: names of VMs that the platform takes away.
+    """
+    due = [
+        vm
+        for vm in fleet
+        if vm.maintained_at < wave.due_before and vm.name not in leaving
+    ]
+    if wave.stopped:
+        return WavePlan((), dict.fromkeys((vm.name for vm in due), 'stopped'))
+    plans = [
+        build_queue(policy, fleet, budgets, pool, due).choose()
+        for pool in sorted({vm.pool for vm in due})
+    ]
+    starts = tuple(name for plan in plans for name in plan.starts)
+    waiting: dict[str, str] = {}
+    for plan in plans:
+        waiting.update(plan.waiting)
+    return WavePlan(starts, waiting)
+
+
+def build_queue(
+    policy: FleetPolicy,
+    fleet: Fleet,
+    budgets: Mapping[str, BudgetRecord],
+    pool: str,
+    due: Collection[VmRecord],
+) -> PoolQueue:
+    """Return the queue of a pool's VMs among those that are due."""
+    views = {
+        service: build_view(
+            budget,
+            pool,
+            fleet,
+            budgets.get(service, BudgetRecord()),
+        )
+        for service, budget in policy.find_budgets(pool).items()
+    }
+    return PoolQueue(views, [vm for vm in due if vm.pool == pool])
+
+
+def _measure_domain(view: BudgetView, vm: VmRecord) -> int:
+    survive = view.budget.survive
+    domain = find_domain(vm, survive)
+    return sum(
+        find_domain(other, survive) == domain
+        for other in view.healthy
+        if other.state is VmState.IN_SERVICE
+    )
