--- a/verbenapost/coordination/configuration.py
+++ b/verbenapost/coordination/configuration.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from verbenapost.coordination.archive import MAX_KEPT_ENTRIES
 from verbenapost.coordination.changes import Applied, ChangeRequest
 from verbenapost.coordination.documents import Clocks, DocumentStore
 from verbenapost.coordination.publication import Publisher
@@ -40,6 +41,7 @@
     :param instance: random identity of this process start.
     :param writer: settles lost answers of the same store.
     :param clocks: times of the daemon.
+    :param kept_entries: audit entries that stay with a document.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         instance: str,
         writer: SettledWriter,
         clocks: Clocks,
+        kept_entries: int = MAX_KEPT_ENTRIES,
     ) -> None:
         self._store = store
         self._replica = ConfigurationReplica()
@@ -58,7 +61,7 @@
             writer,
             clocks,
         )
-        self._publisher = Publisher(self._documents)
+        self._publisher = Publisher(self._documents, kept_entries)
         self._subscribers: list[Subscriber] = []
 
     @property
--- a/verbenapost/coordination/publication.py
+++ b/verbenapost/coordination/publication.py
@@ -6,7 +6,7 @@
 import pydantic
 from result import Err, Ok, Result
 
-from verbenapost.coordination.archive import split_entries
+from verbenapost.coordination.archive import MAX_KEPT_ENTRIES, split_entries
 from verbenapost.coordination.changes import (
     Applied,
     Base,
@@ -49,10 +49,16 @@
     one key only, and two teams could otherwise both take one name.
 
     :param documents: keys of the documents.
+    :param kept_entries: audit entries that stay with a document.
     """
 
-    def __init__(self, documents: DocumentStore) -> None:
+    def __init__(
+        self,
+        documents: DocumentStore,
+        kept_entries: int = MAX_KEPT_ENTRIES,
+    ) -> None:
         self._documents = documents
+        self._kept_entries = kept_entries
 
     async def apply(
         self,
@@ -130,7 +136,7 @@
             record,
         )
         if isinstance(written, Err):
-            return written
+            return Err(_exclude_effect(written.err_value))
         proposed = Base(written.ok_value, record)
         refusal = await self._contest(request.team, document, proposed)
         if refusal is None:
@@ -177,7 +183,7 @@
         request: ChangeRequest,
         base: Base,
     ) -> Result[Applied, Failure]:
-        split = split_entries(base.record.audit)
+        split = split_entries(base.record.audit, self._kept_entries)
         if split.archived:
             saved = await self._documents.save_archive(
                 request.team,
@@ -210,3 +216,10 @@
         return parse_document(team, base.record.document)
     except pydantic.ValidationError:
         return None
+
+
+def _exclude_effect(failure: Failure) -> Failure:
+    """Return the failure of a proposal, which alone puts nothing in force."""
+    if failure.kind is ErrorKind.STORE_UNKNOWN:
+        return Failure(ErrorKind.STORE_UNAVAILABLE, failure.detail)
+    return failure
--- a/verbenapost/coordination/tests/sites.py
+++ b/verbenapost/coordination/tests/sites.py
@@ -23,14 +23,14 @@
 }
 
 
-def make_service(core, now, instance='a', seed=1, **faults):
+def make_service(core, now, instance='a', seed=1, kept=40, **faults):
     """Return a service and its own client of a shared store."""
     store = MemoryStore(core, now, seed)
     for name, setting in faults.items():
         setattr(store.faults, name, setting)
     writer = SettledWriter(store, now, random.Random(seed))
     clocks = Clocks(lambda: START + now(), now)
-    return ConfigurationService(store, instance, writer, clocks), store
+    return ConfigurationService(store, instance, writer, clocks, kept), store
 
 
 def make_team(service='counter-orders', pool='counter', **fields):
