--- a/verbenapost/daemon/check.py
+++ b/verbenapost/daemon/check.py
@@ -6,13 +6,13 @@
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
-from typing import Any
 
 import pydantic
 from result import Err, Ok, Result
 
 from verbenapost.daemon.faults import MASK, Fault, list_faults
 from verbenapost.daemon.settings import MIN_KEY_LENGTH, Settings
+from verbenapost.protocol.strictjson import parse_json
 
 #: Bytes that a settings file may have.
 MAX_SETTINGS_BYTES = 1_048_576
@@ -25,10 +25,6 @@
 _RULES: list[Rule] = []
 
 
-class DuplicateKeyError(ValueError):
-    """A JSON object that names one key twice."""
-
-
 def register_rule(rule: Rule) -> Rule:
     """Register a rule that spans more than one key."""
     _RULES.append(rule)
@@ -51,11 +47,8 @@
 def parse_settings(text: str) -> Result[Settings, list[Fault]]:
     """Check and return the settings in a JSON document."""
     try:
-        json.loads(text, object_pairs_hook=_refuse_duplicates)
-    except json.JSONDecodeError as fault:
-        place = f'line {fault.lineno} column {fault.colno}'
-        return Err([Fault(place, '(text)', f'is not JSON: {fault.msg}')])
-    except (DuplicateKeyError, RecursionError) as fault:
+        parse_json(text)
+    except ValueError as fault:
         return Err([Fault(_ROOT, '(text)', str(fault))])
     try:
         settings = _ADAPTER.validate_json(text)
@@ -97,14 +90,6 @@
     return text.decode()
 
 
-def _refuse_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    members = dict(pairs)
-    if len(members) < len(pairs):
-        repeated = _find_repeated(name for name, _ in pairs)
-        raise DuplicateKeyError(f'key {repeated[0]!r} is given twice')
-    return members
-
-
 def _find_repeated(names: Iterable[str]) -> list[str]:
     counted = collections.Counter(names)
     return [name for name, count in counted.items() if count > 1]
--- /dev/null
+++ b/verbenapost/daemon/ports.py
@@ -0,0 +1,129 @@
+"""Ports through which the administration reaches the parts of a daemon."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import Protocol, final
+
+from result import Result
+
+from verbenapost.coordination.changes import Applied, ChangeRequest
+from verbenapost.coordination.rights import Rights
+from verbenapost.protocol.admin import (
+    BudgetStatus,
+    DaemonStatus,
+    DocumentStatus,
+    JobStatus,
+    MemberStatus,
+    PoolStatus,
+    ServiceStatus,
+    VmRequest,
+    WaveRequest,
+    WaveStatus,
+)
+from verbenapost.protocol.errors import Failure
+from verbenapost.state.audit import AuditEntry
+from verbenapost.state.vms import VmRecord
+
+
+class ConfigurationPort(Protocol):
+    """Configuration documents."""
+
+    async def load_document(
+        self,
+        team: str,
+    ) -> Result[DocumentStatus, Failure]:
+        """Return the document in force."""
+
+    async def apply(
+        self,
+        request: ChangeRequest,
+        rights: Rights,
+    ) -> Result[Applied, Failure]:
+        """Put a document in force, or refuse it without a trace."""
+
+    async def load_history(
+        self,
+        team: str,
+    ) -> Result[tuple[AuditEntry, ...], Failure]:
+        """Return all audit entries of a document, the newest last."""
+
+    def list_lagging(self, team: str, revision: int) -> Sequence[str]:
+        """Return the live members that have not reported a revision."""
+
+
+class FleetPort(Protocol):
+    """VMs, pools, services and availability budgets."""
+
+    async def list_vms(self) -> Result[Sequence[VmRecord], Failure]:
+        """Return the records of all VMs."""
+
+    async def change_vm(self, request: VmRequest) -> Result[VmRecord, Failure]:
+        """Start a move, a drain or a return and give the new record."""
+
+    async def list_pools(self) -> Result[Sequence[PoolStatus], Failure]:
+        """Return all pools."""
+
+    async def list_services(self) -> Result[Sequence[ServiceStatus], Failure]:
+        """Return all services."""
+
+    async def list_budgets(self) -> Result[Sequence[BudgetStatus], Failure]:
+        """Return all availability budgets."""
+
+
+class WavePort(Protocol):
+    """The maintenance wave."""
+
+    async def read_wave(self) -> Result[WaveStatus, Failure]:
+        """Return the wave with its plan."""
+
+    async def change_wave(
+        self,
+        request: WaveRequest,
+    ) -> Result[WaveStatus, Failure]:
+        """Start, pause, resume or stop the wave."""
+
+
+class JobPort(Protocol):
+    """Accepted jobs."""
+
+    async def list_jobs(self) -> Result[Sequence[JobStatus], Failure]:
+        """Return the jobs that are not long finished."""
+
+    async def load_job(self, job: str) -> Result[JobStatus, Failure]:
+        """Return one job."""
+
+    async def cancel_job(
+        self,
+        job: str,
+        operator: str,
+    ) -> Result[JobStatus, Failure]:
+        """Cancel a job and return what became of it."""
+
+
+class MemberPort(Protocol):
+    """The daemons, this one among them."""
+
+    def read_status(self) -> DaemonStatus:
+        """Return what this daemon says of itself."""
+
+    def list_members(self) -> Sequence[MemberStatus]:
+        """Return the members that this daemon knows."""
+
+    async def forget_member(
+        self,
+        name: str,
+        operator: str,
+    ) -> Result[None, Failure]:
+        """Take a member that is gone for good out of the count."""
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdminPorts:
+    """All ports of the administration."""
+
+    configuration: ConfigurationPort
+    fleet: FleetPort
+    waves: WavePort
+    jobs: JobPort
+    members: MemberPort
--- a/verbenapost/daemon/tests/test_check.py
+++ b/verbenapost/daemon/tests/test_check.py
@@ -165,7 +165,8 @@
             ('{"name": ', 'not JSON'),
             ('[]', 'object'),
             ('{"name": "a", "name": "b"}', 'twice'),
-            ('[' * 100000, 'recursion'),
+            ('[' * 100000, 'deeply'),
+            ('{"view_timeout": NaN}', 'no JSON number'),
         ],
     )
     def test_bad_text_is_one_clear_fault(self, text, rule):
