Add membership, freshness and changes of the member set

Cause: daemons have to tell an outage of the store from their own isolation, and a cut-off majority must not be replaced while it goes on. Change: heartbeats to three peers a round, dated by the echo of the own counter, so that a delayed message never looks like news; ages instead of clock times; relay of newer documents and of the member set; changes of the set by an intent and a second write, made once a majority of the set before knows of it and the others were silent for twice the view timeout. Ruled out: removal by a lapsed lease. With the confirmations taken out a cut-off majority is dropped (kept as a test).

--- a/verbenapost/coordination/configuration.py
+++ b/verbenapost/coordination/configuration.py
@@ -13,13 +13,17 @@
 from verbenapost.coordination.rights import Rights
 from verbenapost.coordination.writes import SettledWriter
 from verbenapost.protocol.errors import ErrorKind, Failure
-from verbenapost.protocol.store import Listing, StorePort
+from verbenapost.protocol.membership import ViewOffer
+from verbenapost.protocol.store import Event, Listing, StorePort, WatchBatch
 from verbenapost.state.audit import AuditEntry
 from verbenapost.state.configuration import CONFIG_PREFIX, ConfigurationView
 
 #: Seconds that one watch waits for changes.
 WATCH_WAIT = 20.0
 
+#: Bytes of documents that one offer holds, and one document more.
+MAX_OFFER_BYTES = 1_000_000
+
 Subscriber = Callable[[ConfigurationView], None]
 
 
@@ -69,6 +73,16 @@
         """Return the configuration in force on this daemon."""
         return self._replica.view
 
+    @property
+    def newest(self) -> int:
+        """Return the newest revision of any document."""
+        return self._replica.newest
+
+    @property
+    def applied(self) -> int:
+        """Return the newest revision that is in force as a whole."""
+        return self._replica.applied
+
     @property
     def unreadable(self) -> tuple[str, ...]:
         """Return the documents that this version can't read."""
@@ -122,9 +136,32 @@
         self._replica.adopt_listing(listing)
         return self._notify(before)
 
-    def offer(self) -> Listing:
-        """Return the whole configuration for a member without a store."""
-        return Listing(self._replica.list_entries(), self._replica.position)
+    def offer_after(self, revision: int) -> ViewOffer:
+        """Return what is newer than a revision, for a member without a store.
+
+        A long answer is cut short; the rest follows at the next request.
+        """
+        newer = self._replica.list_newer(revision)
+        rows = []
+        size = 0
+        for entry in newer:
+            rows.append((entry.key, entry.value, entry.revision))
+            size += len(entry.value)
+            if size > MAX_OFFER_BYTES:
+                break
+        whole = len(rows) == len(newer)
+        position = self._replica.position if whole else rows[-1][-1]
+        return ViewOffer(position, tuple(rows))
+
+    def adopt_offer(self, offer: ViewOffer) -> bool:
+        """Adopt what a peer has offered after an own request.
+
+        :returns: whether a document is new.
+        """
+        before = self.view
+        events = [Event(*row) for row in offer.entries]
+        self._replica.adopt_batch(WatchBatch(events, offer.position))
+        return self._notify(before)
 
     async def apply(
         self,
--- a/verbenapost/coordination/replica.py
+++ b/verbenapost/coordination/replica.py
@@ -1,6 +1,7 @@
 """A daemon's copy of the configuration, adopted by revision only."""
 
 import dataclasses
+import sys
 from collections.abc import Iterable
 from typing import final
 
@@ -56,6 +57,7 @@
     def __init__(self) -> None:
         self._copies: dict[str, Copy] = {}
         self._position = 0
+        self._newest = 0
         self._view = ConfigurationView()
 
     @property
@@ -68,6 +70,16 @@
         """Return the store revision up to which the copies are complete."""
         return self._position
 
+    @property
+    def newest(self) -> int:
+        """Return the newest revision of any document."""
+        return self._newest
+
+    @property
+    def applied(self) -> int:
+        """Return the newest revision that is in force as a whole."""
+        return min(self._newest, self._first_unreadable() - 1)
+
     @property
     def unreadable(self) -> tuple[str, ...]:
         """Return the documents that this version can't read."""
@@ -82,12 +94,14 @@
         copy = self._copies.get(name)
         return copy.revision if copy else 0
 
-    def list_entries(self) -> tuple[Entry, ...]:
-        """Return the copies for a relay to another member."""
-        return tuple(
+    def list_newer(self, revision: int) -> tuple[Entry, ...]:
+        """Return the copies newer than a revision, in order of revision."""
+        newer = [
             Entry(f'{CONFIG_PREFIX}{name}', copy.value, copy.revision)
-            for name, copy in sorted(self._copies.items())
-        )
+            for name, copy in self._copies.items()
+            if copy.revision > revision
+        ]
+        return tuple(sorted(newer, key=lambda entry: entry.revision))
 
     def is_stale(self, listing: Listing) -> bool:
         """Tell whether a listing is older than what is known."""
@@ -126,6 +140,7 @@
             name = entry.key.removeprefix(CONFIG_PREFIX)
             if entry.revision > self.find_revision(name):
                 self._copies[name] = self._copy(name, entry)
+                self._newest = max(self._newest, entry.revision)
         self._position = position
         self._view = self._build_view()
         return self._view != before
@@ -168,7 +183,7 @@
                 for copy in self._copies.values()
                 if not copy.readable
             ),
-            default=self._position + 1,
+            default=sys.maxsize,
         )
 
 
--- a/verbenapost/coordination/tests/test_configuration.py
+++ b/verbenapost/coordination/tests/test_configuration.py
@@ -13,7 +13,7 @@
     publish,
 )
 from verbenapost.protocol.errors import ErrorKind, Failure
-from verbenapost.protocol.store import Entry, Listing
+from verbenapost.protocol.membership import ViewOffer
 
 
 def run_service(scenario):
@@ -192,13 +192,8 @@
             applied = (await publish(service, 'shop', make_team())).unwrap()
             await service.load()
             newer = applied.revision + 1
-            rows = [
-                Entry(row.key, b'{"document": {"new": 1}}', newer)
-                if row.key == 'config/shop'
-                else row
-                for row in service.offer().entries
-            ]
-            service.adopt(Listing(rows, newer))
+            row = ('config/shop', b'{"document": {"new": 1}}', newer)
+            service.adopt_offer(ViewOffer(newer, (row,)))
             return applied, service
 
         applied, service = run_service(scenario)
@@ -208,11 +203,25 @@
 
     def test_a_relay_never_goes_back(self):
         async def scenario(service, store):
-            old = service.offer()
             await publish(service, 'shop', make_team())
             await service.load()
-            return service.adopt(old), service.view.teams
+            old = service.offer_after(0)
+            await publish(service, 'shop', make_team(slots=2))
+            await service.load()
+            return service.adopt_offer(old), service.view.teams
 
         adopted, teams = run_service(scenario)
         assert not adopted
-        assert 'shop' in teams
+        assert teams['shop'].services['counter-orders'].slots == 2
+
+    def test_a_relay_brings_a_new_member_up_to_date(self):
+        async def scenario(service, store):
+            await publish(service, 'shop', make_team())
+            await service.load()
+            other, _ = make_service(StoreCore(), lambda: 0, 'b')
+            other.adopt_offer(service.offer_after(other.newest))
+            return service, other
+
+        service, other = run_service(scenario)
+        assert other.view == service.view
+        assert other.applied == service.newest
--- /dev/null
+++ b/verbenapost/coordination/tests/test_membership.py
@@ -0,0 +1,153 @@
+"""Membership in virtual time."""
+
+import pytest
+
+from verbenapost.coordination.changeover import Changeover
+from verbenapost.coordination.quorum import Status
+from verbenapost.coordination.tests.members_site import (
+    SET_KEY,
+    TIMING,
+    Site,
+)
+from verbenapost.state.members import unpack_set
+
+FIVE = ('a', 'b', 'c', 'd', 'e')
+
+
+def make_site(names=FIVE):
+    site = Site(names)
+    site.apply(1)
+    site.advance(20)
+    return site
+
+
+def read_set(site):
+    return unpack_set(site.core.get(SET_KEY, site.now).value)
+
+
+def list_statuses(site, names):
+    return {site.running[n].member.find_status(site.now) for n in names}
+
+
+class TestJoining:
+    def test_all_become_members_and_fresh(self):
+        site = make_site()
+        assert set(read_set(site).members) == set(FIVE)
+        site.check_settled()
+
+
+class TestOutage:
+    def test_members_go_on_without_the_store(self):
+        site = make_site()
+        site.storeless = set(FIVE)
+        site.advance(60)
+        assert list_statuses(site, FIVE) == {Status.OUTAGE}
+
+    def test_a_minority_is_isolated(self):
+        site = make_site()
+        site.storeless = {'a', 'b'}
+        site.split({'a', 'b'})
+        site.advance(TIMING.view_timeout + 1)
+        assert list_statuses(site, 'ab') == {Status.ISOLATED}
+        assert list_statuses(site, 'cde') == {Status.FRESH}
+
+    def test_one_without_store_is_fresh_through_peers(self):
+        site = make_site()
+        site.storeless = {'a'}
+        site.advance(20)
+        site.apply(2)
+        site.advance(TIMING.view_timeout)
+        site.check_settled()
+
+    def test_all_are_replaced_during_an_outage(self):
+        site = make_site()
+        site.storeless = set(FIVE)
+        newest = site.running['a'].views.newest
+        for name in FIVE:
+            site.start(name)
+            site.advance(15)
+        assert list_statuses(site, FIVE) == {Status.OUTAGE}
+        assert {one.views.newest for one in site.running.values()} == {newest}
+        site.storeless = set()
+        site.change()
+        site.advance(40)
+        identities = {
+            name: record.identity
+            for name, record in read_set(site).members.items()
+        }
+        assert identities == {
+            name: one.record.identity for name, one in site.running.items()
+        }
+
+    def test_a_killed_majority_is_left_out_once_its_vms_are_gone(self):
+        site = make_site()
+        site.storeless = set(FIVE)
+        for name in 'abc':
+            site.running.pop(name)
+        site.advance(20)
+        assert list_statuses(site, 'de') == {Status.ISOLATED}
+        for name in 'de':
+            site.running[name].member.register.adopt_gone({'a', 'b', 'c'})
+        site.advance(1)
+        assert list_statuses(site, 'de') == {Status.OUTAGE}
+
+    def test_a_paused_member_wakes_isolated(self):
+        site = make_site()
+        process = site.running['a']
+        process.paused = True
+        site.advance(60)
+        assert not process.member.takes_work(site.now)
+
+
+class TestRemoval:
+    def cut_majority(self):
+        site = make_site()
+        site.storeless = {'a', 'b', 'c'}
+        site.split({'a', 'b', 'c'})
+        site.advance(120)
+        return site
+
+    def test_a_lapsed_lease_is_no_removal(self):
+        site = self.cut_majority()
+        assert set(read_set(site).members) == set(FIVE)
+        assert list_statuses(site, 'abc') == {Status.OUTAGE}
+
+    def test_a_waiting_change_names_the_silent(self):
+        site = self.cut_majority()
+        register = site.running['d'].member.register
+        assert register.list_blockers(site.now, {}) == ('a', 'b', 'c')
+
+    def test_an_operator_may_forget_members(self):
+        site = self.cut_majority()
+        register = site.running['d'].member.register
+        write = register.plan_forget('a')
+        assert set(write.member_set.members) == set(FIVE) - {'a'}
+        assert register.plan_forget('x') is None
+
+    def test_a_dead_minority_is_removed(self):
+        site = make_site()
+        site.running.pop('a')
+        site.advance(90)
+        assert set(read_set(site).members) == set(FIVE) - {'a'}
+
+    def test_a_cut_off_majority_is_dropped_without_confirmations(
+        self,
+        monkeypatch,
+    ):
+        monkeypatch.setattr(Changeover, 'list_blockers', lambda *args: ())
+        with pytest.raises(AssertionError, match='no majority knew'):
+            self.cut_majority()
+
+    def test_joins_do_not_dilute_a_majority(self):
+        site = Site(tuple('abcde'))
+        for name in 'cde':
+            site.running.pop(name)
+        site.start('c')
+        site.advance(20)
+        site.storeless = {'a', 'b'}
+        site.split({'a', 'b'})
+        site.start('d')
+        site.start('e')
+        site.advance(60)
+        assert set(read_set(site).members) == {'a', 'b', 'c'}
+        assert list_statuses(site, 'ab') == {Status.OUTAGE}
