Claim the keys of non-idempotent requests between grant and sending

Cause: a repeated certificate ran once for each entry that took it. Found on the way: every repeat was refused as key_reused, because the stored row cuts a fingerprint to 8 bytes and the entry sent 16; the digest function of the claims package is used now, with the team in it. Ruled out: settling the claim after each attempt, which would let a retry run without one; it is settled once, after the last attempt. Change: the entry's claimer, the host of claim shards, and a bound on slots that wait for claims.

--- a/verbenapost/coordination/claims/keys.py
+++ b/verbenapost/coordination/claims/keys.py
@@ -94,19 +94,19 @@
 
 
 def fingerprint_request(
-    method: str, service: str, path: str, body: bytes
+    team: str, method: str, service: str, path: str, body: bytes
 ) -> bytes:
     """Return the digest that tells requests with one key apart.
 
     Examples
     ========
 
-    >>> first = fingerprint_request('POST', 'booking', '/visits', b'1')
-    >>> first == fingerprint_request('POST', 'booking', '/visits', b'2')
+    >>> first = fingerprint_request('a', 'POST', 'booking', '/visits', b'1')
+    >>> first == fingerprint_request('a', 'POST', 'booking', '/visits', b'2')
     False
     """
     digest = xxhash.xxh3_64()
-    for part in (method, service, path):
+    for part in (team, method, service, path):
         encoded = part.encode()
         digest.update(len(encoded).to_bytes(4, 'big'))
         digest.update(encoded)
--- a/verbenapost/coordination/contacts.py
+++ b/verbenapost/coordination/contacts.py
@@ -78,9 +78,9 @@
     ===========
 
     Two moments are kept of each member. ``reach`` is a moment after which it
-    surely wrote a message; it never looks younger than it is. ``heard`` is when the last
-    news of it arrived anywhere; it never looks older than it is. The one
-    tells who is surely in touch, the other who is surely silent.
+    surely wrote a message; it never looks younger than it is. ``heard`` is
+    when the last news of it arrived anywhere; it never looks older than it
+    is. The one tells who is surely in touch, the other who is surely silent.
 
     :param name: name of the own member.
     :param identity: identity of the own process.
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -18,6 +18,7 @@
     make_store,
     make_targets,
 )
+from verbenapost.daemon.claims import ClaimHost, KeyClaimer
 from verbenapost.daemon.following import follow_store
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import Metrics, sample_loop_lag
@@ -62,6 +63,7 @@
         self._build_network()
         self._build_store()
         self._build_queues()
+        self._build_claims()
         self._build_entry()
 
     @property
@@ -71,9 +73,13 @@
         leaving = self.entry.closing or not self.entry.accepting
         return bool(loaded) and not leaving
 
-    def find_owner(self, service: str) -> str | None:
+    def find_owner(self, role: str) -> str | None:
+        """Return the member that owns a role."""
+        return pick_owner(role, self._members)
+
+    def find_queue_owner(self, service: str) -> str | None:
         """Return the owner of a service's queue."""
-        return pick_owner(f'queue/{service}', self._members)
+        return self.find_owner(f'queue/{service}')
 
     async def start(self) -> None:
         """Listen, follow the store and serve."""
@@ -101,6 +107,7 @@
             async with asyncio.timeout(shutdown.drain):
                 await self._drain()
         await self.web.stop()
+        self.claims.close_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -126,18 +133,31 @@
 
     def _build_queues(self) -> None:
         name = self.settings.name
-        asker = SlotAsker(name, self.find_owner)
+        asker = SlotAsker(name, self.find_queue_owner)
         self.desk = SlotDesk(asker, self.network.send, read_clock)
         self.desk.register_routes(self.router)
         self.queues = QueueHost(
             name,
             self.network.send,
-            self.find_owner,
+            self.find_queue_owner,
             read_clock,
             self.metrics,
         )
         self.queues.register_routes(self.router)
 
+    def _build_claims(self) -> None:
+        send = self.network.send
+        self.claimer = KeyClaimer(send, self.find_owner, self.metrics)
+        self.claimer.register_routes(self.router)
+        self.claims = ClaimHost(
+            self.settings.name,
+            self.start_id,
+            self.store,
+            send,
+            self.find_owner,
+        )
+        self.claims.register_routes(self.router)
+
     def _build_entry(self) -> None:
         self.targets = make_targets(self.settings)
         self.entry = EntryServer(
@@ -147,7 +167,7 @@
                 desk=self.desk,
                 targets=self.targets,
                 teams=CallerTeams(self.settings.callers),
-                claimer=_NoClaims(),
+                claimer=self.claimer,
                 metrics=self.metrics,
                 clock=read_clock,
             ),
@@ -164,12 +184,15 @@
     def _tick_queues(self, _tick: Any) -> None:
         self.queues.tick()
         self.desk.tick()
+        self.claims.tick()
 
     def _tick_members(self, _tick: Any) -> None:
         members = self.network.connected | {self.settings.name}
         if members != self._members:
             self._members = members
             self._log.info('members', names=sorted(members))
+            self.claims.settle()
+            self.metrics.duties.put(self.claims.shards, 'claim_owner')
             self._settle_queues()
 
     def _adopt_view(self, view: ConfigurationView) -> None:
@@ -195,11 +218,3 @@
 
 def _ignore() -> None:
     """Nobody listens yet."""
-
-
-class _NoClaims:
-    async def claim(self, _job: Any) -> Any:
-        raise LookupError('no claim owner')
-
-    def record(self, _job: Any, _outcome: Any) -> None:
-        raise LookupError('no claim owner')
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -45,12 +45,18 @@
 class Claimer(Protocol):
     """Makes sure that a keyed request runs at most once."""
 
+    async def wait_turn(self, job: 'Job') -> None:
+        """Wait while too many slots wait for their claims."""
+
     async def claim(self, job: 'Job') -> Result[TargetAnswer | None, Failure]:
         """Claim the key; an answer when the request has run before."""
 
     def record(self, job: 'Job', outcome: AnswerResult) -> None:
         """Record how the claimed request ended."""
 
+    def forget(self, job: 'Job') -> None:
+        """Leave the outcome unknown."""
+
 
 @final
 @dataclasses.dataclass(slots=True)
@@ -64,6 +70,10 @@
     :param treatment: how its route is treated.
     :param deadline: monotonic seconds at which the caller stops waiting.
     :param headers: headers for the target.
+    :param claimed: the key is claimed for this request.
+    :param touched: a target may have acted on the request.
+    :param attempts: attempts so far.
+    :param avoid: targets of earlier attempts.
     """
 
     request: CallerRequest
@@ -74,9 +84,15 @@
     deadline: float
     headers: Headers = ()
     claimed: bool = False
+    touched: bool = False
     attempts: int = 0
     avoid: tuple[str, ...] = ()
 
+    @property
+    def needs_claim(self) -> bool:
+        """Whether the key must be claimed before the request is sent."""
+        return bool(self.request.key) and not self.treatment.idempotent
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryParts:
@@ -166,6 +182,18 @@
         )
 
     async def _run(self, job: Job) -> AnswerResult:
+        outcome: AnswerResult | None = None
+        try:
+            outcome = await self._attempt_all(job)
+        finally:
+            if outcome is None:
+                self._parts.claimer.forget(job)
+        outcome = _qualify(job, outcome)
+        if job.claimed:
+            self._parts.claimer.record(job, outcome)
+        return outcome
+
+    async def _attempt_all(self, job: Job) -> AnswerResult:
         while True:
             outcome = await self._attempt(job)
             if isinstance(outcome, Ok) and not _is_server_error(outcome):
@@ -176,10 +204,12 @@
 
     async def _attempt(self, job: Job) -> AnswerResult:
         job.attempts += 1
+        if job.needs_claim and not job.claimed:
+            await self._parts.claimer.wait_turn(job)
         ask = self._make_ask(job)
         slot = await self._parts.desk.acquire(ask)
         if isinstance(slot, Err):
-            return self._explain_refusal(job, slot.err_value)
+            return slot
         verdict = Verdict.CANCELLED
         started = self._parts.clock()
         try:
@@ -192,23 +222,15 @@
         return outcome
 
     async def _use_slot(self, job: Job, grant: GrantSlot) -> AnswerResult:
-        if job.request.key and not job.treatment.idempotent:
-            return await self._send_claimed(job, grant)
-        return await self._send(job, grant)
-
-    async def _send_claimed(self, job: Job, grant: GrantSlot) -> AnswerResult:
-        if not job.claimed:
+        if job.needs_claim and not job.claimed:
             claim = await self._parts.claimer.claim(job)
             if isinstance(claim, Err):
                 return claim
             if claim.ok_value is not None:
                 return Ok(claim.ok_value)
             job.claimed = True
-        outcome: AnswerResult = Err(Failure(ErrorKind.INTERNAL))
-        try:
-            outcome = await self._send(job, grant)
-        finally:
-            self._parts.claimer.record(job, outcome)
+        outcome = await self._send(job, grant)
+        job.touched = job.touched or not _is_untouched(outcome)
         return outcome
 
     async def _send(self, job: Job, grant: GrantSlot) -> AnswerResult:
@@ -253,14 +275,6 @@
             return False
         return self._budget.take()
 
-    def _explain_refusal(self, job: Job, failure: Failure) -> Err[Failure]:
-        if job.attempts == 1 or failure.kind is ErrorKind.UNABLE_TO_RUN:
-            return Err(failure)
-        # An earlier attempt may have run, so a plain refusal would be false.
-        return Err(
-            dataclasses.replace(failure, known_outcome=Outcome.UNKNOWN),
-        )
-
     def _make_id(self) -> str:
         return f'{self._parts.start}-r{next(self._numbers)}'
 
@@ -292,6 +306,20 @@
         return CallerAnswer(answer.status, headers, answer.content)
 
 
+def _qualify(job: Job, outcome: AnswerResult) -> AnswerResult:
+    """Withdraw a "not run" that an earlier attempt may have made untrue."""
+    if isinstance(outcome, Ok) or not job.touched:
+        return outcome
+    if outcome.err_value.outcome is not Outcome.NOT_RUN:
+        return outcome
+    return Err(
+        dataclasses.replace(
+            outcome.err_value,
+            known_outcome=Outcome.UNKNOWN,
+        ),
+    )
+
+
 def _is_server_error(outcome: Ok[TargetAnswer]) -> bool:
     return outcome.ok_value.status >= FIRST_SERVER_ERROR
 
