--- /dev/null
+++ b/verbenapost/coordination/pools/tests/test_assignment.py
@@ -0,0 +1,118 @@
+"""The assignment of VMs to pools."""
+
+import collections
+import dataclasses
+import math
+import random
+
+import pytest
+
+from verbenapost.coordination.pools.assignment import (
+    AssignmentModel,
+    Demand,
+    Rack,
+    read_demands,
+    read_racks,
+)
+from verbenapost.coordination.pools.records import Fleet, VmEntry
+from verbenapost.coordination.pools.tests.world import make_policy
+from verbenapost.coordination.pools.transfers import plan_transfers
+from verbenapost.protocol.errors import ErrorKind
+from verbenapost.state.documents import FailureDomain
+from verbenapost.state.vms import VmRecord, VmState
+
+SPARE = 'spare'
+
+
+def make_racks(count, pool=SPARE, size=4):
+    return [
+        Rack(f'dc{num % 3}', f'r{num}', {pool: size}) for num in range(count)
+    ]
+
+
+def make_demands(vms=6, at_once=3, survive=FailureDomain.RACK):
+    names = [*(f'pool{number}' for number in range(4)), SPARE]
+    return [Demand(name, vms, at_once, survive) for name in names]
+
+
+def find_shortage(counts, demands, lost):
+    """Return the VMs that replacement can't make up after a loss."""
+    left = collections.Counter()
+    for key, pools in counts.items():
+        if key not in lost:
+            left.update(pools)
+    needs = {demand.pool: demand.vms for demand in demands}
+    free = left[SPARE] - needs.pop(SPARE)
+    return sum(max(0, need - left[pool]) for pool, need in needs.items()) - free
+
+
+def solve(racks, demands, **options):
+    return AssignmentModel(racks, demands, SPARE, **options).solve()
+
+
+class TestAssignment:
+    @pytest.mark.parametrize('seed', range(3))
+    def test_every_rack_may_be_lost(self, seed):
+        draw = random.Random(seed)
+        racks = make_racks(draw.randrange(9, 15))
+        demands = [
+            dataclasses.replace(demand, vms=draw.randrange(3, 7))
+            for demand in make_demands()
+        ]
+        solved = solve(racks, demands).unwrap()
+        for rack in racks:
+            assert find_shortage(solved.counts, demands, {rack.key}) <= 0
+            for demand in demands:
+                held = [
+                    pools[demand.pool]
+                    for key, pools in solved.counts.items()
+                    if key != rack.key
+                ]
+                assert sum(held) >= demand.at_once
+        assert solved.buffer == math.ceil(solved.lower_bound - 1e-6)
+
+    def test_every_data_centre_may_be_lost(self):
+        racks = make_racks(15)
+        demands = make_demands(survive=FailureDomain.DATA_CENTRE)
+        solved = solve(racks, demands).unwrap()
+        for centre in range(3):
+            lost = {
+                rack.key
+                for rack in racks
+                if rack.data_centre[2:] == str(centre)
+            }
+            assert find_shortage(solved.counts, demands, lost) <= 0
+
+    def test_nothing_moves_twice(self):
+        first = solve(make_racks(9), make_demands()).unwrap()
+        racks = [Rack(*key, pools) for key, pools in first.counts.items()]
+        again = solve(racks, make_demands()).unwrap()
+        assert (first.moves, again.moves) == (24, 0)
+        assert again.buffer == first.buffer
+
+    def test_shared_buffer_is_smaller(self):
+        shared = solve(make_racks(12), make_demands()).unwrap()
+        own = solve(make_racks(12), make_demands(), shared=False).unwrap()
+        assert shared.buffer < own.buffer
+
+    def test_too_few_vms(self):
+        refused = solve(make_racks(7), make_demands()).unwrap_err()
+        assert refused.kind is ErrorKind.INVALID
+
+
+class TestTransfers:
+    def test_moves_of_an_assignment(self):
+        vms = [
+            VmRecord(f'vm{num}', '', SPARE, rack=f'r{num % 8}')
+            for num in range(24)
+        ]
+        vms.append(VmRecord('dead', '', SPARE, VmState.FAILED, rack='r0'))
+        fleet = Fleet({vm.name: VmEntry(vm, 1) for vm in vms}, 1)
+        policy = make_policy()
+        model = AssignmentModel(read_racks(fleet), read_demands(policy), SPARE)
+        assignment = model.solve().unwrap()
+        transfers = plan_transfers(fleet, assignment, SPARE)
+        assert len(transfers) == assignment.moves == 15
+        targets = collections.Counter(move.next_pool for move in transfers)
+        assert targets == {'pool0': 5, 'pool1': 5, 'pool2': 5}
+        assert len({move.vm for move in transfers} - {'dead'}) == 15
