Leave room for planned work in the assignment

An assignment that only kept min_healthy after the loss of a rack left pools of 2+2+1 VMs from which no VM could go out. Ruled out: borrowing a spare VM for each VM of such a pool, which doubles the moves of a wave. Change: each pool keeps one VM more than min_healthy after the loss, unless its budget allows no planned work; measures of buffer, waves, month, solve. Conclusion: a test checks that a wave can reach each VM.

--- /dev/null
+++ b/bench/pools.py
@@ -0,0 +1,123 @@
+"""Measures of pools: buffer, moves, roll-out and solve.
+
+Run it with ``python -m bench.pools``; it writes ``bench/results/pools.json``.
+"""
+
+import json
+import pathlib
+import statistics
+from collections.abc import Iterable
+from typing import Any
+
+from bench import pools_buffer, pools_month, pools_solve, pools_waves
+
+SEEDS = range(7)
+RESULTS = pathlib.Path(__file__).parent / 'results' / 'pools.json'
+
+
+def summarise(
+    rows: Iterable[dict[str, Any]],
+    keys: tuple[str, ...],
+    figures: tuple[str, ...],
+) -> list[dict[str, Any]]:
+    """Return median, least and greatest of figures for each group."""
+    groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
+    for row in rows:
+        groups.setdefault(tuple(row[key] for key in keys), []).append(row)
+    return [
+        {
+            **dict(zip(keys, group, strict=True)),
+            'runs': len(members),
+            **{
+                figure: _describe([row[figure] for row in members])
+                for figure in figures
+            },
+        }
+        for group, members in groups.items()
+    ]
+
+
+def _describe(values: list[float]) -> dict[str, float]:
+    return {
+        'median': round(statistics.median(values), 3),
+        'least': min(values),
+        'greatest': max(values),
+    }
+
+
+def run() -> dict[str, Any]:
+    """Run all measurements; the solve comes first, for its memory."""
+    solve = pools_solve.measure(SEEDS)
+    solve['summary'] = summarise(
+        solve['rows'],
+        ('vms',),
+        (
+            'seconds',
+            'cpu_seconds',
+            'longest_stall_ms',
+            'longest_idle_stall_ms',
+            'buffer',
+            'bound',
+            'moves',
+        ),
+    )
+    buffer = pools_buffer.measure(SEEDS)
+    waves = pools_waves.measure(SEEDS)
+    month = pools_month.measure(SEEDS)
+    return {
+        'solve': solve,
+        'buffer': {
+            'summary': summarise(
+                buffer,
+                ('site', 'survive'),
+                (
+                    'buffer',
+                    'bound',
+                    'buffer_to_bound',
+                    'buffer_to_rounded_bound',
+                    'vms_to_bound',
+                    'dedicated',
+                    'buffer_to_dedicated',
+                ),
+            ),
+            'rows': buffer,
+        },
+        'waves': {
+            'summary': summarise(
+                waves,
+                ('site', 'equal_durations', 'max_planned'),
+                ('seconds', 'bound_seconds', 'ratio'),
+            ),
+            'rows': waves,
+        },
+        'month': {
+            'summary': summarise(
+                month,
+                ('site',),
+                (
+                    'events',
+                    'moves',
+                    'greedy_moves',
+                    'moves_to_greedy',
+                    'uncovered_hours',
+                    'greedy_uncovered_hours',
+                ),
+            ),
+            'rows': month,
+        },
+    }
+
+
+def main() -> None:
+    """Write the results and print the summaries."""
+    results = run()
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(results, indent=1) + '\n')
+    for name, part in results.items():
+        print(name)
+        for row in part['summary']:
+            print('  ', json.dumps(row))
+
+
+if __name__ == '__main__':
+    main()
--- a/verbenapost/coordination/pools/assignment.py
+++ b/verbenapost/coordination/pools/assignment.py
@@ -15,7 +15,7 @@
 )
 from verbenapost.coordination.pools.records import Fleet
 from verbenapost.protocol.errors import Failure
-from verbenapost.state.documents import FailureDomain
+from verbenapost.state.documents import AvailabilityBudget, FailureDomain
 from verbenapost.state.vms import VmState
 
 #: Moves that one VM less in the buffer is worth.
@@ -24,6 +24,9 @@
 #: Moves that one VM less in a pool's fullest data centre is worth.
 SPREAD_PRICE = 0.05
 
+#: VMs that planned work may take out while a failure domain can be lost.
+PLANNED_ROOM = 1
+
 RackKey: TypeAlias = tuple[str, str]
 
 
@@ -311,17 +314,28 @@
 
 
 def read_demands(policy: FleetPolicy) -> list[Demand]:
-    """Return the demand of each pool, the strictest of its services'."""
+    """Return the demand of each pool, the strictest of its services'.
+
+    Explanation
+    ===========
+
+    Each pool has room for one planned outage on top of the loss that its
+    budgets survive. Without that room a wave could never reach its VMs.
+    """
     order = list(FailureDomain)
     demands: list[Demand] = []
     for pool, spec in sorted(policy.pools.items()):
         budgets = policy.find_budgets(pool).values()
         survive = max((budget.survive for budget in budgets), key=order.index)
-        at_once = max(budget.min_healthy for budget in budgets)
+        at_once = max(_find_at_once(budget) for budget in budgets)
         demands.append(Demand(pool, spec.vms, at_once, survive))
     return demands
 
 
+def _find_at_once(budget: AvailabilityBudget) -> int:
+    return budget.min_healthy + min(PLANNED_ROOM, budget.max_planned)
+
+
 def _group_racks(racks: Iterable[Rack]) -> dict[str, list[RackKey]]:
     centres: dict[str, list[RackKey]] = {}
     for rack in racks:
--- a/verbenapost/coordination/pools/tests/test_assignment.py
+++ b/verbenapost/coordination/pools/tests/test_assignment.py
@@ -18,7 +18,7 @@
 from verbenapost.coordination.pools.tests.world import make_policy
 from verbenapost.coordination.pools.transfers import plan_transfers
 from verbenapost.protocol.errors import ErrorKind
-from verbenapost.state.documents import FailureDomain
+from verbenapost.state.documents import AvailabilityBudget, FailureDomain
 from verbenapost.state.vms import VmRecord, VmState
 
 SPARE = 'spare'
@@ -108,6 +108,25 @@
         assert refused.kind is ErrorKind.INVALID
 
 
+class TestDemands:
+    def test_room_for_planned_outages(self):
+        demands = read_demands(make_policy())
+        assert {demand.at_once for demand in demands} == {3}
+        frozen = make_policy(budget=AvailabilityBudget(2, 0))
+        assert {demand.at_once for demand in read_demands(frozen)} == {2}
+
+    @pytest.mark.parametrize('seed', range(3))
+    def test_a_wave_reaches_every_vm(self, seed):
+        draw = random.Random(seed)
+        budget = AvailabilityBudget(3, 2)
+        policy = make_policy(4, draw.randrange(5, 8), budget)
+        demands = read_demands(policy)
+        solved = solve(make_racks(10), demands).unwrap()
+        for pool in policy.pools:
+            sizes = [pools[pool] for pools in solved.counts.values()]
+            assert sum(sizes) - max(sizes) - 1 >= budget.min_healthy
+
+
 class TestTransfers:
     def test_moves_of_an_assignment(self):
         vms = [
