Add the command-line tool

Cause: operators need tables, programs need JSON and exit codes. Ruled out: commands that call the daemon from inside the library's function call, since the library finds a misspelt option only afterwards and a drain would have run; a callable result, since the library goes on into its members. Change: commands choose a call, which is made once the whole line has been understood; exit codes 0 to 4; advice by error kind; a list of teams in the administration.

--- /dev/null
+++ b/verbenapost/cli/exits.py
@@ -0,0 +1,59 @@
+"""Exit codes and the faults that lead to them."""
+
+import enum
+from typing import Final
+
+from verbenapost.protocol.errors import ErrorKind
+
+
+@enum.unique
+class ExitCode(enum.IntEnum):
+    """What a program that calls the tool can go by."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    UNKNOWN = 4
+
+
+#: What mends a failure, by error kind.
+ADVICE: Final[dict[str, str]] = {
+    ErrorKind.UNAUTHENTICATED: (
+        'set VERBENAPOST_TOKEN to a token that the daemon knows'
+    ),
+    ErrorKind.FORBIDDEN: 'use a token with the right on this subtree',
+    ErrorKind.NOT_FOUND: 'check the name with the list command',
+    ErrorKind.CONFLICT: 'read it again with get or list, then repeat',
+    ErrorKind.INVALID: 'correct the values named above, then apply again',
+    ErrorKind.BAD_REQUEST: 'correct the argument named above',
+    ErrorKind.TOO_LARGE: 'make the document smaller',
+    ErrorKind.NOT_READY: 'repeat, or ask another daemon with --daemon',
+    ErrorKind.STORE_UNAVAILABLE: "repeat once the platform's store answers",
+    ErrorKind.STORE_UNKNOWN: (
+        'look with get or history whether it took effect before you repeat'
+    ),
+}
+
+#: Advice for a kind that has none of its own.
+DEFAULT_ADVICE = "look into the daemon's log"
+
+
+class CommandError(Exception):
+    """A command that did not succeed.
+
+    :param code: exit code.
+    :param message: what happened.
+    :param advice: what the operator can do.
+    """
+
+    def __init__(self, code: ExitCode, message: str, advice: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.advice = advice
+
+
+def make_usage_error(message: str, advice: str) -> CommandError:
+    """Return the fault of a command line that can't be carried out."""
+    return CommandError(ExitCode.USAGE, message, advice)
--- /dev/null
+++ b/verbenapost/cli/main.py
@@ -0,0 +1,82 @@
+"""Entry point of the command-line tool."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any
+
+import fire
+
+from verbenapost.cli.client import send_request
+from verbenapost.cli.commands import Command, Commands
+from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
+from verbenapost.cli.options import Options, parse_options
+
+# Keeps the command-line library from starting a pager for its help.
+_NO_PAGER = '-'
+
+
+def run() -> None:
+    """Run the command that the process was started with."""
+    sys.exit(run_command(sys.argv[1:]))
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Run one command.
+
+    :param arguments: words of the command line.
+    :returns: exit code.
+    """
+    os.environ.setdefault('PAGER', _NO_PAGER)
+    try:
+        return _run(arguments)
+    except CommandError as fault:
+        sys.stderr.write(f'verbenapost: {fault.message}\n')
+        sys.stderr.write(f'  {fault.advice}\n')
+        return int(fault.code)
+
+
+def _run(arguments: Sequence[str]) -> int:
+    line = parse_options(arguments)
+    command = _find_command(line.rest)
+    if command is None:
+        return int(ExitCode.DONE)
+    line.options.check()
+    answer = asyncio.run(send_request(line.options, command.request))
+    _write(line.options, command, answer.content)
+    if answer.status == HTTPStatus.ACCEPTED:
+        raise CommandError(
+            ExitCode.UNKNOWN,
+            'not all members reported the change in time',
+            'it is accepted; look at members list whether they follow',
+        )
+    return int(ExitCode.DONE)
+
+
+def _find_command(words: Sequence[str]) -> Command | None:
+    """Return the command, or ``None`` when help was shown."""
+    chosen: list[Command] = []
+    try:
+        fire.Fire(
+            Commands(chosen.append),
+            command=list(words),
+            name='verbenapost',
+        )
+    except fire.core.FireExit as fault:
+        if fault.code:
+            detail = 'the command line is not understood'
+            advice = 'see verbenapost --help'
+            raise make_usage_error(detail, advice) from fault
+        return None
+    return chosen[0] if chosen else None
+
+
+def _write(options: Options, command: Command, content: Any) -> None:
+    if options.as_json:
+        text = json.dumps(content, indent=2, sort_keys=True)
+    else:
+        text = command.show(content)
+    sys.stdout.write(f'{text}\n')
--- a/verbenapost/daemon/adminroutes.py
+++ b/verbenapost/daemon/adminroutes.py
@@ -46,6 +46,13 @@
     return Ok(Reply(call.ports.members.read_status()))
 
 
+@register_route('GET', 'teams')
+async def list_teams(call: AdminCall) -> Answer:
+    """Return the teams whose documents the operator may see."""
+    rows = call.ports.configuration.list_teams()
+    return reply_with_items(row for row in rows if call.can_read(row.team))
+
+
 @register_route('GET', 'config/{team}')
 async def load_document(call: AdminCall) -> Answer:
     """Return a document with its revision as the entity tag."""
--- a/verbenapost/daemon/ports.py
+++ b/verbenapost/daemon/ports.py
@@ -16,6 +16,7 @@
     MemberStatus,
     PoolStatus,
     ServiceStatus,
+    TeamStatus,
     VmRequest,
     WaveRequest,
     WaveStatus,
@@ -28,6 +29,9 @@
 class ConfigurationPort(Protocol):
     """Configuration documents."""
 
+    def list_teams(self) -> Sequence[TeamStatus]:
+        """Return the teams in the configuration in force."""
+
     async def load_document(
         self,
         team: str,
--- a/verbenapost/daemon/tests/fakes.py
+++ b/verbenapost/daemon/tests/fakes.py
@@ -23,6 +23,7 @@
     MemberStatus,
     PoolStatus,
     ServiceStatus,
+    TeamStatus,
     WaveStatus,
 )
 from verbenapost.protocol.errors import ErrorKind, Failure
@@ -46,6 +47,9 @@
     def answer(self, found):
         return Err(self.failure) if self.failure else Ok(found)
 
+    def list_teams(self):
+        return [TeamStatus('shop', 7, ('till',)), TeamStatus('office', 8)]
+
     async def load_document(self, team):
         return self.answer(DocumentStatus(team, self.revision, self.document))
 
--- a/verbenapost/protocol/admin.py
+++ b/verbenapost/protocol/admin.py
@@ -40,6 +40,23 @@
     document: Any
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamStatus:
+    """A team and what its document holds.
+
+    :param team: team or ``platform``.
+    :param revision: revision of the document.
+    :param services: names of the services that it owns.
+    :param quotas: calling teams that it sets quotas for.
+    """
+
+    team: str
+    revision: int
+    services: Sequence[str] = ()
+    quotas: Sequence[str] = ()
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmRequest:
