--- a/verbenapost/daemon/check.py
+++ b/verbenapost/daemon/check.py
@@ -157,3 +157,7 @@
         return Err([Fault('peer_key_file', name, rule)])
     secret = pydantic.SecretStr(text)
     return Ok(dataclasses.replace(settings, peer_key=secret))
+
+
+if __name__ == '__main__':
+    sys.stdout.write(write_schema())
