Run the pool keeper and answer operators on every daemon

Cause: VMs could not be moved or drained, and operators had no way in. Ruled out: dropping the reports of all members that are not in the roster; a report that came before its sender was dialled was lost (entry-5 stayed at revision 0 in members list). Change: keeper and leaving-VM watch on the owner of the region's pools, what members have applied as a message, the administration's ports, a hold for VMs that an operator drains; the node is split into parts, duties and start/stop. Conclusion: the operators' half runs; membership is still who is connected.

--- /dev/null
+++ b/verbenapost/coordination/applied.py
@@ -0,0 +1,52 @@
+"""What each member has applied of the configuration and the VM records."""
+
+from collections.abc import Collection
+from typing import final
+
+from verbenapost.protocol.views import AppliedViews
+
+_NOTHING = AppliedViews(0, 0)
+
+
+@final
+class AppliedTable:
+    """Latest report of each member.
+
+    Examples
+    ========
+
+    >>> table = AppliedTable()
+    >>> table.note('a', AppliedViews(configuration=7, vms=3))
+    >>> table.list_behind(['a', 'b'], configuration=7)
+    ['b']
+    """
+
+    def __init__(self) -> None:
+        self._reports: dict[str, AppliedViews] = {}
+
+    def note(self, member: str, report: AppliedViews) -> None:
+        """Keep a report; a member that restarts may report less."""
+        self._reports[member] = report
+
+    def forget(self, members: Collection[str]) -> None:
+        """Forget the reports of members that have gone."""
+        for name in members:
+            self._reports.pop(name, None)
+
+    def find(self, member: str) -> AppliedViews:
+        """Return the latest report of a member."""
+        return self._reports.get(member, _NOTHING)
+
+    def list_behind(
+        self,
+        members: Collection[str],
+        configuration: int = 0,
+        vms: int = 0,
+    ) -> list[str]:
+        """Return the members that have not applied some revisions."""
+        return [
+            name
+            for name in sorted(members)
+            if self.find(name).configuration < configuration
+            or self.find(name).vms < vms
+        ]
--- a/verbenapost/coordination/pools/budgets.py
+++ b/verbenapost/coordination/pools/budgets.py
@@ -36,12 +36,14 @@
     :param reason: why, for operators.
     :param next_pool: pool that the VM moves to; empty when it stays.
     :param urgent: it replaces a failed VM.
+    :param held: it stays out until an operator returns it.
     """
 
     vm: str
     reason: str
     next_pool: str = ''
     urgent: bool = False
+    held: bool = False
 
 
 @final
--- a/verbenapost/coordination/pools/keeper.py
+++ b/verbenapost/coordination/pools/keeper.py
@@ -121,6 +121,24 @@
             return checked
         return await self._start(permit, now)
 
+    async def let_return(self, name: str) -> Result[VmEntry, Failure]:
+        """Let a VM that an operator holds out of service come back.
+
+        :param name: name of the VM.
+        :returns: ``CONFLICT`` when no operator holds it.
+        """
+        fleet = await self._records.read_fleet()
+        if isinstance(fleet, Err):
+            return fleet
+        entry = fleet.ok_value.entries.get(name)
+        if entry is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f'no VM {name}'))
+        if not entry.record.held:
+            detail = f'no operator holds {name} out of service'
+            return Err(Failure(ErrorKind.CONFLICT, detail))
+        free = dataclasses.replace(entry.record, held=False)
+        return await self._records.write(entry, free)
+
     async def _start(
         self,
         permit: Permit,
@@ -131,6 +149,7 @@
             state=VmState.DRAINING,
             reason=permit.outage.reason,
             next_pool=permit.outage.next_pool or None,
+            held=permit.outage.held,
             changed_at=now,
         )
         return await self._records.write(permit.entry, draining)
--- a/verbenapost/daemon/assembly.py
+++ b/verbenapost/daemon/assembly.py
@@ -6,12 +6,12 @@
 from verbenapost.coordination.configuration import ConfigurationService
 from verbenapost.coordination.documents import Clocks
 from verbenapost.coordination.writes import SettledWriter
-from verbenapost.daemon.probes import Probed, make_own_app
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.store import StorePort
 from verbenapost.transport.bodies import ByteBudget
 from verbenapost.transport.callers import (
+    AsgiApp,
     CallerApp,
     CallerLimits,
     RequestServer,
@@ -57,13 +57,16 @@
 def make_app(
     settings: Settings,
     server: RequestServer,
-    probed: Probed,
+    own_app: AsgiApp,
 ) -> CallerApp:
-    """Return the application for callers and for the daemon's own paths."""
+    """Return the application for callers and for the daemon's own paths.
+
+    :param own_app: application for the daemon's own paths.
+    """
     limits = settings.limits
     return CallerApp(
         server,
-        make_own_app(probed),
+        own_app,
         CallerLimits(limits.header_bytes, limits.body_bytes),
         ByteBudget(limits.bodies_total_bytes),
     )
--- /dev/null
+++ b/verbenapost/daemon/duties.py
@@ -0,0 +1,112 @@
+"""Duties of a daemon, as members and configuration change."""
+
+from typing import Any
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol.views import AppliedViews, LeavingVms
+from verbenapost.state.configuration import ConfigurationView
+
+#: Seconds between two ticks of queues and asks.
+QUEUE_PERIOD = 0.05
+
+#: Seconds between two looks at who is connected.
+MEMBER_PERIOD = 0.2
+
+
+class Duties:
+    """Takes duties over and gives them up.
+
+    :param parts: parts of the daemon.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._log = make_logger('members')
+        parts.router.register(AppliedViews)(parts.applied.note)
+        parts.router.register(LeavingVms)(self._take_leaving)
+        parts.configuration.subscribe(self._adopt_view)
+        parts.directory.subscribe(self._adopt_vms)
+
+    def subscribe_timers(self) -> None:
+        """Have the parts told as time passes."""
+        now = read_clock()
+        subscribe = self._parts.timers.subscribe
+        subscribe('queues', QUEUE_PERIOD, self._tick_queues, now=now)
+        subscribe('members', MEMBER_PERIOD, self._tick_members, now=now)
+
+    def list_roles(self) -> list[str]:
+        """Return the roles that the daemon holds."""
+        parts = self._parts
+        roles = [f'queue/{name}' for name in sorted(parts.queues.services)]
+        if parts.claims.shards:
+            roles.append('claims')
+        if parts.keeper.owned:
+            roles.append('pools')
+        return roles
+
+    def _tick_queues(self, _tick: Any) -> None:
+        self._parts.queues.tick()
+        self._parts.desk.tick()
+        self._parts.claims.tick()
+
+    def _tick_members(self, _tick: Any) -> None:
+        parts = self._parts
+        before = parts.roster.members
+        members = parts.network.connected | {parts.settings.name}
+        if parts.roster.replace(members):
+            # A report can come before its sender is seen as a member, so
+            # only those of members that were seen and went are dropped.
+            parts.applied.forget(before - members)
+            self._log.info('members changed', names=sorted(members))
+            self._settle_all()
+
+    def _settle_all(self) -> None:
+        parts = self._parts
+        parts.claims.settle()
+        parts.metrics.duties.put(parts.claims.shards, 'claim_owner')
+        self._settle_pools()
+        self._settle_queues()
+
+    def _settle_pools(self) -> None:
+        parts = self._parts
+        owned = parts.roster.owns(f'pools/{parts.settings.region}')
+        for part in (parts.keeper, parts.leaving):
+            part.owned = owned
+            part.members = parts.roster.members
+        parts.metrics.duties.put(int(owned), 'pool_keeper')
+        self._announce()
+
+    def _settle_queues(self) -> None:
+        parts = self._parts
+        services = parts.configuration.view.services
+        parts.queues.settle(services, parts.roster.members)
+        self._configure_queues()
+        parts.desk.report(services)
+
+    def _configure_queues(self) -> None:
+        parts = self._parts
+        parts.queues.configure(parts.configuration.view, parts.directory)
+
+    def _adopt_view(self, view: ConfigurationView) -> None:
+        self._parts.entry.view = view
+        self._settle_queues()
+        self._announce()
+
+    def _adopt_vms(self) -> None:
+        self._configure_queues()
+        self._announce()
+
+    def _announce(self) -> None:
+        parts = self._parts
+        report = AppliedViews(
+            parts.configuration.view.revision,
+            parts.directory.position,
+        )
+        for member in parts.roster.members:
+            parts.network.send(member, report)
+
+    def _take_leaving(self, _sender: str, message: LeavingVms) -> None:
+        self._parts.queues.set_leaving(message.names)
+        self._configure_queues()
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -55,6 +55,7 @@
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
         self._members: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
         self._log = make_logger('queue')
 
     @property
@@ -92,10 +93,17 @@
             if owned is not None:
                 self._configure_queue(queue, owned, view, vms)
 
-    def mark_leaving(self, target: str) -> None:
-        """Give a target no new work from now on."""
-        for queue in self._queues.values():
-            self._post(queue.mark_leaving(self._clock(), target))
+    def measure(self, service: str) -> tuple[int, int]:
+        """Return the running and waiting requests of a queue held here."""
+        queue = self._queues.get(service)
+        return (len(queue.grants), queue.waiting) if queue else (0, 0)
+
+    def set_leaving(self, names: Collection[str]) -> None:
+        """Give no new work to VMs that the platform takes away."""
+        for name in sorted(set(names) - self._leaving):
+            for queue in self._queues.values():
+                self._post(queue.mark_leaving(self._clock(), name))
+        self._leaving = frozenset(names)
 
     def tick(self) -> None:
         """Let time pass in every queue."""
@@ -138,6 +146,7 @@
         targets = [
             _make_target(record, owned.spec.slots)
             for record in vms.list_serving(owned.spec.pool)
+            if record.name not in self._leaving
         ]
         self._post(queue.set_targets(now, targets))
 
--- a/verbenapost/state/vms.py
+++ b/verbenapost/state/vms.py
@@ -38,6 +38,7 @@
     :param changed_at: Unix time of the last change, in seconds.
     :param maintained_at: Unix time of the last maintenance, in seconds.
     :param boot: boot count at the pool interface that the record is about.
+    :param held: an operator keeps it out until it is returned.
     :param writer: ``instance:sequence`` of the last write.
     """
 
@@ -54,6 +55,7 @@
     maintained_at: float = 0
     boot: int = 0
     writer: str = ''
+    held: bool = False
 
 
 _ADAPTER = pydantic.TypeAdapter(VmRecord)
