--- a/verbenapost/cli/commands.py
+++ b/verbenapost/cli/commands.py
@@ -129,12 +129,12 @@
 
     @keep_text
     def drain(self, vm: str, reason: str = '') -> None:
-        """Take a VM out of service once its requests have finished."""
+        """Let a VM finish its requests and keep it out until back."""
         self._change(vm, 'drain', {'reason': reason})
 
     @keep_text
     def back(self, vm: str, reason: str = '') -> None:
-        """Put a drained VM back into service."""
+        """Reboot a drained VM and put it back into service."""
         self._change(vm, 'return', {'reason': reason})
 
     def _change(self, vm: str, action: str, content: Any) -> None:
@@ -182,7 +182,7 @@
 
     @keep_text
     def stop(self, reason: str = '') -> None:
-        """End the wave; VMs that are out return."""
+        """End the wave; VMs that are out come back."""
         self._change('stop', {'reason': reason})
 
     def _change(self, action: str, content: Any) -> None:
@@ -259,7 +259,7 @@
         self.services = ListCommands(
             choose,
             'services',
-            ('name', 'team', 'pool', 'targets', 'running', 'waiting', 'owner'),
+            ('name', 'team', 'pool', 'targets', 'slots', 'waiting', 'owner'),
         )
         self.budgets = ListCommands(
             choose,
@@ -271,6 +271,7 @@
                 'healthy',
                 'max_planned',
                 'planned',
+                'unplanned',
                 'survive',
                 'stopped',
             ),
--- a/verbenapost/daemon/admin.py
+++ b/verbenapost/daemon/admin.py
@@ -16,7 +16,7 @@
     OperatorToken,
     Role,
 )
-from verbenapost.daemon import adminroutes  # noqa: F401  fills the registry
+from verbenapost.daemon import adminroutes, configurationroutes  # noqa: F401
 from verbenapost.daemon.admincalls import ROUTES, AdminCall, AdminRoute, Reply
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import Metrics
--- a/verbenapost/daemon/adminroutes.py
+++ b/verbenapost/daemon/adminroutes.py
@@ -1,15 +1,11 @@
 """Functions that answer the calls of operators."""
 
-import asyncio
 import math
-import re
 from collections.abc import Awaitable, Callable, Sequence
-from http import HTTPStatus
 from typing import Any
 
 from result import Err, Ok, Result
 
-from verbenapost.coordination.changes import ChangeRequest
 from verbenapost.coordination.rights import Role, locate_document
 from verbenapost.daemon.admincalls import (
     AdminCall,
@@ -19,24 +15,16 @@
     reply_with,
     reply_with_items,
 )
-from verbenapost.daemon.ports import ConfigurationPort
+from verbenapost.daemon.ports import JobPort
 from verbenapost.protocol.admin import (
     VmAction,
     VmRequest,
     WaveAction,
     WaveRequest,
 )
-from verbenapost.protocol.errors import Failure
+from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.state.documents import DEFAULT_MAINTENANCE_DAYS
 
-#: Longest wait for members to report a change, in seconds.
-MAX_WAIT_SECONDS = 60.0
-
-#: Seconds between two looks at what members have reported.
-POLL_SECONDS = 0.05
-
-_REVISION = re.compile('"?([0-9]{1,18})"?')
-
 Answer = Result[Reply, Failure]
 
 
@@ -46,73 +34,6 @@
     return Ok(Reply(call.ports.members.read_status()))
 
 
-@register_route('GET', 'teams')
-async def list_teams(call: AdminCall) -> Answer:
-    """Return the teams whose documents the operator may see."""
-    rows = call.ports.configuration.list_teams()
-    return reply_with_items(row for row in rows if call.can_read(row.team))
-
-
-@register_route('GET', 'config/{team}')
-async def load_document(call: AdminCall) -> Answer:
-    """Return a document with its revision as the entity tag."""
-    team = _read_team(call, Role.READ)
-    if isinstance(team, Err):
-        return team
-    found = await call.ports.configuration.load_document(team.ok_value)
-    return found.map(lambda status: Reply(status, revision=status.revision))
-
-
-@register_route('PUT', 'config/{team}')
-async def apply_document(call: AdminCall) -> Answer:
-    """Put a document in force and wait for members if asked to."""
-    team = _read_team(call, Role.WRITE)
-    if isinstance(team, Err):
-        return team
-    expected = _read_revision(call.expected)
-    if isinstance(expected, Err):
-        return expected
-    wait = _read_wait(call.arguments.get('wait', '0'))
-    if isinstance(wait, Err):
-        return wait
-    request = ChangeRequest(
-        call.rights.operator,
-        call.arguments.get('reason', ''),
-        team.ok_value,
-        call.content,
-        expected.ok_value,
-    )
-    applied = await call.ports.configuration.apply(request, call.rights)
-    if isinstance(applied, Err):
-        return applied
-    change = applied.ok_value
-    lagging = await wait_for_members(
-        call.ports.configuration,
-        change.team,
-        change.revision,
-        wait.ok_value,
-    )
-    content = {
-        'team': change.team,
-        'revision': change.revision,
-        'number': change.number,
-        'lagging': lagging,
-    }
-    late = lagging and wait.ok_value
-    status = HTTPStatus.ACCEPTED if late else HTTPStatus.OK
-    return Ok(Reply(content, status, change.revision))
-
-
-@register_route('GET', 'config/{team}/history')
-async def load_history(call: AdminCall) -> Answer:
-    """Return the audit entries of a document, the newest last."""
-    team = _read_team(call, Role.READ)
-    if isinstance(team, Err):
-        return team
-    found = await call.ports.configuration.load_history(team.ok_value)
-    return found.and_then(reply_with_items)
-
-
 @register_route('GET', 'vms')
 async def list_vms(call: AdminCall) -> Answer:
     """Return all VMs."""
@@ -204,7 +125,10 @@
 @register_route('GET', 'jobs')
 async def list_jobs(call: AdminCall) -> Answer:
     """Return the jobs that the operator may see."""
-    return await _list_visible(call, call.ports.jobs.list_jobs)
+    jobs = _find_jobs(call)
+    if isinstance(jobs, Err):
+        return jobs
+    return await _list_visible(call, jobs.ok_value.list_jobs)
 
 
 @register_route('GET', 'jobs/{job}')
@@ -213,11 +137,12 @@
     job = call.read_name('job')
     if isinstance(job, Err):
         return job
-    found = await call.ports.jobs.load_job(job.ok_value)
+    jobs = _find_jobs(call)
+    if isinstance(jobs, Err):
+        return jobs
+    found = await jobs.ok_value.load_job(job.ok_value)
     if isinstance(found, Ok) and not call.can_read(found.ok_value.team):
-        return call.check(locate_document(found.ok_value.team), Role.READ).map(
-            Reply
-        )
+        return reply_with(_refuse_reading(found.ok_value.team))
     return reply_with(found)
 
 
@@ -227,7 +152,10 @@
     job = call.read_name('job')
     if isinstance(job, Err):
         return job
-    found = await call.ports.jobs.load_job(job.ok_value)
+    jobs = _find_jobs(call)
+    if isinstance(jobs, Err):
+        return jobs
+    found = await jobs.ok_value.load_job(job.ok_value)
     if isinstance(found, Err):
         return found
     team = found.ok_value.team
@@ -235,7 +163,7 @@
     if isinstance(allowed, Err):
         return allowed
     operator = call.rights.operator
-    return reply_with(await call.ports.jobs.cancel_job(job.ok_value, operator))
+    return reply_with(await jobs.ok_value.cancel_job(job.ok_value, operator))
 
 
 @register_route('GET', 'members')
@@ -258,26 +186,6 @@
     return forgotten.map(lambda _: Reply({'forgotten': name.ok_value}))
 
 
-async def wait_for_members(
-    configuration: ConfigurationPort,
-    team: str,
-    revision: int,
-    wait: float,
-) -> Sequence[str]:
-    """Wait until all live members have reported a revision.
-
-    :param wait: seconds.
-    :returns: members that have not reported it by then.
-    """
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + wait
-    lagging = configuration.list_lagging(team, revision)
-    while lagging and loop.time() < deadline:
-        await asyncio.sleep(POLL_SECONDS)
-        lagging = configuration.list_lagging(team, revision)
-    return lagging
-
-
 async def _list_visible(
     call: AdminCall,
     load: Callable[[], Awaitable[Result[Sequence[Any], Failure]]],
@@ -290,32 +198,16 @@
     )
 
 
-def _read_team(call: AdminCall, role: Role) -> Result[str, Failure]:
-    team = call.read_name('team')
-    if isinstance(team, Err):
-        return team
-    allowed = call.check(locate_document(team.ok_value), role)
-    return allowed.map(lambda _: team.ok_value)
-
-
-def _read_revision(text: str) -> Result[int | None, Failure]:
-    """Return the revision in ``If-Match``; ``None`` stands for any."""
-    if text == '*':
-        return Ok(None)
-    parts = _REVISION.fullmatch(text)
-    if parts is None:
-        return refuse('If-Match must give the revision read before, or *')
-    return Ok(int(parts[1]))
-
-
-def _read_wait(text: str) -> Result[float, Failure]:
-    try:
-        wait = float(text)
-    except ValueError:
-        wait = math.nan
-    if 0 <= wait <= MAX_WAIT_SECONDS:
-        return Ok(wait)
-    return refuse(f'wait: must be 0 to {MAX_WAIT_SECONDS:.0f} seconds')
+def _find_jobs(call: AdminCall) -> Result[JobPort, Failure]:
+    if call.ports.jobs is None:
+        detail = 'this daemon takes no jobs'
+        return Err(Failure(ErrorKind.NOT_FOUND, detail))
+    return Ok(call.ports.jobs)
+
+
+def _refuse_reading(team: str) -> Err[Failure]:
+    detail = f'{Role.READ} on {locate_document(team)} is needed'
+    return Err(Failure(ErrorKind.FORBIDDEN, detail))
 
 
 def _read_days(content: dict[str, Any]) -> Result[float, Failure]:
