Forget expired claims and bound those remembered

Cause: claims stayed in memory until their slots were overwritten, at a low write rate long past their life, and a flood had no bound. Change: claims of expired slots are dropped before each write and the floor rises with them; beyond 400,000 claims new ones are refused as not run. Conclusion: memory follows the life of keys, not the size of the ring.

--- a/verbenapost/coordination/claims/desk.py
+++ b/verbenapost/coordination/claims/desk.py
@@ -29,6 +29,9 @@
 #: Attempts that wait for a write or an outcome.
 MAX_WAITING_ATTEMPTS = 20_000
 
+#: Claims that are remembered or wait; more are refused to bound the memory.
+MAX_CLAIMS = 400_000
+
 
 class Desk:
     """Answers attempts from a ring and collects what to write next.
@@ -129,8 +132,9 @@
         failure = Failure(ErrorKind.NOT_READY, 'the claim owner leaves')
         return _refuse_all(attempts, failure)
 
-    def start_write(self) -> Write:
+    def start_write(self, wall: float) -> Write:
         """Collect the next record."""
+        self.ring.forget_expired(self._window, wall)
         return self._backlog.start_write(
             self.ring.size,
             self.ring.sequence + 1,
@@ -225,7 +229,8 @@
     def _judge_new(self, attempt: Attempt, wall: float) -> list[Reply]:
         if read_key_time(attempt.key) <= self.ring.floor:
             return [attempt.refuse(_expire(Outcome.UNKNOWN))]
-        if self.waiting >= MAX_WAITING_ATTEMPTS:
+        known = self.ring.claim_count + self.waiting
+        if self.waiting >= MAX_WAITING_ATTEMPTS or known >= MAX_CLAIMS:
             return [attempt.refuse(Failure(ErrorKind.OVERLOADED))]
         if self._window.judge(attempt.key, wall) is KeyAge.IN_WINDOW:
             self._backlog.add_claim(attempt)
--- a/verbenapost/coordination/claims/owner.py
+++ b/verbenapost/coordination/claims/owner.py
@@ -187,7 +187,7 @@
                 self._post(self._desk.refuse_full())
                 await asyncio.sleep(FULL_RING_WAIT)
             else:
-                await self._write(self._desk.start_write())
+                await self._write(self._desk.start_write(self._ports.wall()))
 
     def _dispatch(self, held: _Held) -> None:
         message = held.message
--- a/verbenapost/coordination/claims/ring.py
+++ b/verbenapost/coordination/claims/ring.py
@@ -70,6 +70,7 @@
         self._claims: dict[bytes, bytes] = {}
         self._outcomes: dict[bytes, OutcomeRow] = {}
         self._body_bytes = 0
+        self._oldest = 1
 
     @property
     def claim_count(self) -> int:
@@ -119,6 +120,7 @@
     def start_at(self, sequence: int) -> None:
         """Set the number of the first record that an empty ring takes in."""
         self.sequence = sequence - 1
+        self._oldest = sequence
 
     def append_all(self, loaded: Sequence[tuple[SlotRecord, int]]) -> bool:
         """Take in consecutive records.
@@ -136,6 +138,23 @@
             return Fit.OLD
         return Fit.NEXT
 
+    def forget_expired(self, window: KeyWindow, wall: float) -> None:
+        """Drop the claims of slots whose keys are all too old.
+
+        The floor rises with them, also in the next record, so that no clock
+        that is set back makes a forgotten key acceptable.
+        """
+        self._oldest = max(self._oldest, self.sequence - self.size + 1)
+        while self._oldest <= self.sequence:
+            index = self._oldest % self.size
+            slot = self._slots[index]
+            if not window.is_over(slot.newest, wall):
+                break
+            self._forget(index)
+            self._slots[index] = dataclasses.replace(slot, rows=())
+            self.floor = max(self.floor, slot.newest)
+            self._oldest += 1
+
     def apply(self, record: SlotRecord, revision: int) -> None:
         """Take in the next record of the log."""
         index = record.sequence % self.size
@@ -146,7 +165,7 @@
         for row in rows:
             self._claims[read_claim_key(row)] = row
         self.sequence = record.sequence
-        self.floor = record.floor
+        self.floor = max(self.floor, record.floor)
         newest = _find_newest(record, rows)
         self._slots[index] = _Slot(record.sequence, revision, newest, rows)
 
