Ask again for a claim and survive an odd slot

Cause: a question lost on the way was never sent again to the same owner; a slot with other bytes ended the owner's task; each refused write started its backoff anew. Change: the entry asks the same owner again after a second, under the same attempt; an unreadable slot counts as a gap; the backoff grows until a write succeeds. Conclusion: loss of one message costs a second and not the request.

--- a/verbenapost/coordination/claims/client.py
+++ b/verbenapost/coordination/claims/client.py
@@ -18,9 +18,12 @@
 )
 from verbenapost.protocol.errors import ErrorKind, Failure
 
-#: Seconds before another owner is asked.
+#: Seconds between looks at whether another owner must be asked.
 ASK_AGAIN = 0.1
 
+#: Seconds without an answer after which the same owner is asked again.
+RESEND_AFTER = 1.0
+
 #: Abandoned attempts that are remembered to release a late grant.
 MAX_ABANDONED = 20_000
 
@@ -134,12 +137,15 @@
     async def _ask(self, question: ClaimKey) -> ClaimAnswer | None:
         deadline = self._now() + question.wait
         asked: str | None = None
+        again = deadline
         while self._now() < deadline:
             left = deadline - self._now()
             owner = self._find_owner(question.key)
-            if owner is not None and owner != asked:
+            is_due = owner != asked or self._now() >= again
+            if owner is not None and is_due:
                 self._send(owner, dataclasses.replace(question, wait=left))
                 asked = owner
+                again = self._now() + RESEND_AFTER
             answer = await self._wait(question.attempt, min(left, ASK_AGAIN))
             if _is_not_ready(answer):
                 asked = None
--- a/verbenapost/coordination/claims/owner.py
+++ b/verbenapost/coordination/claims/owner.py
@@ -20,7 +20,7 @@
 from verbenapost.protocol.claims import ClaimAnswer, ClaimKey, RecordOutcome
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.store import Entry, StorePort
-from verbenapost.state.claims import pack_slot, unpack_slot
+from verbenapost.state.claims import RecordError, pack_slot, unpack_slot
 
 #: Store writes a second of one shard, at most.
 DEFAULT_WRITE_RATE = 60.0
@@ -121,6 +121,7 @@
         self._settler = SettledWriter(ports.store, ports.now, ports.chance)
         self._held: deque[_Held] = deque()
         self._flight_since: float | None = None
+        self._backoff = Backoff(ports.chance)
         self._loaded = False
         self._changed = asyncio.Event()
         self._interval = 1 / settings.write_rate
@@ -232,12 +233,13 @@
         if isinstance(outcome, Ok):
             wall = self._ports.wall()
             self._post(self._desk.finish_write(outcome.ok_value, wall))
+            self._backoff = Backoff(self._ports.chance)
             return
         if outcome.err_value.kind is ErrorKind.CONFLICT:
             await self._catch_up()
         else:
             self._desk.store_down = True
-            await asyncio.sleep(Backoff(self._ports.chance).draw())
+            await asyncio.sleep(self._backoff.draw())
         self._post(self._desk.lose_write(self._ports.wall()))
 
     async def _settle(self, write: Write) -> Result[int, Failure]:
@@ -264,7 +266,10 @@
         await self._load()
 
     def _take_in(self, entry: Entry) -> Fit:
-        record = unpack_slot(entry.value)
+        try:
+            record = unpack_slot(entry.value)
+        except RecordError:
+            return Fit.GAP
         fit = self._desk.ring.judge(record)
         if fit is Fit.NEXT:
             wall = self._ports.wall()
--- a/verbenapost/coordination/claims/tests/test_client.py
+++ b/verbenapost/coordination/claims/tests/test_client.py
@@ -127,6 +127,18 @@
 
         assert play(scenario) == (kind, released)
 
+    def test_a_lost_question_is_asked_again(self):
+        async def scenario(wire):
+            task = wire.start()
+            await asyncio.sleep(2.5)
+            wire.grant()
+            await task
+            return wire.asked
+
+        asked = play(scenario)
+        assert len(asked) == 3
+        assert len({one.attempt for one in asked}) == 1
+
     def test_nobody_owns_the_key(self):
         async def scenario(wire):
             wire.owner = None
