--- a/verbenapost/cli/commands.py
+++ b/verbenapost/cli/commands.py
@@ -129,12 +129,12 @@
 
     @keep_text
     def drain(self, vm: str, reason: str = '') -> None:
-        """Take a VM out of service once its requests have finished."""
+        """Let a VM finish its requests and keep it out until back."""
         self._change(vm, 'drain', {'reason': reason})
 
     @keep_text
     def back(self, vm: str, reason: str = '') -> None:
-        """Put a drained VM back into service."""
+        """Reboot a drained VM and put it back into service."""
         self._change(vm, 'return', {'reason': reason})
 
     def _change(self, vm: str, action: str, content: Any) -> None:
--- a/verbenapost/daemon/tests/fakes.py
+++ b/verbenapost/daemon/tests/fakes.py
@@ -30,7 +30,7 @@
 from verbenapost.state.audit import AuditEntry, Change
 from verbenapost.state.vms import VmRecord
 
-ROOT, READER, SHOP = 'root-token', 'reader-token', 'shop-token'
+ROOT, READER, SHOP, OFFICE = 'root', 'reader', 'shop', 'office'
 
 
 class FakeDaemon:
@@ -128,6 +128,7 @@
         OperatorToken('root', digest(ROOT), '/', Role.WRITE),
         OperatorToken('reader', digest(READER), '/', Role.READ),
         OperatorToken('kim', digest(SHOP), '/teams/shop', Role.WRITE),
+        OperatorToken('lam', digest(OFFICE), '/teams/office', Role.WRITE),
     ]
     ports = AdminPorts(daemon, daemon, daemon, daemon, daemon)
     return AdminApp(ports, OperatorRegistry(tokens), Metrics()).build()
--- a/verbenapost/daemon/tests/test_admin.py
+++ b/verbenapost/daemon/tests/test_admin.py
@@ -7,6 +7,7 @@
 from verbenapost.daemon.admin import MAX_CALL_BYTES, make_registry
 from verbenapost.daemon.check import parse_settings
 from verbenapost.daemon.tests.fakes import (
+    OFFICE,
     READER,
     ROOT,
     SHOP,
@@ -122,6 +123,8 @@
             (SHOP, 'PUT', 'config/platform'),
             (SHOP, 'GET', 'config/office'),
             (SHOP, 'GET', 'config/office/history'),
+            (OFFICE, 'GET', 'jobs/j-1'),
+            (OFFICE, 'POST', 'jobs/j-1/cancel'),
             (READER, 'POST', 'vms/vm-1/drain'),
             (SHOP, 'POST', 'vms/vm-1/drain'),
             (SHOP, 'POST', 'waves/stop'),
