Let replaced VMs return to their own pool

Cause: against a greedy planner that gives nothing back, the keeper made more moves: each failure cost a replacement and the way of the returned VM to the spare pool. Ruled out: leaving failed VMs unmarked; they would count against max_planned for as long as they are gone. Change: a replaced VM's record names its own pool as the one it returns to, so budgets don't miss it and it comes back as a surplus; a fixed fleet has a price of its own, at which only promises cause moves.

--- a/bench/pools_month.py
+++ b/bench/pools_month.py
@@ -15,6 +15,7 @@
 
 from bench import pools_fleet
 from verbenapost.coordination.pools.assignment import (
+    FIXED_FLEET_PRICE,
     AssignmentModel,
     Demand,
     read_racks,
@@ -40,9 +41,6 @@
 #: Racks of the site.
 RACKS = 11
 
-#: Moves that one VM less in use is worth here: none, the fleet is given.
-BUFFER_PRICE = 0.001
-
 
 @dataclasses.dataclass(frozen=True)
 class Happening:
@@ -147,15 +145,13 @@
         repairs = plan_repairs(policy, self.read_fleet(), [])
         for outage in repairs.outages:
             self.move(outage.vm, outage.next_pool)
-        for name in repairs.replaced:
-            self.move(name, self.spare)
         if self.find_faults():
             self._solve(demands)
 
     def _solve(self, demands: list[Demand]) -> None:
         fleet = self.read_fleet()
         model = AssignmentModel(read_racks(fleet), demands, self.spare)
-        solved = model.solve(buffer_price=BUFFER_PRICE)
+        solved = model.solve(buffer_price=FIXED_FLEET_PRICE)
         if solved.is_err():
             return
         for outage in plan_transfers(fleet, solved.unwrap(), self.spare):
@@ -224,6 +220,15 @@
         return faults
 
 
+class LazyGreedyPlanner(GreedyPlanner):
+    """Fills gaps, makes the best single moves and gives nothing back."""
+
+    def _level(self, pool: str, need: int) -> None:
+        missing = max(0, need - len(self._list(pool)))
+        for name in self._list(self.spare)[:missing]:
+            self.move(name, pool)
+
+
 def record_month(
     draw: random.Random,
     demands: list[Demand],
@@ -289,6 +294,7 @@
     events = record_month(draw, demands)
     ours = _replay(SolverPlanner(demands, spare), events)
     greedy = _replay(GreedyPlanner(demands, spare), events)
+    lazy = _replay(LazyGreedyPlanner(demands, spare), events)
     return {
         'site': site,
         'seed': seed,
@@ -297,6 +303,9 @@
         'moves': ours.moves,
         'greedy_moves': greedy.moves,
         'moves_to_greedy': round(ours.moves / greedy.moves, 3),
+        'lazy_moves': lazy.moves,
+        'moves_to_lazy': round(ours.moves / max(1, lazy.moves), 3),
         'uncovered_hours': round(ours.uncovered, 1),
         'greedy_uncovered_hours': round(greedy.uncovered, 1),
+        'lazy_uncovered_hours': round(lazy.uncovered, 1),
     }
--- a/verbenapost/coordination/pools/assignment.py
+++ b/verbenapost/coordination/pools/assignment.py
@@ -21,6 +21,9 @@
 #: Moves that one VM less in the buffer is worth.
 BUFFER_PRICE = 50.0
 
+#: The same when no VM is given back, so that only promises cause moves.
+FIXED_FLEET_PRICE = 0.1
+
 #: Moves that one VM less in a pool's fullest data centre is worth.
 SPREAD_PRICE = 0.05
 
@@ -134,7 +137,8 @@
     ) -> Result[Assignment, Failure]:
         """Solve for the smallest buffer, then for few moves; blocks.
 
-        :param buffer_price: moves that one VM less in the buffer is worth.
+        :param buffer_price: moves that one VM less in the buffer is worth;
+            ``FIXED_FLEET_PRICE`` while no VM can be given back.
         :param time_limit: seconds.
         """
         self._add_counts(buffer_price)
--- a/verbenapost/coordination/pools/budget_rules.py
+++ b/verbenapost/coordination/pools/budget_rules.py
@@ -21,7 +21,8 @@
 
     A VM is out when its record is not in service or when it has a grant,
     whether or not the grant has expired. A VM that is out without a grant
-    is missed, unless it was replaced and will return to another pool.
+    is missed, unless its record names the pool it will return to, as that
+    of a replaced VM does.
 
     :param budget: the service's availability budget.
     :param members: records of the pool's VMs.
--- a/verbenapost/coordination/pools/keeper.py
+++ b/verbenapost/coordination/pools/keeper.py
@@ -241,20 +241,16 @@
         names: tuple[str, ...],
         fleet: Fleet,
     ) -> None:
-        """Let replaced VMs return to the spare pool."""
-        spare = self._read_policy().spare_pool
-        if spare:
-            pairs = [
-                (
-                    fleet.entries[name],
-                    dataclasses.replace(
-                        fleet.entries[name].record,
-                        next_pool=spare,
-                    ),
-                )
-                for name in names
-            ]
-            await collect(lambda pair: self._records.write(*pair), pairs)
+        """Mark replaced VMs; they come back to their pool as a surplus."""
+        entries = [fleet.entries[name] for name in names]
+        await collect(self._release, entries)
+
+    async def _release(self, entry: VmEntry) -> Result[VmEntry, Failure]:
+        replaced = dataclasses.replace(
+            entry.record,
+            next_pool=entry.record.pool,
+        )
+        return await self._records.write(entry, replaced)
 
     async def _advance_wave(self, now: float) -> Result[None, Failure]:
         wave = await self._waves.read()
--- a/verbenapost/coordination/pools/program.py
+++ b/verbenapost/coordination/pools/program.py
@@ -13,7 +13,7 @@
 TIME_LIMIT_SECONDS = 30.0
 
 #: Relative gap to the bound at which a solve ends.
-RELATIVE_GAP = 1e-4
+RELATIVE_GAP = 1e-5
 
 _INFINITY = highspy.kHighsInf
 
--- a/verbenapost/coordination/pools/repair.py
+++ b/verbenapost/coordination/pools/repair.py
@@ -62,10 +62,10 @@
 
 
 def _is_replaced(vm: VmRecord, needs: Mapping[str, int]) -> bool:
-    """Whether a failed VM is expected by a pool that needs it no more."""
-    if vm.state is not VmState.FAILED:
+    """Whether the pool of a failed VM has all it needs without it."""
+    if vm.state is not VmState.FAILED or vm.next_pool is not None:
         return False
-    return needs.get(vm.next_pool or vm.pool, 1) <= 0
+    return needs.get(vm.pool, 1) <= 0
 
 
 def _count_needs(
