Read the store once for an idle round of the keeper

Cause: a round listed the VM records five times and read each budget twice, also when nothing had changed. Ruled out: a cache across rounds; a watch belongs to the daemon, not here. Each write is still checked against fresh readings. Figures: an idle round makes 3 store calls, before 5 lists, 2 reads of the wave, 2 lists of budgets and 2 reads a service (counted in the code).

--- a/verbenapost/coordination/pools/budgets.py
+++ b/verbenapost/coordination/pools/budgets.py
@@ -11,6 +11,7 @@
     BudgetEntry,
     BudgetStore,
 )
+from verbenapost.coordination.pools.outages import Outage, Permit
 from verbenapost.coordination.pools.policy import FleetPolicy
 from verbenapost.coordination.pools.records import Fleet, VmEntry, VmRecords
 from verbenapost.coordination.pools.sequence import (
@@ -27,36 +28,6 @@
 _BACK = frozenset((VmState.IN_SERVICE, VmState.FAILED))
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outage:
-    """A VM that someone wants to take out of service.
-
-    :param vm: name of the VM.
-    :param reason: why, for operators.
-    :param next_pool: pool that the VM moves to; empty when it stays.
-    :param urgent: it replaces a failed VM.
-    """
-
-    vm: str
-    reason: str
-    next_pool: str = ''
-    urgent: bool = False
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Permit:
-    """An outage that all services of the VM's pool have granted.
-
-    :param entry: the VM's record at the only revision at which the permit
-        may be used.
-    """
-
-    outage: Outage
-    entry: VmEntry
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reading:
--- a/verbenapost/coordination/pools/keeper.py
+++ b/verbenapost/coordination/pools/keeper.py
@@ -1,31 +1,42 @@
 """The pool keeper: one round of all that pools need."""
 
 import dataclasses
-from collections.abc import Callable, Mapping
-from typing import final
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeAlias, final
 
 from result import Err, Ok, Result
 
 from verbenapost.coordination.pools.budget_store import BudgetStore
-from verbenapost.coordination.pools.budgets import Budgets, Outage, Permit
+from verbenapost.coordination.pools.budgets import Budgets
 from verbenapost.coordination.pools.health import UNHEALTHY, HealthTracker
 from verbenapost.coordination.pools.moves import Mover, make_failed
+from verbenapost.coordination.pools.outages import Outage, Permit
 from verbenapost.coordination.pools.policy import FleetPolicy
 from verbenapost.coordination.pools.reconcile import Reconciler, Sightings
-from verbenapost.coordination.pools.records import Fleet, VmEntry, VmRecords
+from verbenapost.coordination.pools.records import VmEntry, VmRecords
 from verbenapost.coordination.pools.repair import plan_repairs
 from verbenapost.coordination.pools.sequence import (
     collect,
     run_until_failure,
 )
+from verbenapost.coordination.pools.snapshot import (
+    Snapshot,
+    SnapshotReader,
+)
 from verbenapost.coordination.pools.swap import MarkedWriter
 from verbenapost.coordination.pools.wave_store import WaveStore
 from verbenapost.coordination.pools.waves import MAINTENANCE, plan_wave
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.platform import ListedVm, ListState, PlatformPort
 from verbenapost.protocol.store import StorePort
+from verbenapost.state.budgets import BudgetRecord
 from verbenapost.state.vms import VmState
 
+#: Seconds between two rounds of a keeper.
+ROUND_SECONDS = 2.0
+
+_Part: TypeAlias = Callable[[Snapshot, float], Awaitable[None]]
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +83,12 @@
         self._read_policy = read_policy
         self._records = VmRecords(writer)
         self._budget_store = BudgetStore(writer)
-        self._waves = WaveStore(writer)
+        self._reader = SnapshotReader(
+            writer,
+            self._records,
+            self._budget_store,
+            WaveStore(writer),
+        )
         self.budgets = Budgets(self._budget_store, self._records)
         self._mover = Mover(self._records, platform, confirm)
         self._reconciler = Reconciler(self._records, platform, Sightings())
@@ -85,8 +101,9 @@
         :returns: the first failure that ended the round; the next round
             starts anew.
         """
+        self._reader.forget()
         return await run_until_failure(
-            lambda part: part(now),
+            lambda part: self._run_part(part, now),
             (
                 self._read_list,
                 self._mark_unhealthy,
@@ -135,34 +152,36 @@
         )
         return await self._records.write(permit.entry, draining)
 
-    async def _read_list(self, now: float) -> Result[None, Failure]:
+    async def _run_part(
+        self,
+        part: _Part,
+        now: float,
+    ) -> Result[None, Failure]:
+        snapshot = await self._reader.read()
+        if isinstance(snapshot, Err):
+            return snapshot
+        await part(snapshot.ok_value, now)
+        return Ok(None)
+
+    async def _read_list(self, snapshot: Snapshot, now: float) -> None:
         listed = await self._platform.list_vms()
         if isinstance(listed, Err):
             # What is recorded can go on without the list.
-            return Ok(None)
+            return
         by_name = {vm.name: vm for vm in listed.ok_value}
         self._leaving = _find_leaving(by_name)
-        fleet = await self._records.read_fleet()
-        if isinstance(fleet, Err):
-            return fleet
-        spare_pool = self._read_policy().spare_pool
         await self._reconciler.reconcile(
             by_name,
-            fleet.ok_value,
-            spare_pool,
+            snapshot.fleet,
+            self._read_policy().spare_pool,
             now,
         )
-        return Ok(None)
 
-    async def _mark_unhealthy(self, now: float) -> Result[None, Failure]:
-        fleet = await self._records.read_fleet()
-        if isinstance(fleet, Err):
-            return fleet
-        names = self.health.find_unhealthy(fleet.ok_value, now)
-        entries = (fleet.ok_value.entries[name] for name in names)
+    async def _mark_unhealthy(self, snapshot: Snapshot, now: float) -> None:
+        names = self.health.find_unhealthy(snapshot.fleet, now)
+        entries = (snapshot.fleet.entries[name] for name in names)
         await collect(lambda entry: self._mark_failed(entry, now), entries)
         self.health.forget(names)
-        return Ok(None)
 
     async def _mark_failed(
         self,
@@ -172,17 +191,13 @@
         failed = make_failed(entry.record, UNHEALTHY, now)
         return await self._records.write(entry, failed)
 
-    async def _advance_moves(self, now: float) -> Result[None, Failure]:
-        fleet = await self._records.read_fleet()
-        if isinstance(fleet, Err):
-            return fleet
+    async def _advance_moves(self, snapshot: Snapshot, now: float) -> None:
         out = (
             entry
-            for entry in fleet.ok_value.entries.values()
+            for entry in snapshot.fleet.entries.values()
             if entry.record.state is not VmState.IN_SERVICE
         )
         await collect(lambda entry: self._advance(entry, now), out)
-        return Ok(None)
 
     async def _advance(
         self,
@@ -192,87 +207,64 @@
         leaving = entry.record.name in self._leaving
         return await self._mover.advance(entry, now, leaving=leaving)
 
-    async def _prune_budgets(self, now: float) -> Result[None, Failure]:
+    async def _prune_budgets(self, snapshot: Snapshot, now: float) -> None:
         policy = self._read_policy()
-        wave = await self._waves.read()
-        if isinstance(wave, Err):
-            return wave
-        services = [
+        stopped = snapshot.wave.stopped
+        pairs = [
             (service, pool)
             for pool in policy.pools
             for service in policy.find_budgets(pool)
         ]
-        stopped = wave.ok_value.record.stopped
+        records = {
+            service: snapshot.budgets.get(service, BudgetRecord())
+            for service, _ in pairs
+        }
         await collect(
-            lambda pair: self.budgets.stop(pair[0], stopped=stopped),
-            services,
+            lambda service: self.budgets.stop(service, stopped=stopped),
+            (
+                service
+                for service, record in records.items()
+                if record.stopped != stopped
+            ),
         )
         await collect(
             lambda pair: self.budgets.prune(*pair, now),
-            services,
+            (pair for pair in pairs if records[pair[0]].grants),
         )
-        return Ok(None)
 
-    async def _repair(self, now: float) -> Result[None, Failure]:
-        budgets = await self._budget_store.read_all()
-        if isinstance(budgets, Err):
-            return budgets
-        fleet = await self._records.read_fleet()
-        if isinstance(fleet, Err):
-            return fleet
-        grants = [
-            grant
-            for record in budgets.ok_value.values()
-            for grant in record.grants
-        ]
+    async def _repair(self, snapshot: Snapshot, now: float) -> None:
         plan = plan_repairs(
             self._read_policy(),
-            fleet.ok_value,
-            grants,
+            snapshot.fleet,
+            snapshot.list_grants(),
             self._leaving,
         )
         self.report = dataclasses.replace(self.report, short=plan.short)
         await collect(lambda outage: self.take_out(outage, now), plan.outages)
-        await self._release_failed(plan.replaced, fleet.ok_value)
-        return Ok(None)
-
-    async def _release_failed(
-        self,
-        names: tuple[str, ...],
-        fleet: Fleet,
-    ) -> None:
-        """Mark replaced VMs; they come back to their pool as a surplus."""
-        entries = [fleet.entries[name] for name in names]
-        await collect(self._release, entries)
+        await collect(
+            self._release,
+            (snapshot.fleet.entries[name] for name in plan.replaced),
+        )
 
     async def _release(self, entry: VmEntry) -> Result[VmEntry, Failure]:
+        """Mark a replaced VM; it comes back to its pool as a surplus."""
         replaced = dataclasses.replace(
             entry.record,
             next_pool=entry.record.pool,
         )
         return await self._records.write(entry, replaced)
 
-    async def _advance_wave(self, now: float) -> Result[None, Failure]:
-        wave = await self._waves.read()
-        if isinstance(wave, Err):
-            return wave
-        budgets = await self._budget_store.read_all()
-        if isinstance(budgets, Err):
-            return budgets
-        fleet = await self._records.read_fleet()
-        if isinstance(fleet, Err):
-            return fleet
+    async def _advance_wave(self, snapshot: Snapshot, now: float) -> None:
         plan = plan_wave(
             self._read_policy(),
-            fleet.ok_value,
-            budgets.ok_value,
-            wave.ok_value.record,
+            snapshot.fleet,
+            snapshot.budgets,
+            snapshot.wave,
             self._leaving,
         )
         outages = (Outage(name, MAINTENANCE) for name in plan.starts)
         await collect(lambda outage: self.take_out(outage, now), outages)
         self.report = dataclasses.replace(self.report, waiting=plan.waiting)
-        return Ok(None)
 
 
 def _find_leaving(listed: Mapping[str, ListedVm]) -> frozenset[str]:
--- a/verbenapost/coordination/pools/records.py
+++ b/verbenapost/coordination/pools/records.py
@@ -140,6 +140,7 @@
     async def delete(self, entry: VmEntry) -> Result[int, Failure]:
         """Delete the record of a VM that is gone for good."""
         key = VM_PREFIX + entry.record.name
+        self._writer.issue_mark()
         return await self._writer.store.delete(key, entry.revision)
 
     async def _write(
--- a/verbenapost/coordination/pools/repair.py
+++ b/verbenapost/coordination/pools/repair.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import final
 
-from verbenapost.coordination.pools.budgets import Outage
+from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.policy import FleetPolicy, find_domain
 from verbenapost.coordination.pools.records import Fleet
 from verbenapost.state.budgets import Grant
--- a/verbenapost/coordination/pools/swap.py
+++ b/verbenapost/coordination/pools/swap.py
@@ -19,12 +19,12 @@
     def __init__(self, store: StorePort, instance: str) -> None:
         self.store = store
         self.instance = instance
-        self._sequence = 0
+        self.sequence = 0
 
     def issue_mark(self) -> str:
         """Return a mark that makes the next value unique."""
-        self._sequence += 1
-        return f'{self.instance}:{self._sequence}'
+        self.sequence += 1
+        return f'{self.instance}:{self.sequence}'
 
     async def write(
         self,
--- a/verbenapost/coordination/pools/tests/test_races.py
+++ b/verbenapost/coordination/pools/tests/test_races.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from verbenapost.coordination.pools.budgets import Budgets, Outage, Permit
+from verbenapost.coordination.pools.budgets import Budgets
 from verbenapost.coordination.pools.keeper import PoolKeeper
+from verbenapost.coordination.pools.outages import Outage, Permit
 from verbenapost.coordination.pools.swap import MarkedWriter
 from verbenapost.coordination.pools.tests.history import (
     History,
--- a/verbenapost/coordination/pools/tests/world.py
+++ b/verbenapost/coordination/pools/tests/world.py
@@ -295,8 +295,8 @@
         await asyncio.sleep(0)
         await self.scheduler.run_until(self.scheduler.now + seconds)
         for task in self.tasks:
-            if task.done() and task.exception():
-                raise task.exception()
+            if task.done() and not task.cancelled():
+                task.result()
 
     def stop(self):
         for task in self.tasks:
--- a/verbenapost/coordination/pools/transfers.py
+++ b/verbenapost/coordination/pools/transfers.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterator
 
 from verbenapost.coordination.pools.assignment import Assignment, RackKey
-from verbenapost.coordination.pools.budgets import Outage
+from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.records import Fleet
 from verbenapost.state.vms import VmRecord, VmState
 
