--- a/verbenapost/coordination/pools/repair.py
+++ b/verbenapost/coordination/pools/repair.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import final
 
-from verbenapost.coordination.pools.budgets import Outage
+from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.policy import FleetPolicy, find_domain
 from verbenapost.coordination.pools.records import Fleet
 from verbenapost.state.budgets import Grant
@@ -62,10 +62,10 @@
 
 
 def _is_replaced(vm: VmRecord, needs: Mapping[str, int]) -> bool:
-    """Whether a failed VM is expected by a pool that needs it no more."""
-    if vm.state is not VmState.FAILED:
+    """Whether the pool of a failed VM has all it needs without it."""
+    if vm.state is not VmState.FAILED or vm.next_pool is not None:
         return False
-    return needs.get(vm.next_pool or vm.pool, 1) <= 0
+    return needs.get(vm.pool, 1) <= 0
 
 
 def _count_needs(
--- a/verbenapost/daemon/fleet.py
+++ b/verbenapost/daemon/fleet.py
@@ -10,8 +10,8 @@
 from verbenapost.coordination.applied import AppliedTable
 from verbenapost.coordination.configuration import ConfigurationService
 from verbenapost.coordination.directory import VmDirectory
-from verbenapost.coordination.pools.budgets import Outage
 from verbenapost.coordination.pools.keeper import PoolKeeper
+from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.policy import FleetPolicy
 from verbenapost.coordination.pools.records import VmEntry
 from verbenapost.daemon.logs import make_logger
