--- a/verbenapost/coordination/admission.py
+++ b/verbenapost/coordination/admission.py
@@ -11,8 +11,8 @@
 from verbenapost.protocol.errors import ErrorKind
 from verbenapost.protocol.slots import AskSlot, RefuseSlot
 
-#: Waits estimated up to this many times too long are let in all the same.
-TOLERANCE = 1.5
+#: Factor by which estimated waits are taken to be too long.
+TOLERANCE = 1.1
 
 #: Shortest and longest advice for a repeat, in seconds.
 MIN_RETRY = 0.5
@@ -91,7 +91,7 @@
             return None
         run = self._times.get(now, share.kind)
         wait = (ahead + 1) * run.mean / self._count_slots(now, share)
-        late = wait / TOLERANCE + run.low - ask.deadline_in
+        late = wait / TOLERANCE + run.high - ask.deadline_in
         if late <= 0:
             return None
         return refuse(
@@ -124,4 +124,4 @@
         weights = sum(row.weight for row in busy)
         slots = self._pool.count_slots(now)
         entitled = slots * share.weight / max(weights, share.weight)
-        return max(entitled, share.running, 1)
+        return max(entitled, share.usage, 1)
--- a/verbenapost/coordination/reserve.py
+++ b/verbenapost/coordination/reserve.py
@@ -12,7 +12,7 @@
 PEAK_HALF_LIFE = 20.0
 
 #: Headroom over the remembered peak.
-HEADROOM = 1.25
+HEADROOM = 1.1
 
 
 @final
--- a/verbenapost/coordination/shares.py
+++ b/verbenapost/coordination/shares.py
@@ -18,6 +18,9 @@
 #: Seconds of its share that a share may catch up on after using less.
 BURST_CREDIT = 1.0
 
+#: Part by which one sample moves the smoothed usage.
+USAGE_GAIN = 0.2
+
 _LEVELS = LEAST_URGENT + 1
 
 ShareKey = tuple[str, str]
@@ -94,6 +97,7 @@
         self.stamp = 0
         self.running = 0
         self.waiting = 0
+        self.usage: float = 0
         self._levels = [_Level() for _ in range(_LEVELS)]
 
     @property
@@ -111,6 +115,10 @@
         """Return the entries held, dead ones included."""
         return sum(len(level) for level in self._levels)
 
+    def sample_usage(self) -> None:
+        """Follow the slots in use, smoothed over a few samples."""
+        self.usage += USAGE_GAIN * (self.running - self.usage)
+
     def push(self, waiting: Waiting) -> None:
         """Add an ask behind those of the same urgency."""
         self.waiting += 1
@@ -189,9 +197,11 @@
         for key, share in self._shares.items():
             share.weight = weigh(key)
 
-    def set_capacity(self, slots: int) -> None:
-        """Set the slots that the credit is reckoned from."""
-        weights = sum(share.weight for share in self if share.running)
+    def sample(self, slots: int) -> None:
+        """Sample the use of slots and reckon the credit from them."""
+        for share in self:
+            share.sample_usage()
+        weights = sum(row.weight for row in self if row.running)
         self.credit = BURST_CREDIT * slots / max(weights, 1)
 
     def get_share(self, key: ShareKey) -> Share:
