--- a/verbenapost/coordination/runs.py
+++ b/verbenapost/coordination/runs.py
@@ -75,6 +75,7 @@
             expected=self._times.get(now, row.kind).mean,
             granted_at=now - row.age,
             expires_at=now + MAX_GRANT_TIME,
+            adopted=True,
         )
         self._pool.adopt(row.target, long=grant.long)
         self._keep(grant)
@@ -111,7 +112,7 @@
         """Size the part of the slots that is kept for short work."""
         self._shares.prune()
         slots = self._pool.count_slots(now)
-        self._shares.set_capacity(slots)
+        self._shares.sample(slots)
         short = [
             share
             for share in self._shares
