Be ready only when the peers have been reached

A daemon that had dialled nobody took itself for the owner of every role; a claim granted by such an owner and its outcome sent to the next one leave the key unknown. Ruled out: a longer wait in the test, which callers would not have. Change: readiness waits for the peers of the settings, at most 3 s. Conclusion: owners are chosen among all members before callers come.

--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -17,6 +17,9 @@
 from verbenapost.daemon.timers import read_clock, run_timers
 from verbenapost.daemon.web import WebServer
 
+#: Seconds after which a daemon goes on without the peers it can't reach.
+SETTLE_SECONDS = 3.0
+
 #: Seconds between two looks at whether requests still run at shutdown.
 DRAIN_POLL = 0.05
 
@@ -35,7 +38,8 @@
         self._duties = Duties(self.parts)
         self._log = make_logger('daemon')
         self._tasks: list[asyncio.Task[None]] = []
-        self._confirmed_at = read_clock()
+        self._started_at = read_clock()
+        self._confirmed_at = self._started_at
         admin = AdminApp(
             make_admin_ports(self.parts, self),
             make_registry(settings),
@@ -58,6 +62,8 @@
             return 'The configuration has not been read yet.'
         if not parts.directory.position:
             return 'The VM records have not been read yet.'
+        if not self._has_settled():
+            return 'The peers have not been reached yet.'
         return ''
 
     def measure_age(self) -> float:
@@ -114,6 +120,17 @@
         while self._app.running:
             await asyncio.sleep(DRAIN_POLL)
 
+    def _has_settled(self) -> bool:
+        """Tell whether owners are chosen among all the members.
+
+        A daemon that has not reached its peers would take itself for the
+        owner of every role.
+        """
+        named = {peer.name for peer in self.settings.peers}
+        if named <= self.parts.roster.members:
+            return True
+        return read_clock() - self._started_at >= SETTLE_SECONDS
+
     def _follow(self, name: str, follower: Any) -> None:
         self._spawn(follow_store(name, follower, self._confirm))
 
