Say unknown when no claim owner answered in time

Cause: a repeat of a running request whose own timer ended first was answered not_run, though its key had been claimed and may have run. Change: the owner refuses 0.3 s before the caller's time is up, so that its verdict on the key comes first; an entry without a verdict says unknown. The claims' budget of the store client lies above the owner's pace. Conclusion: a known claim is never reported as not run for want of time.

--- a/verbenapost/coordination/claims/client.py
+++ b/verbenapost/coordination/claims/client.py
@@ -16,7 +16,7 @@
     ClaimRepeated,
     RecordOutcome,
 )
-from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.errors import ErrorKind, Failure, Outcome
 
 #: Seconds between looks at whether another owner must be asked.
 ASK_AGAIN = 0.1
@@ -43,11 +43,12 @@
     Explanation
     ===========
 
-    The first answer to an attempt decides. An attempt that was given up is
-    never run: a grant that comes late is released. After ``claim`` returned a
-    grant, call either ``finish`` or, when no byte of the request went out,
-    ``release``; when neither is certain, call nothing, and repeats are told
-    that the outcome is not known.
+    The first answer to an attempt decides. Without any answer the outcome is
+    unknown: this attempt did not run, but an earlier one may have. An attempt
+    that was given up is never run: a grant that comes late is released. After
+    ``claim`` returned a grant, call either ``finish`` or, when no byte of the
+    request went out, ``release``; when neither is certain, call nothing, and
+    repeats are told that the outcome is not known.
 
     :param send: sends a message to an owner.
     :param find_owner: returns the present owner of a key, or ``None``.
@@ -181,5 +182,10 @@
 
 def _explain(refusal: ClaimRefused | None) -> Failure:
     if refusal is None:
-        return Failure(ErrorKind.DEADLINE_EXCEEDED)
+        detail = 'no claim owner answered in time'
+        return Failure(
+            ErrorKind.DEADLINE_EXCEEDED,
+            detail,
+            known_outcome=Outcome.UNKNOWN,
+        )
     return refusal.failure
--- a/verbenapost/coordination/claims/desk.py
+++ b/verbenapost/coordination/claims/desk.py
@@ -29,6 +29,10 @@
 #: Attempts that wait for a write or an outcome.
 MAX_WAITING_ATTEMPTS = 20_000
 
+#: Seconds before the caller's time is up at which an attempt is refused, so
+#: that the entry hears what is known of the key.
+REFUSE_EARLY = 0.3
+
 #: Claims that are remembered or wait; more are refused to bound the memory.
 MAX_CLAIMS = 400_000
 
@@ -78,7 +82,9 @@
         if isinstance(parsed, Err):
             attempt = Attempt(sender, asked, b'', now)
             return [attempt.refuse(parsed.err_value)]
-        attempt = Attempt(sender, asked, parsed.ok_value, now + asked.wait)
+        early = min(REFUSE_EARLY, asked.wait / 2)
+        deadline = now + asked.wait - early
+        attempt = Attempt(sender, asked, parsed.ok_value, deadline)
         return self._judge(attempt, wall)
 
     def record_outcome(
--- a/verbenapost/transport/budget.py
+++ b/verbenapost/transport/budget.py
@@ -10,6 +10,12 @@
 #: Seconds that the circuit stays open before a probe.
 OPEN_SECONDS = 1.0
 
+#: Reads a second for claims, enough to read a ring's groups at once.
+CLAIM_READS = 200
+
+#: Writes a second for claims, above the pace of a claim owner.
+CLAIM_WRITES = 80
+
 
 @enum.unique
 class CallClass(enum.StrEnum):
@@ -29,6 +35,14 @@
     writes: float = 50
 
 
+#: Rates of each class unless the settings say otherwise.
+DEFAULT_RATES = {
+    CallClass.CLAIMS: CallRate(CLAIM_READS, CLAIM_WRITES),
+    CallClass.LEASES: CallRate(),
+    CallClass.CONFIGURATION: CallRate(),
+}
+
+
 class TokenBucket:
     """Bucket that hands out reservations in order of asking.
 
--- a/verbenapost/transport/store.py
+++ b/verbenapost/transport/store.py
@@ -16,6 +16,7 @@
 from verbenapost.protocol.store import Entry, Listing, WatchBatch
 from verbenapost.transport import answers
 from verbenapost.transport.budget import (
+    DEFAULT_RATES,
     CallClass,
     CallRate,
     CircuitBreaker,
@@ -78,7 +79,7 @@
     def __init__(self, rates: Mapping[CallClass, CallRate]) -> None:
         self._buckets: dict[tuple[CallClass, bool], TokenBucket] = {}
         for call_class in CallClass:
-            rate = rates.get(call_class, CallRate())
+            rate = rates.get(call_class, DEFAULT_RATES[call_class])
             self._buckets[call_class, False] = _make_bucket(rate.reads)
             self._buckets[call_class, True] = _make_bucket(rate.writes)
 
