Start the moves of an assignment, also where VMs are too few

Cause: nothing in the product carried out an assignment, and a fleet that lost two racks made the programme infeasible, just when its help counts.

--- a/bench/pools.py
+++ b/bench/pools.py
@@ -63,7 +63,7 @@
     )
     buffer = pools_buffer.measure(SEEDS)
     waves = pools_waves.measure(SEEDS)
-    month = pools_month.measure(SEEDS)
+    month = pools_month.measure(SEEDS[:5])
     return {
         'solve': solve,
         'buffer': {
@@ -78,6 +78,7 @@
                     'vms_to_bound',
                     'dedicated',
                     'buffer_to_dedicated',
+                    'dedicated_unspread',
                 ),
             ),
             'rows': buffer,
@@ -93,7 +94,7 @@
         'month': {
             'summary': summarise(
                 month,
-                ('site',),
+                ('site', 'racks'),
                 (
                     'events',
                     'moves',
--- a/bench/pools_fleet.py
+++ b/bench/pools_fleet.py
@@ -2,7 +2,7 @@
 
 import random
 
-from verbenapost.coordination.pools.assignment import (
+from verbenapost.coordination.pools.demands import (
     PLANNED_ROOM,
     Demand,
     Rack,
--- a/verbenapost/coordination/pools/assignment.py
+++ b/verbenapost/coordination/pools/assignment.py
@@ -2,21 +2,20 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Collection, Iterable, Mapping
-from typing import TypeAlias, final
+from typing import final
 
-from result import Result
+from result import Ok, Result
 
-from verbenapost.coordination.pools.policy import FleetPolicy
+from verbenapost.coordination.pools.demands import Demand, Rack, RackKey
 from verbenapost.coordination.pools.program import (
     TIME_LIMIT_SECONDS,
     Program,
     Solved,
 )
-from verbenapost.coordination.pools.records import Fleet
 from verbenapost.protocol.errors import Failure
-from verbenapost.state.documents import AvailabilityBudget, FailureDomain
-from verbenapost.state.vms import VmState
+from verbenapost.state.documents import FailureDomain
 
 #: Moves that one VM less in the buffer is worth.
 BUFFER_PRICE = 50.0
@@ -24,57 +23,12 @@
 #: The same when no VM is given back, so that only promises cause moves.
 FIXED_FLEET_PRICE = 0.1
 
+#: Moves that one VM less short of a promise is worth.
+SHORTAGE_PRICE = 5_000.0
+
 #: Moves that one VM less in a pool's fullest data centre is worth.
 SPREAD_PRICE = 0.05
 
-#: VMs that planned work may take out while a failure domain can be lost.
-PLANNED_ROOM = 1
-
-RackKey: TypeAlias = tuple[str, str]
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rack:
-    """The healthy VMs of a rack by their present pool.
-
-    :param data_centre: data centre of the rack.
-    :param name: rack, unique within the data centre.
-    :param pools: number of VMs in each pool.
-    """
-
-    data_centre: str
-    name: str
-    pools: Mapping[str, int]
-
-    @property
-    def key(self) -> RackKey:
-        """Return the name of the rack in the region."""
-        return self.data_centre, self.name
-
-    @property
-    def size(self) -> int:
-        """Return the number of VMs."""
-        return sum(self.pools.values())
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
-    """What a pool has to have.
-
-    :param pool: name of the pool.
-    :param vms: VMs that it needs at peak.
-    :param at_once: VMs that stay after the loss of a failure domain, before
-        any replacement.
-    :param survive: failure domain whose loss it survives.
-    """
-
-    pool: str
-    vms: int
-    at_once: int = 0
-    survive: FailureDomain = FailureDomain.RACK
-
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +40,8 @@
     :param lower_bound: buffer of the relaxation, which no assignment beats.
     :param moves: VMs that change pool.
     :param releasable: VMs of the spare pool that no need binds.
+    :param missing: VMs by which promises are missed, as there are too few;
+        the bound says nothing then.
     """
 
     counts: Mapping[RackKey, Mapping[str, int]]
@@ -93,6 +49,7 @@
     lower_bound: float
     moves: int
     releasable: int
+    missing: int
 
 
 @final
@@ -106,6 +63,7 @@
     After the loss of any failure domain each pool keeps ``at_once`` VMs, and
     the spare pool's VMs outside that domain make up what the pools then lack
     of their need. VMs that no pool needs stay in the spare pool uncounted.
+    Where there are too few VMs, as little as possible is missing.
 
     :param racks: VMs of the region.
     :param demands: needs of all pools, the spare pool among them.
@@ -129,6 +87,9 @@
         self._program = Program()
         self._vms: dict[tuple[RackKey, str], int] = {}
         self._totals: dict[str, int] = {}
+        self._missing: list[int] = []
+        self._short_at_once: dict[str, int] = {}
+        self._short_after_loss = -1
 
     def solve(
         self,
@@ -143,26 +104,43 @@
         """
         self._add_counts(buffer_price)
         self._add_survival()
-        relaxed = self._program.solve(relaxed=True, time_limit=time_limit)
+        relaxed = self._solve(time_limit, relaxed=True)
         needed = sum(demand.vms for demand in self._demands)
         bound = relaxed.map(
             lambda found: found.objective / buffer_price - needed,
         )
         self._add_moves()
         self._add_spread()
-        solved = bound.and_then(
-            lambda _: self._program.solve(time_limit=time_limit),
-        )
+        solved = bound.and_then(lambda _: self._solve(time_limit))
         return solved.map(
             lambda found: self._read(found, bound.unwrap(), needed),
         )
 
+    def _solve(
+        self,
+        time_limit: float,
+        *,
+        relaxed: bool = False,
+    ) -> Result[Solved, Failure]:
+        """Solve with nothing missing, else with as little as possible."""
+        for upper in (0, math.inf):
+            for column in self._missing:
+                self._program.limit_column(column, upper)
+            solved = self._program.solve(
+                relaxed=relaxed,
+                time_limit=time_limit,
+            )
+            if isinstance(solved, Ok):
+                break
+        return solved
+
     def _add_counts(self, buffer_price: float) -> None:
         program = self._program
         for demand in self._demands:
             total = program.add_column(cost=buffer_price)
             self._totals[demand.pool] = total
-            program.add_row({total: 1}, lower=demand.vms)
+            missing = self._add_missing()
+            program.add_row({total: 1, missing: 1}, lower=demand.vms)
         for rack in self._racks:
             columns = [self._add_vms(rack, pool) for pool in self._totals]
             program.add_row(dict.fromkeys(columns, 1), upper=rack.size)
@@ -178,7 +156,16 @@
         self._vms[rack.key, pool] = column
         return column
 
+    def _add_missing(self) -> int:
+        column = self._program.add_column(cost=SHORTAGE_PRICE)
+        self._missing.append(column)
+        return column
+
     def _add_survival(self) -> None:
+        self._short_at_once = {
+            demand.pool: self._add_missing() for demand in self._demands
+        }
+        self._short_after_loss = self._add_missing()
         survivors = [
             demand
             for demand in self._demands
@@ -207,22 +194,28 @@
         replaced: dict[int, float] = {}
         for demand in demands:
             left = self._sum_left(keys, demand.pool)
-            self._program.add_row(left, lower=demand.at_once)
+            missing = self._short_at_once[demand.pool]
+            self._program.add_row({**left, missing: 1}, lower=demand.at_once)
             if self._shared and demand.pool != self._spare:
                 short = self._program.add_column()
                 replaced[short] = -1
                 left[short] = 1
                 self._program.add_row(left, lower=demand.vms)
             elif not self._shared:
+                left[self._short_after_loss] = 1
                 self._program.add_row(left, lower=demand.vms)
         if self._shared:
             spares = self._sum_left(keys, self._spare)
             spares.update(replaced)
+            spares[self._short_after_loss] = 1
             self._program.add_row(spares, lower=self._find_spare_need())
 
     def _add_single_loss(self, demand: Demand) -> None:
         """Let a pool survive the loss of one VM."""
-        columns = {self._totals[demand.pool]: 1.0}
+        columns = {
+            self._totals[demand.pool]: 1.0,
+            self._short_after_loss: 1.0,
+        }
         lower = demand.vms + 1
         if self._shared and demand.pool != self._spare:
             columns[self._totals[self._spare]] = 1
@@ -288,6 +281,9 @@
             lower_bound=bound,
             moves=self._count_moves(counts),
             releasable=sum(rack.size for rack in self._racks) - used,
+            missing=round(
+                sum(found.columns[column] for column in self._missing),
+            ),
         )
 
     def _count_moves(
@@ -302,44 +298,6 @@
         return moves
 
 
-def read_racks(fleet: Fleet, leaving: Collection[str] = ()) -> list[Rack]:
-    """Return the racks with the VMs that are or will be in service.
-
-    :param leaving: names of VMs that the platform takes away.
-    """
-    counts: dict[RackKey, collections.Counter[str]] = {}
-    for vm in fleet:
-        if vm.state is VmState.FAILED or vm.name in leaving:
-            continue
-        key = (vm.data_centre, vm.rack)
-        pools = counts.setdefault(key, collections.Counter())
-        pools[vm.next_pool or vm.pool] += 1
-    return [Rack(*key, pools) for key, pools in sorted(counts.items())]
-
-
-def read_demands(policy: FleetPolicy) -> list[Demand]:
-    """Return the demand of each pool, the strictest of its services'.
-
-    Explanation
-    ===========
-
-    Each pool has room for one planned outage on top of the loss that its
-    budgets survive. Without that room a wave could never reach its VMs.
-    """
-    order = list(FailureDomain)
-    demands: list[Demand] = []
-    for pool, spec in sorted(policy.pools.items()):
-        budgets = policy.find_budgets(pool).values()
-        survive = max((budget.survive for budget in budgets), key=order.index)
-        at_once = max(_find_at_once(budget) for budget in budgets)
-        demands.append(Demand(pool, spec.vms, at_once, survive))
-    return demands
-
-
-def _find_at_once(budget: AvailabilityBudget) -> int:
-    return budget.min_healthy + min(PLANNED_ROOM, budget.max_planned)
-
-
 def _group_racks(racks: Iterable[Rack]) -> dict[str, list[RackKey]]:
     centres: dict[str, list[RackKey]] = {}
     for rack in racks:
--- /dev/null
+++ b/verbenapost/coordination/pools/demands.py
@@ -0,0 +1,97 @@
+"""What the pools need and where VMs are, as input of the assignment."""
+
+import collections
+import dataclasses
+from collections.abc import Collection, Mapping
+from typing import TypeAlias, final
+
+from verbenapost.coordination.pools.policy import FleetPolicy
+from verbenapost.coordination.pools.records import Fleet
+from verbenapost.state.documents import AvailabilityBudget, FailureDomain
+from verbenapost.state.vms import VmState
+
+#: VMs that planned work may take out while a failure domain can be lost.
+PLANNED_ROOM = 1
+
+RackKey: TypeAlias = tuple[str, str]
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rack:
+    """The healthy VMs of a rack by their present pool.
+
+    :param data_centre: data centre of the rack.
+    :param name: rack, unique within the data centre.
+    :param pools: number of VMs in each pool.
+    """
+
+    data_centre: str
+    name: str
+    pools: Mapping[str, int]
+
+    @property
+    def key(self) -> RackKey:
+        """Return the name of the rack in the region."""
+        return self.data_centre, self.name
+
+    @property
+    def size(self) -> int:
+        """Return the number of VMs."""
+        return sum(self.pools.values())
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a pool has to have.
+
+    :param pool: name of the pool.
+    :param vms: VMs that it needs at peak.
+    :param at_once: VMs that stay after the loss of a failure domain, before
+        any replacement.
+    :param survive: failure domain whose loss it survives.
+    """
+
+    pool: str
+    vms: int
+    at_once: int = 0
+    survive: FailureDomain = FailureDomain.RACK
+
+
+def read_racks(fleet: Fleet, leaving: Collection[str] = ()) -> list[Rack]:
+    """Return the racks with the VMs that are or will be in service.
+
+    :param leaving: names of VMs that the platform takes away.
+    """
+    counts: dict[RackKey, collections.Counter[str]] = {}
+    for vm in fleet:
+        if vm.state is VmState.FAILED or vm.name in leaving:
+            continue
+        key = (vm.data_centre, vm.rack)
+        pools = counts.setdefault(key, collections.Counter())
+        pools[vm.next_pool or vm.pool] += 1
+    return [Rack(*key, pools) for key, pools in sorted(counts.items())]
+
+
+def read_demands(policy: FleetPolicy) -> list[Demand]:
+    """Return the demand of each pool, the strictest of its services'.
+
+    Explanation
+    ===========
+
+    Each pool has room for one planned outage on top of the loss that its
+    budgets survive. Without that room a wave could never reach its VMs.
+    """
+    order = list(FailureDomain)
+    demands: list[Demand] = []
+    for pool, spec in sorted(policy.pools.items()):
+        budgets = policy.find_budgets(pool).values()
+        survive = max((budget.survive for budget in budgets), key=order.index)
+        at_once = max(_find_at_once(budget) for budget in budgets)
+        demands.append(Demand(pool, spec.vms, at_once, survive))
+    return demands
+
+
+def _find_at_once(budget: AvailabilityBudget) -> int:
+    return budget.min_healthy + min(PLANNED_ROOM, budget.max_planned)
--- a/verbenapost/coordination/pools/keeper.py
+++ b/verbenapost/coordination/pools/keeper.py
@@ -10,7 +10,7 @@
 from verbenapost.coordination.pools.budgets import Budgets
 from verbenapost.coordination.pools.health import UNHEALTHY, HealthTracker
 from verbenapost.coordination.pools.moves import Mover, make_failed
-from verbenapost.coordination.pools.outages import Outage, Permit
+from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.policy import FleetPolicy
 from verbenapost.coordination.pools.reconcile import Reconciler, Sightings
 from verbenapost.coordination.pools.records import VmEntry, VmRecords
@@ -23,10 +23,11 @@
     Snapshot,
     SnapshotReader,
 )
+from verbenapost.coordination.pools.starts import OutageStarter
 from verbenapost.coordination.pools.swap import MarkedWriter
 from verbenapost.coordination.pools.wave_store import WaveStore
 from verbenapost.coordination.pools.waves import MAINTENANCE, plan_wave
-from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.errors import Failure
 from verbenapost.protocol.platform import ListedVm, ListState, PlatformPort
 from verbenapost.protocol.store import StorePort
 from verbenapost.state.budgets import BudgetRecord
@@ -80,19 +81,24 @@
         self.health = HealthTracker()
         self.report = Report({}, {})
         self._platform = platform
-        self._read_policy = read_policy
+        self.read_policy = read_policy
         self._records = VmRecords(writer)
         self._budget_store = BudgetStore(writer)
-        self._reader = SnapshotReader(
+        self.reader = SnapshotReader(
             writer,
             self._records,
             self._budget_store,
             WaveStore(writer),
         )
         self.budgets = Budgets(self._budget_store, self._records)
+        self.starter = OutageStarter(
+            self._records,
+            self.budgets,
+            read_policy,
+        )
         self._mover = Mover(self._records, platform, confirm)
         self._reconciler = Reconciler(self._records, platform, Sightings())
-        self._leaving: frozenset[str] = frozenset()
+        self.leaving: frozenset[str] = frozenset()
 
     async def step(self, now: float) -> Result[None, Failure]:
         """Do one round.
@@ -101,7 +107,7 @@
         :returns: the first failure that ended the round; the next round
             starts anew.
         """
-        self._reader.forget()
+        self.reader.forget()
         return await run_until_failure(
             lambda part: self._run_part(part, now),
             (
@@ -114,50 +120,12 @@
             ),
         )
 
-    async def take_out(
-        self,
-        outage: Outage,
-        now: float,
-    ) -> Result[VmEntry, Failure]:
-        """Take a VM out of service, for an operator or a plan.
-
-        :param now: Unix time in seconds.
-        :returns: ``CONFLICT`` with the reason when a budget refuses it.
-        """
-        policy = self._read_policy()
-        if outage.next_pool and outage.next_pool not in policy.pools:
-            detail = f'no pool {outage.next_pool}'
-            return Err(Failure(ErrorKind.NOT_FOUND, detail))
-        acquired = await self.budgets.acquire(outage, policy, now)
-        if isinstance(acquired, Err):
-            return acquired
-        permit = acquired.ok_value
-        checked = await self.budgets.recheck(permit, policy)
-        if isinstance(checked, Err):
-            await self.budgets.release(permit, policy)
-            return checked
-        return await self._start(permit, now)
-
-    async def _start(
-        self,
-        permit: Permit,
-        now: float,
-    ) -> Result[VmEntry, Failure]:
-        draining = dataclasses.replace(
-            permit.entry.record,
-            state=VmState.DRAINING,
-            reason=permit.outage.reason,
-            next_pool=permit.outage.next_pool or None,
-            changed_at=now,
-        )
-        return await self._records.write(permit.entry, draining)
-
     async def _run_part(
         self,
         part: _Part,
         now: float,
     ) -> Result[None, Failure]:
-        snapshot = await self._reader.read()
+        snapshot = await self.reader.read()
         if isinstance(snapshot, Err):
             return snapshot
         await part(snapshot.ok_value, now)
@@ -169,11 +137,11 @@
             # What is recorded can go on without the list.
             return
         by_name = {vm.name: vm for vm in listed.ok_value}
-        self._leaving = _find_leaving(by_name)
+        self.leaving = _find_leaving(by_name)
         await self._reconciler.reconcile(
             by_name,
             snapshot.fleet,
-            self._read_policy().spare_pool,
+            self.read_policy().spare_pool,
             now,
         )
 
@@ -204,11 +172,11 @@
         entry: VmEntry,
         now: float,
     ) -> Result[VmEntry, Failure]:
-        leaving = entry.record.name in self._leaving
+        leaving = entry.record.name in self.leaving
         return await self._mover.advance(entry, now, leaving=leaving)
 
     async def _prune_budgets(self, snapshot: Snapshot, now: float) -> None:
-        policy = self._read_policy()
+        policy = self.read_policy()
         stopped = snapshot.wave.stopped
         pairs = [
             (service, pool)
@@ -234,13 +202,15 @@
 
     async def _repair(self, snapshot: Snapshot, now: float) -> None:
         plan = plan_repairs(
-            self._read_policy(),
+            self.read_policy(),
             snapshot.fleet,
             snapshot.list_grants(),
-            self._leaving,
+            self.leaving,
         )
         self.report = dataclasses.replace(self.report, short=plan.short)
-        await collect(lambda outage: self.take_out(outage, now), plan.outages)
+        await collect(
+            lambda outage: self.starter.take_out(outage, now), plan.outages
+        )
         await collect(
             self._release,
             (snapshot.fleet.entries[name] for name in plan.replaced),
@@ -256,14 +226,16 @@
 
     async def _advance_wave(self, snapshot: Snapshot, now: float) -> None:
         plan = plan_wave(
-            self._read_policy(),
+            self.read_policy(),
             snapshot.fleet,
             snapshot.budgets,
             snapshot.wave,
-            self._leaving,
+            self.leaving,
         )
         outages = (Outage(name, MAINTENANCE) for name in plan.starts)
-        await collect(lambda outage: self.take_out(outage, now), outages)
+        await collect(
+            lambda outage: self.starter.take_out(outage, now), outages
+        )
         self.report = dataclasses.replace(self.report, waiting=plan.waiting)
 
 
--- a/verbenapost/coordination/pools/program.py
+++ b/verbenapost/coordination/pools/program.py
@@ -72,6 +72,10 @@
         self._integer.append(integer)
         return len(self._costs) - 1
 
+    def limit_column(self, column: int, upper: float = _INFINITY) -> None:
+        """Set the upper bound of a column."""
+        self._uppers[column] = upper
+
     def add_row(
         self,
         factors: Mapping[int, float],
--- /dev/null
+++ b/verbenapost/coordination/pools/starts.py
@@ -0,0 +1,72 @@
+"""Taking VMs out of service."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import final
+
+from result import Err, Result
+
+from verbenapost.coordination.pools.budgets import Budgets
+from verbenapost.coordination.pools.outages import Outage, Permit
+from verbenapost.coordination.pools.policy import FleetPolicy
+from verbenapost.coordination.pools.records import VmEntry, VmRecords
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.state.vms import VmState
+
+
+@final
+class OutageStarter:
+    """Takes VMs out of service once all budgets have granted it.
+
+    :param records: VM records.
+    :param budgets: granted outages.
+    :param read_policy: returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        records: VmRecords,
+        budgets: Budgets,
+        read_policy: Callable[[], FleetPolicy],
+    ) -> None:
+        self._records = records
+        self._budgets = budgets
+        self._read_policy = read_policy
+
+    async def take_out(
+        self,
+        outage: Outage,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        """Take a VM out of service, for an operator or a plan.
+
+        :param now: Unix time in seconds.
+        :returns: ``CONFLICT`` with the reason when a budget refuses it.
+        """
+        policy = self._read_policy()
+        if outage.next_pool and outage.next_pool not in policy.pools:
+            detail = f'no pool {outage.next_pool}'
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        acquired = await self._budgets.acquire(outage, policy, now)
+        if isinstance(acquired, Err):
+            return acquired
+        permit = acquired.ok_value
+        checked = await self._budgets.recheck(permit, policy)
+        if isinstance(checked, Err):
+            await self._budgets.release(permit, policy)
+            return checked
+        return await self._start(permit, now)
+
+    async def _start(
+        self,
+        permit: Permit,
+        now: float,
+    ) -> Result[VmEntry, Failure]:
+        draining = dataclasses.replace(
+            permit.entry.record,
+            state=VmState.DRAINING,
+            reason=permit.outage.reason,
+            next_pool=permit.outage.next_pool or None,
+            changed_at=now,
+        )
+        return await self._records.write(permit.entry, draining)
--- a/verbenapost/coordination/pools/transfers.py
+++ b/verbenapost/coordination/pools/transfers.py
@@ -4,7 +4,8 @@
 import operator
 from collections.abc import Collection, Iterator
 
-from verbenapost.coordination.pools.assignment import Assignment, RackKey
+from verbenapost.coordination.pools.assignment import Assignment
+from verbenapost.coordination.pools.demands import RackKey
 from verbenapost.coordination.pools.outages import Outage
 from verbenapost.coordination.pools.records import Fleet
 from verbenapost.state.vms import VmRecord, VmState
