Let an operator keep a drained VM out until its return

Cause: the administration offers drain and return, and a drained VM came back by itself after its reboot. Ruled out: leaving it in the platform's drain without a mark; the next keeper would reboot it. Change: a VM's record may be held; `OutageStarter.put_back` ends that, and the VM comes back through its reboot. Conclusion: a test holds a VM for 100 virtual seconds and lets it return.

--- a/verbenapost/coordination/pools/moves.py
+++ b/verbenapost/coordination/pools/moves.py
@@ -141,6 +141,8 @@
         return Wait(f'the platform says {status.operation}')
     if situation.leaving:
         return Wait('the platform takes the VM away')
+    if situation.record.held:
+        return Wait('an operator keeps it drained')
     return Reboot(situation.target)
 
 
--- a/verbenapost/coordination/pools/outages.py
+++ b/verbenapost/coordination/pools/outages.py
@@ -15,12 +15,14 @@
     :param reason: why, for operators.
     :param next_pool: pool that the VM moves to; empty when it stays.
     :param urgent: it replaces a failed VM.
+    :param held: it stays drained until its return is asked for.
     """
 
     vm: str
     reason: str
     next_pool: str = ''
     urgent: bool = False
+    held: bool = False
 
 
 @final
--- a/verbenapost/coordination/pools/starts.py
+++ b/verbenapost/coordination/pools/starts.py
@@ -57,6 +57,19 @@
             return checked
         return await self._start(permit, now)
 
+    async def put_back(self, vm: str) -> Result[VmEntry, Failure]:
+        """Let a VM that is held come back through its reboot."""
+        fleet = await self._records.read_fleet()
+        if isinstance(fleet, Err):
+            return fleet
+        entry = fleet.ok_value.entries.get(vm)
+        if entry is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f'no VM {vm}'))
+        if not entry.record.held:
+            return Err(Failure(ErrorKind.CONFLICT, f'{vm} is not held'))
+        released = dataclasses.replace(entry.record, held=False)
+        return await self._records.write(entry, released)
+
     async def _start(
         self,
         permit: Permit,
@@ -67,6 +80,7 @@
             state=VmState.DRAINING,
             reason=permit.outage.reason,
             next_pool=permit.outage.next_pool or None,
+            held=permit.outage.held,
             changed_at=now,
         )
         return await self._records.write(permit.entry, draining)
--- a/verbenapost/coordination/pools/tests/test_keeper.py
+++ b/verbenapost/coordination/pools/tests/test_keeper.py
@@ -123,6 +123,22 @@
         vm = world.read_vms()[name]
         assert (vm.pool, vm.epoch) == ('pool2', epoch + 1)
 
+    async def test_hold_and_return(self, world):
+        name = _find_member(world, 'pool1')
+        starter = world.keepers[0].starter
+        now = world.scheduler.now
+        world.spawn(starter.take_out(Outage(name, 'disk', held=True), now))
+        await world.run(100)
+        vm = world.read_vms()[name]
+        assert (vm.state, vm.held) == (VmState.IN_MAINTENANCE, True)
+        world.spawn(starter.put_back(name))
+        await world.run(60)
+        vm = world.read_vms()[name]
+        assert (vm.state, vm.held) == (VmState.IN_SERVICE, False)
+        again = Outcome(world, starter.put_back(name))
+        await world.run(1)
+        assert again.value.unwrap_err().kind is ErrorKind.CONFLICT
+
     @pytest.mark.parametrize(
         ('outage', 'kind'),
         [
--- a/verbenapost/state/vms.py
+++ b/verbenapost/state/vms.py
@@ -37,6 +37,7 @@
     :param reason: why it is not in service, for operators.
     :param changed_at: Unix time of the last change, in seconds.
     :param maintained_at: Unix time of the last maintenance, in seconds.
+    :param held: an operator keeps it drained until its return is asked for.
     :param boot: boot count at the pool interface that the record is about.
     :param writer: ``instance:sequence`` of the last write.
     """
@@ -52,6 +53,7 @@
     reason: str = ''
     changed_at: float = 0
     maintained_at: float = 0
+    held: bool = False
     boot: int = 0
     writer: str = ''
 
