--- a/standins/vm_list.py
+++ b/standins/vm_list.py
@@ -14,6 +14,7 @@
 from http import HTTPStatus
 from typing import Any, final
 
+import xxhash
 from aiohttp import web
 
 from standins.vm_platform import (
@@ -81,8 +82,19 @@
         except RefusedError as refused:
             return _refuse(HTTPStatus.CONFLICT, str(refused))
 
-    async def _list_vms(self, _request: web.Request) -> web.Response:
-        return web.json_response({'vms': self._platform.list_vms()})
+    async def _list_vms(self, request: web.Request) -> web.Response:
+        body = json.dumps({'vms': self._platform.list_vms()}).encode()
+        headers = {'ETag': f'"{xxhash.xxh3_64_hexdigest(body)}"'}
+        if request.headers.get('If-None-Match') == headers['ETag']:
+            return web.Response(
+                status=HTTPStatus.NOT_MODIFIED,
+                headers=headers,
+            )
+        return web.Response(
+            body=body,
+            content_type='application/json',
+            headers=headers,
+        )
 
     async def _inspect(self, request: web.Request) -> web.Response:
         return _describe(self._platform.inspect(request.match_info['name']))
--- a/verbenapost/coordination/pools/moves.py
+++ b/verbenapost/coordination/pools/moves.py
@@ -142,7 +142,7 @@
     if situation.leaving:
         return Wait('the platform takes the VM away')
     if situation.record.held:
-        return Wait('an operator holds the VM')
+        return Wait('an operator keeps it drained')
     return Reboot(situation.target)
 
 
--- a/verbenapost/daemon/administration.py
+++ b/verbenapost/daemon/administration.py
@@ -166,8 +166,10 @@
                 return await self._waves.start(request.name, before, reason)
             case WaveAction.RESUME:
                 return await self._waves.resume(reason)
-            case _:
+            case WaveAction.PAUSE:
                 return await self._waves.stop(reason)
+            case WaveAction.STOP:
+                return await self._waves.start('', 0, reason)
 
     def _describe(self, wave: WaveRecord, fleet: Fleet) -> WaveStatus:
         due = [vm for vm in fleet if vm.maintained_at < wave.due_before]
--- a/verbenapost/daemon/fleet.py
+++ b/verbenapost/daemon/fleet.py
@@ -1,6 +1,7 @@
 """Runs the pool keeper and answers operators about the fleet."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable, Collection, Sequence
 from typing import Any, final
@@ -18,15 +19,19 @@
 from verbenapost.protocol.admin import VmAction, VmRequest
 from verbenapost.protocol.errors import Failure
 from verbenapost.protocol.platform import ListState, PlatformPort
-from verbenapost.protocol.store import StorePort
+from verbenapost.protocol.store import StorePort, WatchBatch
 from verbenapost.protocol.views import LeavingVms
-from verbenapost.state.vms import VmRecord
+from verbenapost.state.vms import VmRecord, VmState
+from verbenapost.state.waves import WAVE_KEY
 
 #: Seconds between two rounds of the keeper while VMs are on their way.
 BUSY_PERIOD = 0.25
 
-#: Seconds between two rounds of the keeper while nothing happens.
-IDLE_PERIOD = 2.0
+#: Seconds between two rounds of the keeper while nothing changes.
+IDLE_PERIOD = 20.0
+
+#: Seconds that one watch of the wave waits.
+WATCH_WAIT = 20.0
 
 #: Seconds between two readings of the VM list for VMs that leave.
 LIST_PERIOD = 1.0
@@ -62,6 +67,7 @@
             self.read_policy,
             self._is_confirmed,
         )
+        self._store = store
         self._configuration = configuration
         self._directory = directory
         self._applied = applied
@@ -85,20 +91,30 @@
         while True:
             if self.owned and self._configuration.view.revision:
                 await self._step()
-            busy = any(
-                known.record.reason for known in self._directory.vms.values()
-            )
-            period = BUSY_PERIOD if busy else IDLE_PERIOD
             await asyncio.sleep(BUSY_PERIOD)
-            await self._wait_changed(period - BUSY_PERIOD)
+            if not self._is_busy():
+                await self._wait_changed(IDLE_PERIOD)
+
+    async def watch_wave(self) -> None:
+        """Start a round soon after each change of the maintenance wave."""
+        position = 0
+        while True:
+            pause = IDLE_PERIOD
+            if self.owned:
+                batch = await self._store.watch(WAVE_KEY, position, WATCH_WAIT)
+                pause = BUSY_PERIOD
+                if isinstance(batch, Ok):
+                    position = max(position, batch.ok_value.revision)
+                    self._wake_on(batch.ok_value)
+            await asyncio.sleep(pause)
 
     async def change_vm(self, request: VmRequest) -> Result[VmRecord, Failure]:
         """Start a move, a drain or a return."""
         if request.action is VmAction.RETURN:
-            changed = await self.keeper.let_return(request.vm)
+            changed = await self.keeper.starter.put_back(request.vm)
         else:
             outage = _make_outage(request)
-            changed = await self.keeper.take_out(outage, time.time())
+            changed = await self.keeper.starter.take_out(outage, time.time())
         self._log.info(
             'operator changes a VM',
             vm=request.vm,
@@ -119,12 +135,23 @@
         if isinstance(done, Err):
             self._log.warning('round ended early', detail=done.err_value.detail)
 
+    def _wake_on(self, batch: WatchBatch) -> None:
+        if batch.events or batch.truncated:
+            self.wake()
+
+    def _is_busy(self) -> bool:
+        """Tell whether a VM is on its way between states."""
+        return any(
+            known.record.state is not VmState.IN_SERVICE
+            and not known.record.held
+            for known in self._directory.vms.values()
+        )
+
     async def _wait_changed(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
         self._changed.clear()
-        if seconds > 0:
-            waiting = asyncio.create_task(self._changed.wait())
-            await asyncio.wait((waiting,), timeout=seconds)
-            waiting.cancel()
 
     def _is_confirmed(self, entry: VmEntry) -> bool:
         return not self._applied.list_behind(self.members, vms=entry.revision)
@@ -136,17 +163,21 @@
 
     :param platform: VM list.
     :param send: sends to a member.
+    :param on_change: called when the list has changed.
     """
 
     def __init__(
         self,
         platform: PlatformPort,
         send: Callable[[str, Any], bool],
+        on_change: Callable[[], None],
     ) -> None:
         self.owned = False
         self.members: Collection[str] = ()
         self._platform = platform
         self._send = send
+        self._on_change = on_change
+        self._listed: Sequence[Any] = ()
         self._names: tuple[str, ...] = ()
         self._told: frozenset[str] = frozenset()
         self._log = make_logger('vms')
@@ -163,7 +194,10 @@
         if isinstance(listed, Err):
             self._log.warning('no VM list', detail=listed.err_value.detail)
             return
-        names = _find_leaving(listed.ok_value)
+        if listed.ok_value != self._listed:
+            self._listed = listed.ok_value
+            self._on_change()
+        names = _find_leaving(self._listed)
         if names != self._names:
             self._log.info('VMs leave', names=names)
             self._names = names
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -90,6 +90,7 @@
         self._follow('configuration', parts.configuration)
         self._follow('vms', parts.directory)
         self._spawn(parts.keeper.run())
+        self._spawn(parts.keeper.watch_wave())
         self._spawn(parts.leaving.run())
         await self._web.start()
         self._log.info('started', name=self.settings.name)
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -83,7 +83,11 @@
             self.directory,
             self.applied,
         )
-        self.leaving = LeavingWatch(platform, self.network.send)
+        self.leaving = LeavingWatch(
+            platform,
+            self.network.send,
+            self.keeper.wake,
+        )
 
     def _make_queues(self) -> None:
         find_owner = self.roster.find_queue_owner
--- a/verbenapost/state/vms.py
+++ b/verbenapost/state/vms.py
@@ -37,8 +37,8 @@
     :param reason: why it is not in service, for operators.
     :param changed_at: Unix time of the last change, in seconds.
     :param maintained_at: Unix time of the last maintenance, in seconds.
+    :param held: an operator keeps it drained until its return is asked for.
     :param boot: boot count at the pool interface that the record is about.
-    :param held: an operator keeps it out until it is returned.
     :param writer: ``instance:sequence`` of the last write.
     """
 
@@ -53,9 +53,9 @@
     reason: str = ''
     changed_at: float = 0
     maintained_at: float = 0
+    held: bool = False
     boot: int = 0
     writer: str = ''
-    held: bool = False
 
 
 _ADAPTER = pydantic.TypeAdapter(VmRecord)
--- a/verbenapost/transport/platform.py
+++ b/verbenapost/transport/platform.py
@@ -45,11 +45,21 @@
         self._session = session
         self._base_url = base_url.rstrip('/')
         self._timeout = aiohttp.ClientTimeout(total=timeout)
+        # The whole list is sent again only when it has changed.
+        self._list: Sequence[ListedVm] = ()
+        self._list_tag = ''
 
     async def list_vms(self) -> Result[Sequence[ListedVm], Failure]:
         """Read the VM list; of repeated entries the last one counts."""
-        answer = await self._call('GET', '/vms')
-        return answer.and_then(_parse_list)
+        try:
+            async with self._session.get(
+                f'{self._base_url}/vms',
+                headers={'If-None-Match': self._list_tag},
+                timeout=self._timeout,
+            ) as response:
+                return await self._read_list(response)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(fault)))
 
     async def inspect(self, name: str) -> Result[VmStatus, Failure]:
         """Read the state of a VM at the pool interface."""
@@ -79,6 +89,19 @@
         )
         return answer.and_then(_parse_status)
 
+    async def _read_list(
+        self,
+        response: aiohttp.ClientResponse,
+    ) -> Result[Sequence[ListedVm], Failure]:
+        if response.status == HTTPStatus.NOT_MODIFIED:
+            return Ok(self._list)
+        answer = await _read_answer(response)
+        listed = answer.and_then(_parse_list)
+        if isinstance(listed, Ok):
+            self._list = listed.ok_value
+            self._list_tag = response.headers.get('ETag', '')
+        return listed
+
     async def _call(
         self,
         method: str,
