Refuse early only what no slot could serve in time

Cause: the estimate from the slots a share has now refused asks at the end of a flood or burst, when the other shares leave and the wait gets shorter. Ruled out: a larger tolerance; the queue fills with asks of one moment that expire together, and later ones are refused for them. Change: the wait is the shortest possible one, with all slots, and of the asks ahead only those count that can still be served before their deadline (counted in slices of time). An ask is late at the 99th percentile of run times, not the 95th.

--- a/verbenapost/coordination/admission.py
+++ b/verbenapost/coordination/admission.py
@@ -11,9 +11,6 @@
 from verbenapost.protocol.errors import ErrorKind
 from verbenapost.protocol.slots import AskSlot, RefuseSlot
 
-#: Factor by which estimated waits are taken to be too long.
-TOLERANCE = 1.1
-
 #: Shortest and longest advice for a repeat, in seconds.
 MIN_RETRY = 0.5
 MAX_RETRY = 30.0
@@ -83,15 +80,19 @@
         return None
 
     def check_wait(self, now: float, waiting: Waiting) -> RefuseSlot | None:
-        """Return a refusal when the queue is too long for the deadline."""
+        """Return a refusal when the queue is too long for the deadline.
+
+        The wait is the shortest possible one: all slots go to this share
+        from now on.
+        """
         ask = waiting.ask
         share = waiting.share
-        ahead = share.count_ahead(waiting.level)
-        if not ahead:
-            return None
         run = self._times.get(now, share.kind)
-        wait = (ahead + 1) * run.mean / self._count_slots(now, share)
-        late = wait / TOLERANCE + run.high - ask.deadline_in
+        pace = run.mean / max(self._pool.count_slots(now), 1)
+        wait = share.estimate_wait(now, waiting.level, pace)
+        if not wait:
+            return None
+        late = wait + run.high - ask.deadline_in
         if late <= 0:
             return None
         return refuse(
@@ -117,11 +118,3 @@
         run = self._times.get(now, share.kind)
         seconds = share.waiting * run.mean / share.weight
         return math.ceil(seconds * MILLISECONDS)
-
-    def _count_slots(self, now: float, share: Share) -> float:
-        """Return the slots that the share has or is entitled to."""
-        busy = [row for row in self._shares if row.running or row.waiting]
-        weights = sum(row.weight for row in busy)
-        slots = self._pool.count_slots(now)
-        entitled = slots * share.weight / max(weights, share.weight)
-        return max(entitled, share.usage, 1)
--- a/verbenapost/coordination/runs.py
+++ b/verbenapost/coordination/runs.py
@@ -112,7 +112,7 @@
         """Size the part of the slots that is kept for short work."""
         self._shares.prune()
         slots = self._pool.count_slots(now)
-        self._shares.sample(slots)
+        self._shares.set_capacity(slots)
         short = [
             share
             for share in self._shares
--- a/verbenapost/coordination/runtimes.py
+++ b/verbenapost/coordination/runtimes.py
@@ -25,7 +25,7 @@
 
 _SHORT_END = 0.05
 _MIDDLE = 0.5
-_LONG_END = 0.95
+_LONG_END = 0.99
 
 
 @final
@@ -36,7 +36,7 @@
     :param mean: arithmetic mean.
     :param low: fifth percentile.
     :param median: fiftieth percentile.
-    :param high: ninety-fifth percentile.
+    :param high: ninety-ninth percentile.
     :param known: whether it rests on samples of the kind itself.
     """
 
--- a/verbenapost/coordination/shares.py
+++ b/verbenapost/coordination/shares.py
@@ -18,14 +18,29 @@
 #: Seconds of its share that a share may catch up on after using less.
 BURST_CREDIT = 1.0
 
-#: Part by which one sample moves the smoothed usage.
-USAGE_GAIN = 0.2
+#: Slices into which the asks of one time limit are counted.
+SLICES = 64
 
 _LEVELS = LEAST_URGENT + 1
 
 ShareKey = tuple[str, str]
 
 
+@final
+@dataclasses.dataclass(slots=True, eq=False)
+class Slice:
+    """Asks of one level that came within a short time.
+
+    :param begin: arrival of the first, monotonic seconds.
+    :param deadline: latest deadline, monotonic seconds.
+    :param live: asks that still wait.
+    """
+
+    begin: float
+    deadline: float
+    live: int = 0
+
+
 @final
 @dataclasses.dataclass(slots=True, eq=False)
 class Waiting:
@@ -36,6 +51,7 @@
     :param arrived: time of arrival, monotonic seconds.
     :param deadline: time at which the caller gives up, monotonic seconds.
     :param live: cleared when the ask is answered or cancelled.
+    :param slice: slice that counts it, once it waits.
     """
 
     ask: AskSlot
@@ -43,6 +59,7 @@
     arrived: float
     deadline: float
     live: bool = True
+    slice: Slice | None = None
 
     @property
     def level(self) -> int:
@@ -57,6 +74,7 @@
     def __init__(self) -> None:
         self.live = 0
         self._rows: deque[Waiting] = deque()
+        self._slices: deque[Slice] = deque()
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -64,13 +82,31 @@
     def push(self, waiting: Waiting) -> None:
         self.live += 1
         self._rows.append(waiting)
+        waiting.slice = self._find_slice(waiting)
+        waiting.slice.deadline = max(waiting.slice.deadline, waiting.deadline)
+        waiting.slice.live += 1
 
-    def discard(self) -> None:
+    def discard(self, waiting: Waiting) -> None:
         """Count one entry as dead; drop the dead when they prevail."""
         self.live -= 1
+        if waiting.slice is not None:
+            waiting.slice.live -= 1
         if len(self._rows) > 2 * self.live + DEAD_MARGIN:
             self._rows = deque(row for row in self._rows if row.live)
 
+    def estimate_wait(self, now: float, pace: float, wait: float) -> float:
+        """Return the wait behind all asks that can still be served.
+
+        Of a slice no more are counted than fit before its deadline; the
+        rest will be refused without the use of a slot.
+        """
+        while self._slices and not self._slices[0].live:
+            self._slices.popleft()
+        for part in self._slices:
+            served = min(wait + part.live * pace, part.deadline - now)
+            wait = max(wait, served)
+        return wait
+
     def walk(self) -> Iterator[Waiting]:
         """Yield live entries, oldest first."""
         while self._rows and not self._rows[0].live:
@@ -85,6 +121,15 @@
             self._rows.pop()
         return self._rows[-1] if self._rows else None
 
+    def _find_slice(self, waiting: Waiting) -> Slice:
+        width = (waiting.deadline - waiting.arrived) / SLICES
+        last = self._slices[-1] if self._slices else None
+        full = len(self._slices) >= 2 * SLICES
+        if last and (full or waiting.arrived - last.begin < width):
+            return last
+        self._slices.append(Slice(waiting.arrived, waiting.deadline))
+        return self._slices[-1]
+
 
 @final
 class Share:
@@ -97,7 +142,6 @@
         self.stamp = 0
         self.running = 0
         self.waiting = 0
-        self.usage: float = 0
         self._levels = [_Level() for _ in range(_LEVELS)]
 
     @property
@@ -115,10 +159,6 @@
         """Return the entries held, dead ones included."""
         return sum(len(level) for level in self._levels)
 
-    def sample_usage(self) -> None:
-        """Follow the slots in use, smoothed over a few samples."""
-        self.usage += USAGE_GAIN * (self.running - self.usage)
-
     def push(self, waiting: Waiting) -> None:
         """Add an ask behind those of the same urgency."""
         self.waiting += 1
@@ -129,11 +169,18 @@
         if waiting.live:
             waiting.live = False
             self.waiting -= 1
-            self._levels[waiting.level].discard()
+            self._levels[waiting.level].discard(waiting)
 
-    def count_ahead(self, urgency: int) -> int:
-        """Return how many asks are served before a new one."""
-        return sum(level.live for level in self._levels[: urgency + 1])
+    def estimate_wait(self, now: float, level: int, pace: float) -> float:
+        """Return the shortest wait of a new ask, in seconds.
+
+        :param level: urgency of the ask.
+        :param pace: seconds between two grants at the best.
+        """
+        wait: float = 0
+        for ahead in self._levels[: level + 1]:
+            wait = ahead.estimate_wait(now, pace, wait)
+        return wait
 
     def peek(self) -> Iterator[Waiting]:
         """Yield the first live asks in order of service."""
@@ -197,10 +244,8 @@
         for key, share in self._shares.items():
             share.weight = weigh(key)
 
-    def sample(self, slots: int) -> None:
-        """Sample the use of slots and reckon the credit from them."""
-        for share in self:
-            share.sample_usage()
+    def set_capacity(self, slots: int) -> None:
+        """Reckon the credit from the slots of the service."""
         weights = sum(row.weight for row in self if row.running)
         self.credit = BURST_CREDIT * slots / max(weights, 1)
 
