Split the shares of the queue into two modules

Ruled out: nothing else was tried. Change: asks, levels and a share move to waiting.py; no behaviour changes.

--- a/verbenapost/coordination/admission.py
+++ b/verbenapost/coordination/admission.py
@@ -6,8 +6,9 @@
 
 from verbenapost.coordination.quotas import Quotas
 from verbenapost.coordination.runtimes import RunTimes
-from verbenapost.coordination.shares import FairShares, Share, Waiting
+from verbenapost.coordination.shares import FairShares
 from verbenapost.coordination.targets import TargetPool
+from verbenapost.coordination.waiting import Share, Waiting
 from verbenapost.protocol.errors import ErrorKind
 from verbenapost.protocol.slots import AskSlot, RefuseSlot
 
--- a/verbenapost/coordination/expiry.py
+++ b/verbenapost/coordination/expiry.py
@@ -4,7 +4,7 @@
 import itertools
 from typing import final
 
-from verbenapost.coordination.shares import DEAD_MARGIN, Waiting
+from verbenapost.coordination.waiting import DEAD_MARGIN, Waiting
 
 
 @final
--- a/verbenapost/coordination/grants.py
+++ b/verbenapost/coordination/grants.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import final
 
-from verbenapost.coordination.shares import DEAD_MARGIN, Share
+from verbenapost.coordination.waiting import DEAD_MARGIN, Share
 from verbenapost.protocol.slots import GrantSlot
 
 #: Seconds that a grant lasts at most unless the entry reports it again.
--- a/verbenapost/coordination/openasks.py
+++ b/verbenapost/coordination/openasks.py
@@ -5,7 +5,8 @@
 from typing import final
 
 from verbenapost.coordination.expiry import Deadlines
-from verbenapost.coordination.shares import FairShares, Waiting
+from verbenapost.coordination.shares import FairShares
+from verbenapost.coordination.waiting import Waiting
 from verbenapost.protocol.slots import AskSlot, RefuseSlot
 
 #: Answered asks that are remembered for repeats.
--- a/verbenapost/coordination/queue.py
+++ b/verbenapost/coordination/queue.py
@@ -11,8 +11,9 @@
 from verbenapost.coordination.rebuild import Rebuild
 from verbenapost.coordination.runs import Runs
 from verbenapost.coordination.runtimes import RunTimes
-from verbenapost.coordination.shares import FairShares, ShareKey, Waiting
+from verbenapost.coordination.shares import FairShares
 from verbenapost.coordination.targets import Target, TargetPool
+from verbenapost.coordination.waiting import ShareKey, Waiting
 from verbenapost.protocol.errors import ErrorKind
 from verbenapost.protocol.slots import (
     AskSlot,
--- a/verbenapost/coordination/runs.py
+++ b/verbenapost/coordination/runs.py
@@ -10,8 +10,9 @@
 from verbenapost.coordination.outliers import RunEnd
 from verbenapost.coordination.reserve import ShortReserve
 from verbenapost.coordination.runtimes import RunTimes
-from verbenapost.coordination.shares import FairShares, Share, Waiting
+from verbenapost.coordination.shares import FairShares
 from verbenapost.coordination.targets import TargetPool
+from verbenapost.coordination.waiting import Share, Waiting
 from verbenapost.protocol.slots import GrantSlot, RunningGrant, Verdict
 
 #: Weight that long work is given before any has come.
--- a/verbenapost/coordination/tests/test_shares.py
+++ b/verbenapost/coordination/tests/test_shares.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from verbenapost.coordination.shares import FairShares, Waiting
+from verbenapost.coordination.shares import FairShares
+from verbenapost.coordination.waiting import Waiting
 from verbenapost.protocol.slots import AskSlot
 
 KEY = ('portal', 'visit')
