Wait a fixed time after a majority knows of a change, not for silence

Cause: ages of the last news, rounded down and told on by others, went round in circles and never grew, so that a change waited for a dead member for ever (state machine: kill one, restart two). Ruled out: waiting until the others were silent. What counts is what they can know of those who confirmed: whoever knows of the change is no contact for those who don't, so twice the view timeout after a majority knows no earlier majority can be in touch. The table of silence leaves the wire. Change: confirmations carry the time at which they were learned. A state machine over five daemons with cuts, pauses, losses, repeats, late messages, store outages, restarts and held writes; the ghost count of who knows. Broken variants kept as tests: no confirmations, no wait, messages dated by arrival. Conclusion: no earlier majority goes on beside a change in these runs.

--- a/verbenapost/coordination/ages.py
+++ b/verbenapost/coordination/ages.py
@@ -1,7 +1,7 @@
 """Moments of contact with members, sent as ages of one byte each."""
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import final
 
 #: Byte that stands for no contact, or one too long ago.
@@ -23,7 +23,7 @@
 
     >>> sender = AgeTable(step=0.1)
     >>> sender.note('b', 7.95)
-    >>> row = sender.encode(['a', 'b'], now=8, rounding=math.ceil)
+    >>> row = sender.encode(['a', 'b'], now=8)
     >>> list(row)
     [255, 1]
     >>> receiver = AgeTable(step=0.1)
@@ -47,24 +47,9 @@
         if moment > self.find(name):
             self._moments[name] = moment
 
-    def forget(self, name: str) -> None:
-        """Drop a member."""
-        self._moments.pop(name, None)
-
-    def encode(
-        self,
-        names: Sequence[str],
-        now: float,
-        rounding: Callable[[float], int],
-    ) -> bytes:
-        """Return the ages of members, one byte each.
-
-        :param rounding: ``math.ceil`` so that contact never looks younger
-            than it is, ``math.floor`` so that it never looks older.
-        """
-        return bytes(
-            self._encode_age(now - self.find(name), rounding) for name in names
-        )
+    def encode(self, names: Sequence[str], now: float) -> bytes:
+        """Return the ages of members, one byte each, rounded up."""
+        return bytes(self._encode_age(now - self.find(name)) for name in names)
 
     def merge(
         self,
@@ -81,11 +66,7 @@
             if age != UNKNOWN:
                 self.note(name, moment - age * self._step)
 
-    def _encode_age(
-        self,
-        age: float,
-        rounding: Callable[[float], int],
-    ) -> int:
+    def _encode_age(self, age: float) -> int:
         if age == math.inf:
             return UNKNOWN
-        return min(UNKNOWN, max(0, rounding(age / self._step)))
+        return min(UNKNOWN, max(0, math.ceil(age / self._step)))
--- a/verbenapost/coordination/changeover.py
+++ b/verbenapost/coordination/changeover.py
@@ -4,7 +4,6 @@
 from collections.abc import Collection, Mapping, Sequence
 from typing import final
 
-from verbenapost.coordination.ages import AgeTable
 from verbenapost.coordination.quorum import holds_majority
 from verbenapost.state.members import MemberRecord, MemberSet
 
@@ -20,11 +19,10 @@
     ===========
 
     A change is made only when a majority of the set before it knows of it,
-    by processes that joined with their present identity, and when each other
-    member has been silent for twice the view timeout since the change was
-    first seen here. Whoever knows of the change counts by both sets, and
-    whoever has been silent so long has stopped taking work unless it holds a
-    majority, which it can't.
+    by processes that joined with their present identity, and when twice the
+    view timeout has passed since, unless every member knows. Whoever knows of
+    the change is no contact for those who don't. After that time these have
+    no majority in touch any more and have stopped taking work.
 
     :param member_set: set with its intent.
     :param seen_at: own time at which it was adopted.
@@ -33,44 +31,42 @@
     def __init__(self, member_set: MemberSet, seen_at: float) -> None:
         self.member_set = member_set
         self.seen_at = seen_at
-        self.confirmed: set[str] = set()
+        self.confirmed: dict[str, float] = {}
 
     def confirm(self, record: MemberRecord) -> None:
-        """Count a member if it is the process that joined the set."""
+        """Count the own process if it is the one that joined the set."""
         known = self.member_set.members.get(record.name)
         if known is not None and known.identity == record.identity:
-            self.confirmed.add(record.name)
+            self.confirmed[record.name] = self.seen_at
 
     def encode(self) -> bytes:
         """Return one bit for each member, in the order of the set."""
         return encode_bits(self.member_set.order, self.confirmed)
 
-    def merge(self, row: bytes) -> None:
+    def merge(self, row: bytes, now: float) -> None:
         """Take over the confirmations that another member knows."""
-        self.confirmed |= decode_bits(self.member_set.order, row)
+        for name in decode_bits(self.member_set.order, row):
+            self.confirmed.setdefault(name, now)
 
     def list_blockers(
         self,
         now: float,
-        silence: float,
-        heard: AgeTable,
+        wait: float,
         excluded: Collection[str],
     ) -> tuple[str, ...]:
         """Return the members that the change waits for; none: make it.
 
-        :param silence: seconds for which the others have to be silent.
-        :param heard: latest moments of news of each member.
+        :param wait: seconds to wait for the others once a majority knows.
         :param excluded: members that are known to be dead.
         """
         counted = set(self.member_set.members) - set(excluded)
-        waiting = sorted(counted - self.confirmed)
-        if not holds_majority(counted, self.confirmed):
-            return tuple(waiting)
-        return tuple(
+        waiting = tuple(sorted(counted - self.confirmed.keys()))
+        elapsed = {
             name
-            for name in waiting
-            if now - max(heard.find(name), self.seen_at) < silence
-        )
+            for name, moment in self.confirmed.items()
+            if now - moment >= wait
+        }
+        return () if holds_majority(counted, elapsed) else waiting
 
 
 def encode_bits(order: Sequence[str], names: Collection[str]) -> bytes:
--- a/verbenapost/coordination/contacts.py
+++ b/verbenapost/coordination/contacts.py
@@ -72,15 +72,14 @@
 
 @final
 class Contacts:
-    """Moments of contact, of freshness and of silence.
+    """Moments of contact and of freshness.
 
     Explanation
     ===========
 
-    Two moments are kept of each member. ``reach`` is a moment after which it
-    surely wrote a message; it never looks younger than it is. ``heard`` is when the last
-    news of it arrived anywhere; it never looks older than it is. The one
-    tells who is surely in touch, the other who is surely silent.
+    ``reach`` holds for each member a moment after which it surely wrote a
+    message, first hand or told by others. It never looks younger than it is,
+    so that news can't circulate and keep a dead member alive.
 
     :param name: name of the own member.
     :param identity: identity of the own process.
@@ -91,7 +90,6 @@
         step = view_timeout / STEPS
         self.sent = SentCounters(identity)
         self.reach = AgeTable(step)
-        self.heard = AgeTable(step)
         self.fresh = NEVER
         self.seen_fresh = NEVER
         self._name = name
@@ -101,7 +99,7 @@
         """Return the newest counter of a peer, 0 for none."""
         return self._newest.get(name, ('', 0))[1]
 
-    def note_arrival(self, beat: Heartbeat, now: float) -> float:
+    def note_arrival(self, beat: Heartbeat) -> float:
         """Note a heartbeat and return since when what it says holds."""
         known = self._newest.get(beat.name)
         if (
@@ -110,7 +108,6 @@
             or beat.counter > known[1]
         ):
             self._newest[beat.name] = (beat.identity, beat.counter)
-        self.heard.note(beat.name, now)
         return self.sent.find(beat.echo)
 
     def note_freshness(self, moment: float, *, current: bool) -> None:
--- a/verbenapost/coordination/membership.py
+++ b/verbenapost/coordination/membership.py
@@ -1,6 +1,5 @@
 """Membership and freshness of one daemon."""
 
-import math
 from collections.abc import Sequence
 from typing import Protocol, final
 
@@ -174,7 +173,7 @@
     def _take_heartbeat(self, now: float, beat: Heartbeat) -> list[Envelope]:
         if beat.name == self._me.name:
             return []
-        moment = self.contacts.note_arrival(beat, now)
+        moment = self.contacts.note_arrival(beat)
         newer = (
             beat.revision > self._views.newest
             or beat.set_revision > self.register.revision
@@ -209,9 +208,7 @@
         change = self.register.changeover
         if change is None or beat.set_revision != self.register.revision:
             return
-        order = self.register.member_set.order
-        self.contacts.heard.merge(order, beat.heard, now)
-        change.merge(beat.confirmed)
+        change.merge(beat.confirmed, now)
 
     def _answer_request(self, request: ViewRequest) -> list[Envelope]:
         offer = self._views.offer_after(request.revision)
@@ -263,11 +260,7 @@
         first = 0 if first >= len(order) else first
         row = order[first : first + REACH_ROW]
         self.contacts.reach.note(self._me.name, now)
-        self.contacts.heard.note(self._me.name, now)
         change = self.register.changeover
-        heard = b''
-        if change is not None:
-            heard = self.contacts.heard.encode(order, now, math.floor)
         return Heartbeat(
             name=self._me.name,
             identity=self._me.identity,
@@ -281,8 +274,7 @@
             ready=self.ready,
             load=self.load,
             first=first,
-            reach=self.contacts.reach.encode(row, now, math.ceil),
-            heard=heard,
+            reach=self.contacts.reach.encode(row, now),
             confirmed=change.encode() if change else b'',
         )
 
--- a/verbenapost/coordination/register.py
+++ b/verbenapost/coordination/register.py
@@ -9,7 +9,7 @@
 from verbenapost.coordination.quorum import SetWrite, holds_both, list_taken
 from verbenapost.state.members import Intent, MemberRecord, MemberSet
 
-#: Times the view timeout for which unconfirming members have to be silent.
+#: Times the view timeout that a change waits for the last members.
 SILENCE_FACTOR = 2
 
 Alive = Mapping[str, MemberRecord]
@@ -116,7 +116,6 @@
         return self.changeover.list_blockers(
             now,
             SILENCE_FACTOR * self._timing.view_timeout,
-            self._contacts.heard,
             excluded,
         )
 
@@ -149,12 +148,7 @@
         )
 
     def _find_latest(self, name: str) -> float:
-        contacts = self._contacts
-        return max(
-            contacts.heard.find(name),
-            contacts.reach.find(name),
-            self._since,
-        )
+        return max(self._contacts.reach.find(name), self._since)
 
     def _list_joining(self) -> Collection[str]:
         intent = self.member_set.intent
--- a/verbenapost/protocol/membership.py
+++ b/verbenapost/protocol/membership.py
@@ -41,9 +41,8 @@
     :param load: load of the sender in thousandths.
     :param first: place of the first member in ``reach``.
     :param reach: ages of contact with members, one byte each.
-    :param heard: ages of the last message of all members, one byte each,
-        while a change of the set is under way.
-    :param confirmed: bits of the members that know of the change.
+    :param confirmed: bits of the members that know of the change of the set
+        that is under way.
     """
 
     name: str
@@ -59,7 +58,6 @@
     load: int = 0
     first: int = 0
     reach: bytes = b''
-    heard: bytes = b''
     confirmed: bytes = b''
 
 
