Spread contact ages in replies and pick peers by hash

Cause: bench/membership.py at 200 members showed members that saw only 99 of 200 in touch, so an outage would have looked like isolation. A test with 130 members saw 66 at worst. Ruled out: rotating rows of 64 members in each heartbeat (85 of 130 at worst); peers at distances of powers of two with one common round number (120 of 130 at times, since all members ask in step). Change: the ages of up to 256 members go in replies only, which are dated closely; one peer of each round is picked by the hash of name and round. A bench of cost and spread.

--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,254 @@
+"""Cost of membership and spread of changes, in virtual time.
+
+Run with ``python -m bench.membership``.
+"""
+
+import heapq
+import itertools
+import json
+import pathlib
+import random
+import statistics
+from collections import Counter
+
+from standins.core import StoreCore
+from standins.memory import MemoryStore
+from verbenapost.coordination.configuration import ConfigurationService
+from verbenapost.coordination.contacts import Timing
+from verbenapost.coordination.documents import Clocks
+from verbenapost.coordination.membership import Membership
+from verbenapost.coordination.pacing import pace_renewal, pace_watch
+from verbenapost.coordination.writes import SettledWriter
+from verbenapost.protocol import codec
+from verbenapost.protocol.store import Listing
+from verbenapost.state.configuration import (
+    ConfigurationRecord,
+    pack_record,
+)
+from verbenapost.state.members import MemberRecord, MemberSet
+
+#: Numbers of members that are measured.
+SIZES = (7, 50, 100, 200)
+
+#: Seconds from sending a message to its arrival.
+LATENCY = 0.001
+
+#: Virtual seconds before the measurement starts.
+WARM_UP = 10.0
+
+#: Virtual seconds that are measured.
+MEASURED = 10.0
+
+#: The same for the full mesh, whose cost grows with the square.
+MEASURED_MESH = 1.0
+
+#: Changes whose spread is measured.
+CHANGES = 10
+
+RESULTS = pathlib.Path(__file__).parent / 'results' / 'membership.json'
+
+
+class Mesh:
+    """Peers of the baseline: each member asks all others each round."""
+
+    def __init__(self, names):
+        self._names = tuple(names)
+
+    def pick_peers(self, name, turn):
+        """Return all other members."""
+        return tuple(other for other in self._names if other != name)
+
+
+class Fleet:
+    """Members that exchange messages without loss.
+
+    :param size: number of members.
+    :param mesh: whether each asks all others.
+    """
+
+    def __init__(self, size, *, mesh=False):
+        self.now = 0.0
+        self.core = StoreCore()
+        self.sizes = Counter()
+        self.messages = Counter()
+        self.calls = Counter()
+        self.adopted = {}
+        self._size = size
+        self._order = itertools.count()
+        self._events = []
+        self._chance = random.Random(size)
+        records = {
+            f'member-{number:03d}': MemberRecord(
+                f'member-{number:03d}',
+                f'{number:016x}',
+                f'10.0.{number // 250}.{number % 250 + 1}:7000',
+                region='region',
+            )
+            for number in range(size)
+        }
+        self._names = {row.address: name for name, row in records.items()}
+        self.apply()
+        self.views = {}
+        self.members = {}
+        for name, record in records.items():
+            self._start(name, record, MemberSet(records), mesh)
+
+    def _start(self, name, record, member_set, mesh):
+        store = MemoryStore(self.core, self._tell_time)
+        writer = SettledWriter(store, self._tell_time, self._chance)
+        clocks = Clocks(self._tell_time, self._tell_time)
+        views = ConfigurationService(store, record.identity, writer, clocks)
+        member = Membership(record, views, Timing())
+        member.register.adopt(1, member_set, 0)
+        if mesh:
+            member._ring = Mesh(member_set.members)  # noqa: SLF001
+            member._ring_revision = 1  # noqa: SLF001
+        self.views[name] = views
+        self.members[name] = member
+        self._contact(name)
+        interval = Timing().interval
+        self._push(self._chance.random() * interval, self._tick, name)
+        renewal = pace_renewal(self._size)
+        self._push(self._chance.random() * renewal, self._renew, name)
+        for _ in ('config/', 'members/'):
+            watch = pace_watch(self._size)
+            self._push(self._chance.random() * watch, self._watch, name)
+
+    def apply(self):
+        """Put a new document in force and return its revision."""
+        slots = self.core.revision + 1
+        document = {'services': {'counter': {'pool': 'c', 'slots': slots}}}
+        entry = self.core.get('config/shop', self.now)
+        expected = entry.revision if entry else 0
+        value = pack_record(ConfigurationRecord(document))
+        self.core.swap('config/shop', expected, value, now=self.now)
+        return self.core.revision
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action, subject = heapq.heappop(self._events)
+            action(subject)
+        self.now = end
+
+    def count_current(self, revision):
+        """Return the number of members with a change in force."""
+        return sum(view.applied >= revision for view in self.views.values())
+
+    def _tell_time(self):
+        return self.now
+
+    def _push(self, delay, action, subject):
+        row = (self.now + delay, next(self._order), action, subject)
+        heapq.heappush(self._events, row)
+
+    def _tick(self, name):
+        member = self.members[name]
+        if member.begin_contact(self.now):
+            self._contact(name)
+        self._post(member.tick(self.now))
+        self._push(Timing().interval, self._tick, name)
+
+    def _renew(self, name):
+        self.calls['renew'] += 1
+        self._push(pace_renewal(self._size), self._renew, name)
+
+    def _watch(self, name):
+        self.calls['watch'] += 1
+        self._push(pace_watch(self._size), self._watch, name)
+
+    def _contact(self, name):
+        self.calls['confirm'] += 2
+        listing = self.core.list_prefix('config/', self.now)
+        self.views[name].adopt(Listing(listing.entries, listing.revision))
+        self.members[name].confirm_store(self.now)
+
+    def _post(self, envelopes):
+        for envelope in envelopes:
+            kind = type(envelope.message).__name__
+            self.messages[kind] += 1
+            self.sizes[kind] += len(codec.encode(envelope.message))
+            self._push(LATENCY, self._deliver, envelope)
+
+    def _deliver(self, envelope):
+        member = self.members[self._names[envelope.address]]
+        self._post(member.receive(self.now, envelope.message))
+
+
+def measure_cost(size, *, mesh):
+    """Return what one member sends a second."""
+    fleet = Fleet(size, mesh=mesh)
+    seconds = MEASURED_MESH if mesh else MEASURED
+    fleet.run(1 if mesh else WARM_UP)
+    fleet.sizes.clear()
+    fleet.messages.clear()
+    fleet.run(seconds)
+    share = size * seconds
+    return {
+        'members': size,
+        'bytes_sent_a_second': round(fleet.sizes.total() / share, 1),
+        'messages_sent_a_second': round(fleet.messages.total() / share, 2),
+    }
+
+
+def measure_calls(size):
+    """Return the store calls a second of an idle fleet."""
+    fleet = Fleet(size)
+    fleet.run(WARM_UP)
+    fleet.calls.clear()
+    seconds = MEASURED * 4
+    fleet.run(seconds)
+    rates = {kind: calls / seconds for kind, calls in fleet.calls.items()}
+    return {
+        'members': size,
+        'fleet': round(sum(rates.values()), 2),
+        'one_daemon': round(sum(rates.values()) / size, 3),
+        'by_kind': {kind: round(rate, 2) for kind, rate in rates.items()},
+        'fresh': sum(
+            member.find_status(fleet.now).value == 'fresh'
+            for member in fleet.members.values()
+        ),
+        'seen_live_by_one': min(
+            len(member.list_live(fleet.now))
+            for member in fleet.members.values()
+        ),
+    }
+
+
+def measure_spread(size):
+    """Return the seconds until a change is in force through peers alone."""
+    fleet = Fleet(size)
+    fleet.run(WARM_UP)
+    times = []
+    for _ in range(CHANGES):
+        fleet.run(fleet._chance.random())  # noqa: SLF001
+        started = fleet.now
+        revision = fleet.apply()
+        while fleet.count_current(revision) < size:
+            fleet.run(0.01)
+        times.append(fleet.now - started)
+        fleet.run(1)
+    return {
+        'members': size,
+        'changes': CHANGES,
+        'median_seconds': round(statistics.median(times), 2),
+        'worst_seconds': round(max(times), 2),
+    }
+
+
+def main():
+    """Measure and write the results."""
+    results = {
+        'bounded_peers': [measure_cost(size, mesh=False) for size in SIZES],
+        'full_mesh': [measure_cost(size, mesh=True) for size in SIZES],
+        'store_calls_idle': [measure_calls(size) for size in SIZES],
+        'spread_without_watches': [measure_spread(size) for size in SIZES],
+    }
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(results, indent=1) + '\n')
+    print(json.dumps(results, indent=1))
+
+
+if __name__ == '__main__':
+    main()
--- a/verbenapost/coordination/membership.py
+++ b/verbenapost/coordination/membership.py
@@ -20,8 +20,8 @@
 )
 from verbenapost.state.members import MemberRecord, pack_set, unpack_set
 
-#: Members whose contact one heartbeat tells.
-REACH_ROW = 64
+#: Members whose contact one reply tells.
+REACH_ROW = 256
 
 #: Members that confirm their views with the store for the others.
 STORE_CONTACTS = 5
@@ -255,10 +255,9 @@
         reply: bool = False,
     ) -> Heartbeat:
         order = self.register.member_set.order
-        first = self._row * REACH_ROW
-        self._row = 0 if first + REACH_ROW >= len(order) else self._row + 1
-        first = 0 if first >= len(order) else first
-        row = order[first : first + REACH_ROW]
+        first = self._row % max(1, len(order)) if reply else 0
+        row = order[first : first + REACH_ROW] if reply else ()
+        self._row += len(row)
         self.contacts.reach.note(self._me.name, now)
         change = self.register.changeover
         return Heartbeat(
--- a/verbenapost/coordination/tests/test_membership.py
+++ b/verbenapost/coordination/tests/test_membership.py
@@ -12,7 +12,7 @@
     TIMING,
     Site,
 )
-from verbenapost.state.members import unpack_set
+from verbenapost.state.members import MemberSet, unpack_set
 
 FIVE = ('a', 'b', 'c', 'd', 'e')
 
@@ -46,6 +46,20 @@
         site.advance(60)
         assert list_statuses(site, FIVE) == {Status.OUTAGE}
 
+    def test_members_of_a_large_region_know_of_each_other(self):
+        names = tuple(f'member-{number}' for number in range(130))
+        site = Site(names)
+        records = {n: one.record for n, one in site.running.items()}
+        for process in site.running.values():
+            process.member.register.adopt(1, MemberSet(records), site.now)
+        site.storeless = set(names)
+        site.advance(11)
+        counts = [
+            len(process.member.list_live(site.now))
+            for process in site.running.values()
+        ]
+        assert min(counts) == 130
+
     def test_a_minority_is_isolated(self):
         site = make_site()
         site.storeless = {'a', 'b'}
--- a/verbenapost/coordination/topology.py
+++ b/verbenapost/coordination/topology.py
@@ -16,11 +16,11 @@
     Explanation
     ===========
 
-    In each round a member asks its successor, one member at a distance of a
-    power of two, and one at a distance that runs through the whole ring. The
-    first keeps the graph connected, the second spreads news in a number of
-    rounds that grows with the logarithm of the members, and the third finds
-    a way around any set of failed members.
+    In each round a member asks its successor, one member chosen by the hash
+    of name and round, and one at a distance that runs through the whole ring.
+    The first keeps the graph connected, the second spreads news in a number
+    of rounds that grows with the logarithm of the members, and the third
+    finds a way around any set of failed members.
 
     Examples
     ========
@@ -51,7 +51,8 @@
         if size == 0:
             return ()
         place = self._places.get(name, _place(name) % size)
-        offsets = (1, 2 ** (turn % size.bit_length()), turn)
+        chosen = _place(f'{name} {turn}')
+        offsets = (1, chosen, place + turn)
         peers = dict.fromkeys(
             self._names[(place + offset) % size] for offset in offsets
         )
--- a/verbenapost/protocol/membership.py
+++ b/verbenapost/protocol/membership.py
@@ -40,7 +40,8 @@
     :param ready: whether the sender takes new work.
     :param load: load of the sender in thousandths.
     :param first: place of the first member in ``reach``.
-    :param reach: ages of contact with members, one byte each.
+    :param reach: ages of contact with members, one byte each; only in
+        replies, since nothing else is dated closely.
     :param confirmed: bits of the members that know of the change of the set
         that is under way.
     """
