--- a/verbenapost/coordination/pools/tests/test_races.py
+++ b/verbenapost/coordination/pools/tests/test_races.py
@@ -249,6 +249,20 @@
         assert not world.keepers[0].report.waiting
         assert not find_faults(world)
 
+    async def test_a_finished_wave_takes_no_more_vms_out(self):
+        world = await run_calm()
+        begun = world.scheduler.now
+        waves = WaveStore(MarkedWriter(Client(world.store, 'op'), 'op'))
+        world.spawn(start_wave(world))
+        await world.run(20)
+        world.spawn(waves.finish('enough'))
+        await world.run(200)
+        world.stop()
+        vms = world.read_vms().values()
+        assert {vm.state for vm in vms} == {VmState.IN_SERVICE}
+        done = sum(vm.maintained_at >= begun for vm in vms)
+        assert 0 < done < len(vms)
+
 
 class TestOutage:
     async def test_store_outage_then_progress(self):
--- a/verbenapost/coordination/pools/wave_store.py
+++ b/verbenapost/coordination/pools/wave_store.py
@@ -65,6 +65,14 @@
         """Go on after a stop."""
         return await self._change(stopped=False, reason=reason)
 
+    async def finish(self, reason: str) -> Result[None, Failure]:
+        """End the wave; no VM is due any more."""
+        return await self._change(
+            due_before=float(0),
+            stopped=False,
+            reason=reason,
+        )
+
     async def _change(
         self,
         **fields: str | float | bool,
