--- /dev/null
+++ b/verbenapost/daemon/gauges.py
@@ -0,0 +1,41 @@
+"""Metrics that are read from the parts of a daemon at each scrape."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from verbenapost.daemon.metrics import Metrics
+from verbenapost.transport.peers import PeerNetwork
+from verbenapost.transport.store import HttpStore
+
+
+class Metered(Protocol):
+    """Parts that keep counts of their own."""
+
+    metrics: Metrics
+    network: PeerNetwork
+    store: HttpStore
+
+
+def register_gauges(
+    parts: Metered,
+    measure_age: Callable[[], float],
+) -> None:
+    """Have the metrics read the parts before each answer to a scrape.
+
+    :param measure_age: returns the seconds since the view was confirmed.
+    """
+    metrics = parts.metrics
+
+    def read_store() -> None:
+        for name, count in parts.store.calls.items():
+            kind, _, outcome = name.partition(' ')
+            metrics.store_calls.put(count, kind, outcome or 'all')
+
+    def read_peers() -> None:
+        metrics.peer_bytes.put(parts.network.bytes_out, 'out')
+
+    def read_age() -> None:
+        metrics.freshness_age.put(measure_age())
+
+    for source in (read_store, read_peers, read_age):
+        metrics.add_source(source)
--- a/verbenapost/daemon/main.py
+++ b/verbenapost/daemon/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``verbenapostd``."""
 
 import asyncio
+import gc
 import signal
 import sys
 
@@ -24,6 +25,10 @@
         loop.add_signal_handler(number, ended.set)
     daemon = Daemon(settings)
     await daemon.start()
+    # What the start has made lives as long as the process; the collector
+    # need not look at it again.
+    gc.collect()
+    gc.freeze()
     await ended.wait()
     await daemon.stop()
 
--- a/verbenapost/daemon/metrics.py
+++ b/verbenapost/daemon/metrics.py
@@ -4,6 +4,7 @@
 import dataclasses
 import resource
 import time
+from collections.abc import Callable
 from typing import Final, final
 
 from aioprometheus import Counter, Gauge, Registry
@@ -107,6 +108,7 @@
 
     def __init__(self) -> None:
         self._families: list[Series] = []
+        self._sources: list[Callable[[], None]] = []
         count, gauge = self._add_counter, self._add_gauge
         self.requests = count(
             'requests_total', 'Answers to callers.', 'service', 'status'
@@ -138,8 +140,14 @@
         self._cpu = count('cpu_seconds_total', 'Processor time.')
         self._memory = gauge('max_resident_bytes', 'Highest resident memory.')
 
+    def add_source(self, read: Callable[[], None]) -> None:
+        """Call a function that puts numbers before each answer."""
+        self._sources.append(read)
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of an answer to a scrape."""
+        for read in self._sources:
+            read()
         self._cpu.put(time.process_time())
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self._memory.put(usage.ru_maxrss * _RSS_UNIT)
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -10,6 +10,7 @@
 from verbenapost.daemon.assembly import make_app
 from verbenapost.daemon.duties import Duties
 from verbenapost.daemon.following import follow_store
+from verbenapost.daemon.gauges import register_gauges
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import sample_loop_lag
 from verbenapost.daemon.parts import Parts
@@ -40,6 +41,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = read_clock()
         self._confirmed_at = self._started_at
+        register_gauges(self.parts, self.measure_age)
         admin = AdminApp(
             make_admin_ports(self.parts, self),
             make_registry(settings),
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -210,6 +210,7 @@
         slot = await self._parts.desk.acquire(ask)
         if isinstance(slot, Err):
             return slot
+        self._parts.metrics.grants.add(job.request.service)
         verdict = Verdict.CANCELLED
         started = self._parts.clock()
         try:
