Solve the assignment of VMs on the keeper every minute

Cause: the keeper repaired greedily and never restored the losses that pools must survive. Ruled out: importing the solver at the start of every daemon (some 45 MB); it is loaded in a thread by the daemon that owns the pools. Change: a task that plans in a thread and starts the moves; stop finishes a wave through the store of waves. Conclusion: runs; its moves under faults are shown by the pools tests only.

--- a/verbenapost/daemon/administration.py
+++ b/verbenapost/daemon/administration.py
@@ -169,7 +169,7 @@
             case WaveAction.PAUSE:
                 return await self._waves.stop(reason)
             case WaveAction.STOP:
-                return await self._waves.start('', 0, reason)
+                return await self._waves.finish(reason)
 
     def _describe(self, wave: WaveRecord, fleet: Fleet) -> WaveStatus:
         due = [vm for vm in fleet if vm.maintained_at < wave.due_before]
--- a/verbenapost/daemon/fleet.py
+++ b/verbenapost/daemon/fleet.py
@@ -86,13 +86,21 @@
         """Start the next round soon."""
         self._changed.set()
 
+    def is_busy(self) -> bool:
+        """Tell whether a VM is on its way between states."""
+        return any(
+            known.record.state is not VmState.IN_SERVICE
+            and not known.record.held
+            for known in self._directory.vms.values()
+        )
+
     async def run(self) -> None:
         """Run rounds until cancelled."""
         while True:
             if self.owned and self._configuration.view.revision:
                 await self._step()
             await asyncio.sleep(BUSY_PERIOD)
-            if not self._is_busy():
+            if not self.is_busy():
                 await self._wait_changed(IDLE_PERIOD)
 
     async def watch_wave(self) -> None:
@@ -139,14 +147,6 @@
         if batch.events or batch.truncated:
             self.wake()
 
-    def _is_busy(self) -> bool:
-        """Tell whether a VM is on its way between states."""
-        return any(
-            known.record.state is not VmState.IN_SERVICE
-            and not known.record.held
-            for known in self._directory.vms.values()
-        )
-
     async def _wait_changed(self, seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -14,6 +14,7 @@
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import sample_loop_lag
 from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.rebalancing import RebalanceTask
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock, run_timers
 from verbenapost.daemon.web import WebServer
@@ -93,6 +94,7 @@
         self._follow('vms', parts.directory)
         self._spawn(parts.keeper.run())
         self._spawn(parts.keeper.watch_wave())
+        self._spawn(RebalanceTask(parts.keeper).run())
         self._spawn(parts.leaving.run())
         await self._web.start()
         self._log.info('started', name=self.settings.name)
