Keep the keeper going while a held VM drains

Cause: make demo failed in a fresh clone: a VM that an operator drained stayed in draining. The keeper's host took every held VM for at rest, so the next round came only after the idle period of 20 s when the members' confirmation had not come before the first. Ruled out: lost reports of members; no member was behind when it waited.

--- a/examples/processes.py
+++ b/examples/processes.py
@@ -6,6 +6,9 @@
 import time
 from pathlib import Path
 
+#: Characters of a log that are shown when a process has ended.
+TAIL_CHARACTERS = 400
+
 #: Seconds that a process gets to end after SIGTERM.
 TERM_SECONDS = 15.0
 
@@ -53,6 +56,15 @@
         """Return what a process has written."""
         return (self._folder / f'{name}.log').read_text()
 
+    def explain(self) -> str:
+        """Return which processes have ended, with their last lines."""
+        ended = [
+            f'{name}: {self.read_log(name)[-TAIL_CHARACTERS:]}'
+            for name in self._processes
+            if not self.is_running(name)
+        ]
+        return '; '.join(ended) or 'all processes run'
+
     def stop_all(self) -> None:
         """End every process, the daemons first."""
         for process in self._processes.values():
--- a/examples/site.py
+++ b/examples/site.py
@@ -138,7 +138,7 @@
                 if await _answers(session, url):
                     return
                 await asyncio.sleep(POLL_SECONDS)
-        raise SiteError(f'no answer from {url}')
+        raise SiteError(f'no answer from {url}; {self.processes.explain()}')
 
 
 async def _answers(session: aiohttp.ClientSession, url: str) -> bool:
--- a/verbenapost/daemon/fleet.py
+++ b/verbenapost/daemon/fleet.py
@@ -30,6 +30,9 @@
 #: Seconds between two rounds of the keeper while nothing changes.
 IDLE_PERIOD = 20.0
 
+#: Seconds after which members that have not confirmed a drain are named.
+PATIENCE = 2.0
+
 #: Seconds that one watch of the wave waits.
 WATCH_WAIT = 20.0
 
@@ -72,6 +75,7 @@
         self._directory = directory
         self._applied = applied
         self._changed = asyncio.Event()
+        self._named: list[str] = []
         self._log = make_logger('keeper')
         directory.subscribe(self.wake)
 
@@ -89,9 +93,7 @@
     def is_busy(self) -> bool:
         """Tell whether a VM is on its way between states."""
         return any(
-            known.record.state is not VmState.IN_SERVICE
-            and not known.record.held
-            for known in self._directory.vms.values()
+            _is_moving(known.record) for known in self._directory.vms.values()
         )
 
     async def run(self) -> None:
@@ -154,7 +156,16 @@
         self._changed.clear()
 
     def _is_confirmed(self, entry: VmEntry) -> bool:
-        return not self._applied.list_behind(self.members, vms=entry.revision)
+        behind = self._applied.list_behind(self.members, vms=entry.revision)
+        waited = time.time() - entry.record.changed_at
+        if behind and waited >= PATIENCE and behind != self._named:
+            self._log.warning(
+                'members have not confirmed a drain',
+                vm=entry.record.name,
+                members=behind,
+            )
+            self._named = behind
+        return not behind
 
 
 @final
@@ -214,6 +225,12 @@
         self._told = frozenset(told)
 
 
+def _is_moving(record: VmRecord) -> bool:
+    resting = record.state is VmState.IN_SERVICE
+    kept_out = record.held and record.state is VmState.IN_MAINTENANCE
+    return not resting and not kept_out
+
+
 def _find_leaving(listed: Sequence[Any]) -> tuple[str, ...]:
     return tuple(
         sorted(vm.name for vm in listed if vm.state is ListState.LEAVING),
