--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup run demo test bench format
+.PHONY: setup run demo test bench format soak
 
 setup: $(VENV)/installed
 
@@ -32,3 +32,7 @@
 
 bench: setup
 	$(BIN)/python -m bench.relay
+
+soak: setup
+	@$(BIN)/python -m examples.histories.soak --site=$(SITE) \
+		$(if $(SEED),--seed=$(SEED)) --minutes=$(or $(MINUTES),1)
--- /dev/null
+++ b/examples/histories/__init__.py
@@ -0,0 +1,1 @@
+"""History checks of concurrent runs over real processes."""
--- /dev/null
+++ b/examples/histories/soak.py
@@ -0,0 +1,111 @@
+"""Runs all faults for a while and prints which rules held.
+
+``python -m examples.histories.soak --seed=1 --minutes=5``; the exit code is
+0 when all rules held and 1 when one was broken.
+"""
+
+import asyncio
+import collections
+import random
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+
+from examples.histories import (  # noqa: F401  fill the registry
+    fleetrules,
+    requestrules,
+)
+from examples.histories.nemesis import FAULTS
+from examples.histories.records import History, Violation
+from examples.histories.registry import RULES, find_violations
+from examples.histories.scenarios import Scenario, run_scenario
+from examples.sites import SITES
+
+#: Seconds of a minute.
+MINUTE = 60
+
+#: Longest outage of the store, in seconds.
+OUTAGE_SECONDS = (1.0, 60.0)
+
+#: Seeds that are drawn when none is given are below this.
+SEED_BOUND = 1_000_000
+
+#: Violations of one rule that are shown.
+SHOWN = 5
+
+
+def describe_history(history: History) -> list[str]:
+    """Return the counts of what a history holds."""
+    outcomes = collections.Counter(
+        answer.outcome or str(answer.status) for answer in history.answered
+    )
+    strikes = collections.Counter(strike.kind for strike in history.strikes)
+    changes = collections.Counter(change.outcome for change in history.changes)
+    return [
+        f'sent {len(history.sent)}, cut {len(history.cuts)}',
+        f'runs {len(history.runs)}',
+        f'answers: {_join(outcomes)}',
+        f'faults: {_join(strikes)}',
+        f'changes: {_join(changes)}; looks {len(history.configs)}',
+        f'states of VM records: {len(history.vms)}',
+    ]
+
+
+def make_table(found: list[Violation]) -> list[str]:
+    """Return one row for each rule, and what broke it."""
+    rows = []
+    for rule in RULES:
+        broken = [row.detail for row in found if row.rule == rule]
+        rows.append(f'{rule:14}{len(broken):8} violations')
+        rows += [f'    {detail}' for detail in broken[:SHOWN]]
+    return rows
+
+
+def main(
+    seed: int | None = None,
+    minutes: float = 1.0,
+    site: str = 'caledon',
+    faults: str = '',
+    logs: str = '',
+) -> None:
+    """Run a site under all faults and check its history.
+
+    :param seed: seed of all chances; drawn and printed when not given.
+    :param minutes: how long requests are sent.
+    :param site: ``caledon`` or ``hai_phong``.
+    :param faults: names of faults, joined by commas; all when empty.
+    :param logs: folder that keeps the logs of the processes.
+    """
+    if site not in SITES:
+        sys.exit(f'site: there is no {site}; take one of {", ".join(SITES)}')
+    if seed is None:
+        seed = random.SystemRandom().randrange(SEED_BOUND)
+    names = faults if isinstance(faults, str) else ','.join(faults)
+    kinds = tuple(names.split(',')) if names else tuple(FAULTS)
+    sys.stdout.write(f'seed {seed}, {minutes} minutes, {site}\n')
+    sys.stdout.flush()
+    scenario = Scenario(
+        seed=seed,
+        seconds=minutes * MINUTE,
+        kinds=kinds,
+        site=site,
+        outage_seconds=OUTAGE_SECONDS,
+    )
+    with tempfile.TemporaryDirectory(prefix='verbenapost-') as folder:
+        kept = Path(logs or folder)
+        kept.mkdir(parents=True, exist_ok=True)
+        history = asyncio.run(run_scenario(scenario, kept))
+    found = find_violations(history)
+    lines = [*describe_history(history), *make_table(found)]
+    sys.stdout.write('\n'.join([*lines, '']))
+    sys.exit(1 if found else 0)
+
+
+def _join(counts: collections.Counter[str]) -> str:
+    return ', '.join(f'{name} {count}' for name, count in counts.most_common())
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/examples/histories/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the local sites."""
--- /dev/null
+++ b/standins/journal.py
@@ -0,0 +1,36 @@
+"""Store core that remembers every change under one prefix."""
+
+import time
+
+from standins.core import StoreCore
+from verbenapost.protocol.store import Event
+
+#: Prefix of the keys whose changes are remembered.
+JOURNAL_PREFIX = 'vm/'
+
+
+class JournaledCore(StoreCore):
+    """Keeps each change for the checkers of histories.
+
+    The watch history is bounded and can be told to forget; this one is for
+    proofs only and no client of the store sees it.
+
+    Examples
+    ========
+
+    >>> core = JournaledCore(history=10)
+    >>> core.swap('vm/a', 0, b'first', now=0)
+    Ok(1)
+    >>> [(event.key, event.revision) for _, event in core.journal]
+    [('vm/a', 1)]
+    """
+
+    def __init__(self, history: int) -> None:
+        super().__init__(history)
+        self.journal: list[tuple[float, Event]] = []
+
+    def _record(self, key: str, value: bytes | None, lease: str) -> None:
+        super()._record(key, value, lease)
+        if key.startswith(JOURNAL_PREFIX):
+            event = Event(key, value, self.revision)
+            self.journal.append((time.time(), event))
--- a/standins/store.py
+++ b/standins/store.py
@@ -26,11 +26,11 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from standins.core import StoreCore
 from standins.faults import update_faults
+from standins.journal import JournaledCore
 from standins.memory import MemoryStore
 from verbenapost.protocol.errors import Failure
-from verbenapost.protocol.store import Entry
+from verbenapost.protocol.store import Entry, Event
 
 #: Seconds that a call without an answer stays open.
 HELD_SECONDS = 3600.0
@@ -65,6 +65,14 @@
     }
 
 
+def show_event(event: Event) -> dict[str, Any]:
+    """Return a change in its JSON form."""
+    encoded = None
+    if event.value is not None:
+        encoded = base64.b64encode(event.value).decode()
+    return {'key': event.key, 'value': encoded, 'revision': event.revision}
+
+
 @register_operation('get')
 async def get_entry(store: MemoryStore, call: Any) -> Any:
     """Read one key."""
@@ -121,16 +129,7 @@
     batch = await store.watch(call['prefix'], call['after'], call['wait'])
     return batch.map(
         lambda found: {
-            'events': [
-                {
-                    'key': event.key,
-                    'value': None
-                    if event.value is None
-                    else base64.b64encode(event.value).decode(),
-                    'revision': event.revision,
-                }
-                for event in found.events
-            ],
+            'events': [show_event(event) for event in found.events],
             'revision': found.revision,
             'truncated': found.truncated,
         }
@@ -145,9 +144,8 @@
     """
 
     def __init__(self, seed: int, history: int) -> None:
-        self.store = MemoryStore(
-            StoreCore(history), time.monotonic, seed, HELD_SECONDS
-        )
+        self._core = JournaledCore(history)
+        self.store = MemoryStore(self._core, time.monotonic, seed, HELD_SECONDS)
         self._bytes: Counter[str] = Counter()
         self._open: set[asyncio.Task[Any]] = set()
 
@@ -158,6 +156,7 @@
                 Route('/v1/{name}', self.call_operation, methods=['POST']),
                 Route('/-/calls', self.show_calls),
                 Route('/-/faults', self.set_faults, methods=['POST']),
+                Route('/-/journal', self.show_journal),
                 Route('/-/ready', self.show_calls),
             ]
         )
@@ -193,6 +192,13 @@
             }
         )
 
+    async def show_journal(self, _request: Request) -> JSONResponse:
+        """Show every change of a VM record with its time."""
+        rows = [
+            {'at': at, **show_event(event)} for at, event in self._core.journal
+        ]
+        return JSONResponse({'events': rows})
+
     async def set_faults(self, request: Request) -> JSONResponse:
         """Set faults; ``expire_leases`` and ``truncate`` act at once."""
         changes = await request.json()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,8 @@
 
 A request takes its run time from ``X-Run-Seconds`` and the size of its answer
 from ``X-Answer-Bytes``. ``GET /-/runs`` lists how often each key and request
-identifier ran; ``POST /-/faults`` sets a fault.
+identifier ran, and ``GET /-/history`` each run with its start in Unix time;
+``POST /-/faults`` sets a fault.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import json
 import signal
 import sys
+import time
 from typing import Any
 
 import fire
@@ -29,7 +31,7 @@
     :param slow: seconds added to each run.
     :param fail_all: answer 500 at once, as a worker that is broken does.
     :param cut: break the connection in the middle of each answer.
-    :param cross: give an answer the request identifier of the one before.
+    :param cross: give the whole answer of the request before.
     :param late: seconds between the end of a run and its answer.
     :param refuse: close each connection before anything runs.
     """
@@ -54,12 +56,14 @@
         self.starts: dict[str, float] = {}
         self.running = 0
         self.most_running = 0
-        self._before = 'none'
+        self.history: list[dict[str, Any]] = []
+        self._before: tuple[str, bytes] = ('none', b'{}')
 
     def make_app(self) -> web.Application:
         """Return the web application of this target."""
         app = web.Application(client_max_size=MAX_BODY)
         app.router.add_get('/-/runs', self.list_runs)
+        app.router.add_get('/-/history', self.list_history)
         app.router.add_post('/-/faults', self.set_faults)
         app.router.add_route('*', '/{path:.*}', self.run)
         return app
@@ -78,6 +82,10 @@
             }
         )
 
+    async def list_history(self, _request: web.Request) -> web.Response:
+        """Answer with each run in the order of the starts."""
+        return web.json_response({'name': self.name, 'runs': self.history})
+
     async def set_faults(self, request: web.Request) -> web.Response:
         """Replace the faults by those in the body."""
         wanted = await request.json()
@@ -109,6 +117,14 @@
         self.starts[request_id] = asyncio.get_running_loop().time()
         if key:
             self.keys[key] += 1
+        self.history.append(
+            {
+                'request_id': request_id,
+                'key': key or '',
+                'path': request.path,
+                'started_at': time.time(),
+            }
+        )
 
     async def _work(self, request: web.Request) -> None:
         if self.faults.fail_all:
@@ -127,9 +143,10 @@
         request_id = request.headers.get('X-Request-Id', '')
         if faults.late > 0:
             await asyncio.sleep(faults.late)
-        shown = self._before if faults.cross else request_id
-        self._before = request_id
         content = self._make_content(request, request_id, len(body))
+        own = (request_id, content)
+        shown, content = self._before if faults.cross else own
+        self._before = own
         if faults.cut:
             return await self._cut(request, shown, content)
         return web.Response(
