--- a/examples/histories/load.py
+++ b/examples/histories/load.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -46,14 +47,13 @@
         self._numbers = itertools.count(1)
         self._open: set[asyncio.Task[None]] = set()
 
-    async def run(self, seconds: float) -> None:
-        """Send for some seconds, then wait for the answers."""
+    async def run(self, over: Callable[[], bool]) -> None:
+        """Send until it is over, then wait for the answers."""
         started = time.monotonic()
-        deadline = started + seconds
         for number in range(MAX_REQUESTS):
             due = started + number / self._rate
             await asyncio.sleep(max(0, due - time.monotonic()))
-            if time.monotonic() >= deadline:
+            if over():
                 break
             if len(self._open) < MAX_OPEN:
                 self._start(self._planner.draw(time.time()))
--- a/examples/histories/nemesis.py
+++ b/examples/histories/nemesis.py
@@ -164,15 +164,19 @@
 @register_fault('replace')
 async def replace_daemons(scene: Scene) -> None:
     """Replace every daemon with SIGTERM, one after the other."""
-    for victim in scene.site.layout.http_ports:
-        if victim in scene.struck:
+    if scene.take_victim(('replacement',)) is None:
+        return
+    for name in scene.site.layout.http_ports:
+        # A daemon under another fault is left to that fault.
+        victim = scene.take_victim((name,))
+        if victim is None:
             continue
-        scene.struck.add(victim)
         begun = time.time()
         scene.site.processes.send_signal(victim, signal.SIGTERM)
         await wait_for_end(scene.site, victim)
         await start_daemon(scene.site, victim)
         scene.end('replace', victim, begun)
+    scene.struck.discard('replacement')
 
 
 async def wait_for_end(site: LocalSite, name: str) -> None:
--- a/examples/histories/scenarios.py
+++ b/examples/histories/scenarios.py
@@ -29,7 +29,7 @@
     """What a run is made of.
 
     :param seed: seed of all chances.
-    :param seconds: how long requests are sent.
+    :param seconds: how long faults begin; requests are sent until they end.
     :param kinds: names of faults.
     :param site: name of the site.
     :param rate: requests a second, without repeats.
@@ -78,10 +78,9 @@
             scenario.outage_seconds,
         )
         async with _run_operators(operators, urls):
-            await asyncio.gather(
-                load.run(scenario.seconds),
-                _strike(scene, scenario),
-            )
+            striking = asyncio.create_task(_strike(scene, scenario))
+            await load.run(striking.done)
+            await striking
             await asyncio.sleep(SETTLE_SECONDS)
         return await collect_history(scene, load, operators)
 
@@ -89,6 +88,8 @@
 async def _strike(scene: Scene, scenario: Scenario) -> None:
     if scenario.kinds:
         await Nemesis(scene, scenario.kinds).run(scenario.seconds)
+    else:
+        await asyncio.sleep(scenario.seconds)
 
 
 @contextlib.asynccontextmanager
--- a/examples/histories/soak.py
+++ b/examples/histories/soak.py
@@ -41,12 +41,18 @@
     outcomes = collections.Counter(
         answer.outcome or str(answer.status) for answer in history.answered
     )
+    kinds = collections.Counter(
+        f'{answer.kind} ({answer.outcome})'
+        for answer in history.answered
+        if answer.kind
+    )
     strikes = collections.Counter(strike.kind for strike in history.strikes)
     changes = collections.Counter(change.outcome for change in history.changes)
     return [
         f'sent {len(history.sent)}, cut {len(history.cuts)}',
         f'runs {len(history.runs)}',
         f'answers: {_join(outcomes)}',
+        f'failures: {_join(kinds)}',
         f'faults: {_join(strikes)}',
         f'changes: {_join(changes)}; looks {len(history.configs)}',
         f'states of VM records: {len(history.vms)}',
--- /dev/null
+++ b/examples/histories/tests/test_scenarios.py
@@ -0,0 +1,46 @@
+"""Short runs over real processes with fixed seeds."""
+
+import pytest
+
+from examples.histories import fleetrules, requestrules  # noqa: F401
+from examples.histories.registry import find_violations
+from examples.histories.scenarios import Scenario, run_scenario
+
+DAEMONS = {f'entry-{number}' for number in range(1, 7)}
+
+
+def find_kinds(history):
+    return {strike.kind for strike in history.strikes}
+
+
+class TestScenarios:
+    async def test_daemons_replaced_one_by_one_cut_nothing(self, tmp_path):
+        scenario = Scenario(seed=11, seconds=0.1, kinds=('replace',))
+        history = await run_scenario(scenario, tmp_path)
+        assert {strike.victim for strike in history.strikes} == DAEMONS
+        assert history.cuts == ()
+        assert history.answered
+        assert find_violations(history) == []
+
+    @pytest.mark.parametrize(
+        ('seed', 'site', 'kinds'),
+        [
+            (
+                12,
+                'caledon',
+                ('kill', 'freeze', 'worker_crosses', 'worker_late'),
+            ),
+            (
+                13,
+                'hai_phong',
+                ('drain', 'leave', 'move', 'store_outage', 'store_loses'),
+            ),
+        ],
+    )
+    async def test_rules_hold_under_faults(self, seed, site, kinds, tmp_path):
+        scenario = Scenario(seed=seed, seconds=4, kinds=kinds, site=site)
+        history = await run_scenario(scenario, tmp_path)
+        assert len(find_kinds(history)) > 1
+        assert any(change.revision for change in history.changes)
+        assert history.runs
+        assert find_violations(history) == []
