--- a/examples/histories/balancer.py
+++ b/examples/histories/balancer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Mapping
 from typing import Self
 
@@ -27,10 +28,12 @@
     :meth:`pick` may try the next daemon only when no connection was made.
 
     :param urls: URL of each daemon, by name.
+    :ivar probed: Unix seconds at which the last good probe of each began.
     """
 
     def __init__(self, urls: Mapping[str, str]) -> None:
         self.urls = dict(urls)
+        self.probed: dict[str, float] = {}
         self._ready: set[str] = set()
         self._turn = itertools.count()
         self._tasks: list[asyncio.Task[None]] = []
@@ -82,6 +85,7 @@
             await self._probe(name)
 
     async def _probe(self, name: str) -> None:
+        begun = time.time()
         try:
             async with (
                 asyncio.timeout(PROBE_TIMEOUT),
@@ -92,5 +96,6 @@
             good = False
         if good:
             self._ready.add(name)
+            self.probed[name] = begun
         else:
             self.drop(name)
--- a/examples/histories/fleetrules.py
+++ b/examples/histories/fleetrules.py
@@ -25,6 +25,14 @@
             yield f'{run} {run.started_at - gap.at:.2f} s after {gap}'
 
 
+@register_rule('restarts')
+def check_daemons_start(history: History) -> Iterator[str]:
+    """A daemon that is started again becomes ready."""
+    for strike in history.strikes:
+        if strike.kind == 'stuck':
+            yield f'{strike.victim} did not become ready'
+
+
 @register_rule('one_pool')
 def check_moves(history: History) -> Iterator[str]:
     """A VM changes its pool only out of service and with a new epoch."""
--- a/examples/histories/load.py
+++ b/examples/histories/load.py
@@ -107,6 +107,7 @@
             idempotent=plan.idempotent,
             body_bytes=plan.body_bytes,
             answer_bytes=plan.answer_bytes,
+            probed_at=self._balancer.probed.get(entry, 0),
         )
 
     async def _exchange(self, plan: RequestPlan, sent: Sent) -> Answered:
--- a/examples/histories/nemesis.py
+++ b/examples/histories/nemesis.py
@@ -33,6 +33,9 @@
 #: Seconds that a daemon gets to end after SIGTERM.
 TERM_SECONDS = 15.0
 
+#: Seconds that a daemon gets to become ready, longer than any outage.
+START_SECONDS = 100.0
+
 #: Longest wait for the answer of a stand-in, in seconds.
 CALL_SECONDS = 5.0
 
@@ -144,7 +147,7 @@
     scene.site.processes.send_signal(victim, signal.SIGKILL)
     await wait_for_end(scene.site, victim)
     await asyncio.sleep(scene.draw_seconds((0, 2)))
-    await start_daemon(scene.site, victim)
+    await start_daemon(scene, victim)
     scene.end('kill', victim, begun)
 
 
@@ -174,7 +177,7 @@
         begun = time.time()
         scene.site.processes.send_signal(victim, signal.SIGTERM)
         await wait_for_end(scene.site, victim)
-        await start_daemon(scene.site, victim)
+        await start_daemon(scene, victim)
         scene.end('replace', victim, begun)
     scene.struck.discard('replacement')
 
@@ -191,7 +194,17 @@
         await asyncio.sleep(_POLL)
 
 
-async def start_daemon(site: LocalSite, name: str) -> None:
-    """Start a daemon and wait until it is ready."""
-    site.start_daemon(name)
-    await site.wait_ready(name)
+async def start_daemon(scene: Scene, name: str) -> None:
+    """Start a daemon and wait until the balancer sees it ready.
+
+    One that does not become ready is recorded as a fault of its own, which
+    a rule looks at.
+    """
+    scene.balancer.drop(name)
+    scene.site.start_daemon(name)
+    begun = time.time()
+    while name not in scene.balancer.ready:
+        if time.time() - begun > START_SECONDS:
+            scene.end('stuck', name, begun)
+            return
+        await asyncio.sleep(_POLL)
--- a/examples/histories/records.py
+++ b/examples/histories/records.py
@@ -16,6 +16,7 @@
     :param service: service that was called.
     :param entry: daemon that got it.
     :param idempotent: whether the service's configuration calls it so.
+    :param probed_at: start of the last probe that found the daemon ready.
     :param body_bytes: size of the body.
     :param answer_bytes: least size of the answer that was asked for.
     """
@@ -29,6 +30,7 @@
     idempotent: bool
     body_bytes: int = 0
     answer_bytes: int = 0
+    probed_at: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/examples/histories/requestrules.py
+++ b/examples/histories/requestrules.py
@@ -3,12 +3,15 @@
 import collections
 from collections.abc import Iterator
 
-from examples.histories.records import Answered, Content, History, Sent
+from examples.histories.records import Answered, Content, History, Sent, Strike
 from examples.histories.registry import register_rule
 
 #: Faults that take a daemon's connections with them.
 _HARD = frozenset(('kill', 'freeze'))
 
+#: Seconds that a local daemon's settings give the balancer at shutdown.
+GRACE_SECONDS = 1.0
+
 #: Status of an answer in which nothing is wrong.
 _FINE = 200
 
@@ -115,6 +118,23 @@
             yield f'{sent.tag} at {sent.entry} after {waited:.2f} s: {cut}'
 
 
+@register_rule('unrefused')
+def check_shutdown_refuses_nothing(history: History) -> Iterator[str]:
+    """A daemon that ends takes what comes while the balancer may send it.
+
+    That is: within its grace, and for as long as its probe says ready.
+    """
+    sent_by_number = {sent.number: sent for sent in history.sent}
+    ends = [strike for strike in history.strikes if strike.kind == 'replace']
+    for answer in history.answered:
+        if answer.kind != 'not_ready':
+            continue
+        sent = sent_by_number[answer.number]
+        for strike in ends:
+            if strike.victim == sent.entry and _is_owed(sent, strike):
+                yield f'{sent} was refused during {strike}'
+
+
 @register_rule('answered')
 def check_each_ends(history: History) -> Iterator[str]:
     """Each sending ends once: with one answer or with one cut."""
@@ -126,6 +146,13 @@
             yield f'{sent.tag} ended {ends[sent.number]} times'
 
 
+def _is_owed(sent: Sent, strike: Strike) -> bool:
+    if not strike.at <= sent.at <= strike.until:
+        return False
+    early = sent.at < strike.at + GRACE_SECONDS
+    return early or sent.probed_at > strike.at
+
+
 def _pair(
     history: History,
 ) -> Iterator[tuple[Sent, Answered, Content | None]]:
--- a/examples/histories/tests/test_rules.py
+++ b/examples/histories/tests/test_rules.py
@@ -65,6 +65,8 @@
 REPEATED = change(SENT, number=2)
 SECOND = change(ANSWER, number=2)
 UNKEYED = change(SENT, key='')
+NOT_READY = change(REFUSAL, kind='not_ready')
+END = Strike('replace', 'entry-1', 9.5, 15)
 MARK = Strike('leave', 'booking-1', 5, 20)
 LATE_RUN = change(RUN, request_id='a-r9', tag='x', key='', started_at=103.5)
 
@@ -104,9 +106,19 @@
             ),
         },
     ),
+    ('unrefused', {'answered': (NOT_READY,), 'strikes': (END,)}),
+    (
+        'unrefused',
+        {
+            'sent': (change(SENT, at=10.8, probed_at=9.6),),
+            'answered': (NOT_READY,),
+            'strikes': (END,),
+        },
+    ),
     ('answered', {'answered': ()}),
     ('answered', {'cuts': (Cut(1, 12, 'reset'),)}),
     ('leaving', {'strikes': (MARK,)}),
+    ('restarts', {'strikes': (Strike('stuck', 'entry-1', 9, 99),)}),
     ('leaving', {'runs': (RUN, LATE_RUN)}),
     (
         'one_pool',
@@ -173,6 +185,15 @@
         )
         assert found == set()
 
+    def test_a_balancer_that_does_not_probe_is_refused(self):
+        found = find_rules(
+            sent=(change(SENT, at=10.8, probed_at=9.4),),
+            answered=(change(NOT_READY, request_id='b-r1'),),
+            strikes=(END,),
+            runs=(),
+        )
+        assert found == set()
+
     def test_an_idempotent_request_may_run_again(self):
         found = find_rules(
             sent=(change(SENT, idempotent=True),),
