--- a/examples/histories/scenarios.py
+++ b/examples/histories/scenarios.py
@@ -9,7 +9,13 @@
 from examples.histories import platformfaults  # noqa: F401  fills registry
 from examples.histories.balancer import Balancer
 from examples.histories.load import LoadGenerator
-from examples.histories.nemesis import FAULT_SECONDS, FAULTS, Nemesis, Scene
+from examples.histories.nemesis import (
+    FAULT_SECONDS,
+    FAULTS,
+    FREEZE_SECONDS,
+    Nemesis,
+    Scene,
+)
 from examples.histories.operators import Operators
 from examples.histories.plans import Planner
 from examples.histories.recorder import collect_history, make_chance
@@ -34,6 +40,7 @@
     :param site: name of the site.
     :param rate: requests a second, without repeats.
     :param outage_seconds: shortest and longest fault of the store.
+    :param freeze_seconds: shortest and longest freeze of a daemon.
     """
 
     seed: int
@@ -42,6 +49,7 @@
     site: str = 'caledon'
     rate: float = 60.0
     outage_seconds: tuple[float, float] = FAULT_SECONDS
+    freeze_seconds: tuple[float, float] = FREEZE_SECONDS
 
 
 async def run_scenario(scenario: Scenario, folder: Path) -> History:
@@ -76,6 +84,7 @@
             balancer,
             make_chance(scenario.seed, 'nemesis'),
             scenario.outage_seconds,
+            scenario.freeze_seconds,
         )
         async with _run_operators(operators, urls):
             striking = asyncio.create_task(_strike(scene, scenario))
