Have two members read the VM list for VMs that leave

A member that came back between two readings was not told either, and the names of a reader that gave the duty up stayed. Change: the first two members of the role read; each member joins what the readers say; a reader that gives up withdraws its names.

--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from verbenapost.coordination.ownership import rank_members
+from verbenapost.daemon.leaving import READERS, LeavingNames
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.parts import Parts
 from verbenapost.daemon.timers import read_clock
@@ -24,6 +26,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._log = make_logger('members')
+        self._leaving = LeavingNames()
         parts.router.register(AppliedViews)(parts.applied.note)
         parts.router.register(LeavingVms)(self._take_leaving)
         parts.configuration.subscribe(self._adopt_view)
@@ -71,10 +74,16 @@
 
     def _settle_pools(self) -> None:
         parts = self._parts
-        owned = parts.roster.owns(f'pools/{parts.settings.region}')
-        for part in (parts.keeper, parts.leaving):
-            part.owned = owned
-            part.members = parts.roster.members
+        role = f'pools/{parts.settings.region}'
+        members = parts.roster.members
+        ranked = rank_members(role, members)
+        owned = parts.roster.owns(role)
+        parts.keeper.owned = owned
+        parts.keeper.members = members
+        reads = parts.settings.name in ranked[:READERS]
+        parts.leaving.settle(members, reads=reads)
+        self._leaving.keep(members)
+        parts.queues.set_leaving(self._leaving.join())
         parts.metrics.duties.put(int(owned), 'pool_keeper')
         self._announce()
 
@@ -107,6 +116,7 @@
         for member in parts.roster.members:
             parts.network.send(member, report)
 
-    def _take_leaving(self, _sender: str, message: LeavingVms) -> None:
-        self._parts.queues.set_leaving(message.names)
+    def _take_leaving(self, sender: str, message: LeavingVms) -> None:
+        self._leaving.note(sender, message.names)
+        self._parts.queues.set_leaving(self._leaving.join())
         self._configure_queues()
--- a/verbenapost/daemon/fleet.py
+++ b/verbenapost/daemon/fleet.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Callable, Collection, Sequence
-from typing import Any, final
+from collections.abc import Collection
+from typing import final
 
 from result import Err, Ok, Result
 
@@ -18,9 +18,8 @@
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.admin import VmAction, VmRequest
 from verbenapost.protocol.errors import Failure
-from verbenapost.protocol.platform import ListState, PlatformPort
+from verbenapost.protocol.platform import PlatformPort
 from verbenapost.protocol.store import StorePort, WatchBatch
-from verbenapost.protocol.views import LeavingVms
 from verbenapost.state.vms import VmRecord, VmState
 from verbenapost.state.waves import WAVE_KEY
 
@@ -33,9 +32,6 @@
 #: Seconds that one watch of the wave waits.
 WATCH_WAIT = 20.0
 
-#: Seconds between two readings of the VM list for VMs that leave.
-LIST_PERIOD = 1.0
-
 
 @final
 class KeeperHost:
@@ -157,69 +153,6 @@
         return not self._applied.list_behind(self.members, vms=entry.revision)
 
 
-@final
-class LeavingWatch:
-    """Tells all members which VMs the platform is about to take away.
-
-    :param platform: VM list.
-    :param send: sends to a member.
-    :param on_change: called when the list has changed.
-    """
-
-    def __init__(
-        self,
-        platform: PlatformPort,
-        send: Callable[[str, Any], bool],
-        on_change: Callable[[], None],
-    ) -> None:
-        self.owned = False
-        self.members: Collection[str] = ()
-        self._platform = platform
-        self._send = send
-        self._on_change = on_change
-        self._listed: Sequence[Any] = ()
-        self._names: tuple[str, ...] = ()
-        self._told: frozenset[str] = frozenset()
-        self._log = make_logger('vms')
-
-    async def run(self) -> None:
-        """Read the list again and again until cancelled."""
-        while True:
-            if self.owned:
-                await self._read()
-            await asyncio.sleep(LIST_PERIOD)
-
-    async def _read(self) -> None:
-        listed = await self._platform.list_vms()
-        if isinstance(listed, Err):
-            self._log.warning('no VM list', detail=listed.err_value.detail)
-            return
-        if listed.ok_value != self._listed:
-            self._listed = listed.ok_value
-            self._on_change()
-        names = _find_leaving(self._listed)
-        if names != self._names:
-            self._log.info('VMs leave', names=names)
-            self._names = names
-            self._told = frozenset()
-        self._tell()
-
-    def _tell(self) -> None:
-        message = LeavingVms(self._names)
-        told = {
-            name
-            for name in self.members
-            if name in self._told or self._send(name, message)
-        }
-        self._told = frozenset(told)
-
-
-def _find_leaving(listed: Sequence[Any]) -> tuple[str, ...]:
-    return tuple(
-        sorted(vm.name for vm in listed if vm.state is ListState.LEAVING),
-    )
-
-
 def _get_record(entry: VmEntry) -> VmRecord:
     return entry.record
 
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -17,7 +17,8 @@
     make_targets,
 )
 from verbenapost.daemon.claims import ClaimHost, KeyClaimer
-from verbenapost.daemon.fleet import KeeperHost, LeavingWatch
+from verbenapost.daemon.fleet import KeeperHost
+from verbenapost.daemon.leaving import LeavingWatch
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.queues import QueueHost
 from verbenapost.daemon.routing import MessageRouter
