Send nothing to a target that the entry knows to leave

Change: the entry refuses such a grant as target_refused, not run, before the claim, and asks for another target. The new test of the entry fails without the check.

--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -27,6 +27,7 @@
 from verbenapost.daemon.slots import SlotDesk
 from verbenapost.daemon.teams import CallerTeams
 from verbenapost.daemon.timers import read_clock
+from verbenapost.state.vms import VmState
 from verbenapost.transport.platform import HttpPlatform
 
 #: Random bytes that name one start of the process.
@@ -130,5 +131,14 @@
                 claimer=self.claimer,
                 metrics=self.metrics,
                 clock=read_clock,
+                is_leaving=self._is_leaving,
             ),
         )
+
+    def _is_leaving(self, target: str) -> bool:
+        if self.queues.is_leaving(target):
+            return True
+        known = self.directory.vms.get(target)
+        if known is None:
+            return False
+        return known.record.state is not VmState.IN_SERVICE
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -98,6 +98,10 @@
         queue = self._queues.get(service)
         return (len(queue.grants), queue.waiting) if queue else (0, 0)
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the platform takes a VM away."""
+        return name in self._leaving
+
     def set_leaving(self, names: Collection[str]) -> None:
         """Give no new work to VMs that the platform takes away."""
         for name in sorted(set(names) - self._leaving):
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -31,6 +31,8 @@
 #: Attempts of one request, on distinct targets.
 MAX_ATTEMPTS = 3
 
+_LEAVING = 'The target gets no new work.'
+
 Clock = Callable[[], float]
 AnswerResult = Result[TargetAnswer, Failure]
 
@@ -106,6 +108,8 @@
     :param claimer: claims keys.
     :param metrics: counts.
     :param clock: returns monotonic seconds.
+    :param is_leaving: tells whether this daemon knows of a target that it
+        gets no new work.
     """
 
     name: str
@@ -116,6 +120,7 @@
     claimer: Claimer
     metrics: Metrics
     clock: Clock
+    is_leaving: Callable[[str], bool]
 
 
 class EntryServer:
@@ -223,6 +228,9 @@
         return outcome
 
     async def _use_slot(self, job: Job, grant: GrantSlot) -> AnswerResult:
+        # An owner that was paused grants by what it knew before.
+        if self._parts.is_leaving(grant.target):
+            return Err(Failure(ErrorKind.TARGET_REFUSED, _LEAVING))
         if job.needs_claim and not job.claimed:
             claim = await self._parts.claimer.claim(job)
             if isinstance(claim, Err):
--- /dev/null
+++ b/verbenapost/daemon/tests/test_serving.py
@@ -0,0 +1,75 @@
+import json
+
+from result import Ok
+
+from verbenapost.daemon.metrics import Metrics
+from verbenapost.daemon.serving import EntryParts, EntryServer
+from verbenapost.daemon.settings import CallerSettings
+from verbenapost.daemon.teams import CallerTeams
+from verbenapost.protocol.callers import ReceivedRequest
+from verbenapost.protocol.slots import GrantSlot, Verdict
+from verbenapost.protocol.targets import TargetAnswer
+from verbenapost.state.configuration import ConfigurationView
+from verbenapost.state.documents import ServiceSpec, TeamDocument
+
+
+class FakeDesk:
+    def __init__(self, *targets):
+        self.targets = list(targets)
+        self.verdicts = []
+
+    async def acquire(self, ask):
+        target = self.targets.pop(0)
+        return Ok(GrantSlot(ask.ask_id, 1, target, '10.0.0.1:80', 5))
+
+    def release(self, ask_id, verdict, run_time):
+        self.verdicts.append(verdict)
+
+
+class FakeTargets:
+    def __init__(self):
+        self.sent = []
+
+    async def send(self, request):
+        self.sent.append(request)
+        return Ok(TargetAnswer(200, [], b'done'))
+
+
+def make_entry(desk, targets, leaving):
+    entry = EntryServer(
+        EntryParts(
+            name='entry-1',
+            start='a',
+            desk=desk,
+            targets=targets,
+            teams=CallerTeams(CallerSettings(trust_x_team=True)),
+            claimer=None,
+            metrics=Metrics(),
+            clock=lambda: 0.0,
+            is_leaving=leaving.__contains__,
+        )
+    )
+    team = TeamDocument(services={'till': ServiceSpec('till')})
+    entry.view = ConfigurationView(1, teams={'shop': team})
+    return entry
+
+
+class TestEntryServer:
+    async def test_a_leaving_target_gets_no_request(self):
+        desk = FakeDesk('vm-1', 'vm-1', 'vm-1')
+        targets = FakeTargets()
+        entry = make_entry(desk, targets, {'vm-1'})
+        request = ReceivedRequest('POST', '/till/sales', [], b'')
+        answer = await entry.serve(request)
+        assert json.loads(answer.content)['outcome'] == 'not_run'
+        assert targets.sent == []
+        assert set(desk.verdicts) == {Verdict.REFUSED}
+
+    async def test_another_target_gets_the_request(self):
+        desk = FakeDesk('vm-1', 'vm-2')
+        targets = FakeTargets()
+        entry = make_entry(desk, targets, {'vm-1'})
+        request = ReceivedRequest('POST', '/till/sales', [], b'')
+        answer = await entry.serve(request)
+        assert answer.status == 200
+        assert len(targets.sent) == 1
