Place accepted jobs on the workers of a pool

Ruled out: one store key for each job (a write for each submission), jobs in a few shared keys (every entry and the owner would fight for them). Change: batched records under keys of the accepting process; steps that are refused when a record has moved on; a board in plain calls that places, throttles, checkpoints and stops; an owner that carries it out; tasks of a stand-in worker with fencing.

--- /dev/null
+++ b/verbenapost/coordination/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of accepted jobs on the workers of a pool."""
--- /dev/null
+++ b/verbenapost/coordination/jobs/entries.py
@@ -0,0 +1,45 @@
+"""Job records with the revisions of their keys."""
+
+import dataclasses
+from collections.abc import Sequence
+from typing import final
+
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.store import Entry
+from verbenapost.state.jobs import JobRecord, JobRecordError, unpack_batch
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobEntry:
+    """A job record with the revision of its key."""
+
+    record: JobRecord
+    revision: int
+
+
+EntryResult = Result[JobEntry, Failure]
+
+
+def read_records(value: bytes) -> Sequence[JobRecord]:
+    """Return the records of a batch, none of one that can't be read."""
+    try:
+        return unpack_batch(value).records
+    except JobRecordError:
+        return ()
+
+
+def find_job(entry: Entry | None, job: str) -> EntryResult:
+    """Return a job of a batch."""
+    if entry is not None:
+        for record in read_records(entry.value):
+            if record.job == job:
+                return Ok(JobEntry(record, entry.revision))
+    return Err(make_missing(job))
+
+
+def make_missing(job: str) -> Failure:
+    """Return the failure that tells that a job does not exist."""
+    return Failure(ErrorKind.NOT_FOUND, f'There is no job {job}.')
--- /dev/null
+++ b/verbenapost/coordination/jobs/tests/test_owner.py
@@ -0,0 +1,141 @@
+"""Tests of the job owner in virtual time."""
+
+import asyncio
+
+from standins.virtual import run_virtual
+from verbenapost.coordination.jobs.steps import make_cancel
+from verbenapost.coordination.jobs.tests.site import (
+    POOL,
+    JobSite,
+    find_faults,
+    make_job,
+)
+
+
+async def submit(member, *records):
+    outcomes = await asyncio.gather(*map(member.ledger.submit, records))
+    return [outcome.unwrap().record.job for outcome in outcomes]
+
+
+class TestOwner:
+    def test_jobs_run_and_end_once(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            jobs = await submit(member, *(make_job() for _ in range(30)))
+            await asyncio.sleep(60)
+            states = {record.state for record in site.read_jobs().values()}
+            faults = find_faults(site, jobs)
+            await member.close()
+            return states, faults
+
+        assert run_virtual(scenario) == ({'done'}, [])
+
+    def test_urgent_work_starts_within_nine_seconds_in_a_full_pool(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            records = (make_job(seconds=600, urgency=6) for _ in range(30))
+            await submit(member, *records)
+            await asyncio.sleep(20)
+            asked = now()
+            (job,) = await submit(member, make_job(urgency=0, cpu=6, memory=20))
+            while site.read_jobs()[job].state == 'queued':
+                await asyncio.sleep(0.1)
+            waited = now() - asked
+            await member.close()
+            return waited
+
+        assert run_virtual(scenario) < 9
+
+    def test_a_job_that_fails_on_three_vms_is_set_aside(self):
+        async def scenario(now):
+            site = JobSite(now, vms=4)
+            member = site.make_member('m1')
+            member.own()
+            (job,) = await submit(member, make_job(path='/fail'))
+            await asyncio.sleep(30)
+            record = site.read_jobs()[job]
+            usable = [
+                worker.usable
+                for worker in member.owner.board.workers.rows.values()
+            ]
+            await member.close()
+            return record.state, len(record.failed_vms), all(usable)
+
+        assert run_virtual(scenario) == ('unable', 3, True)
+
+    def test_a_job_larger_than_every_vm_is_set_aside(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            (job,) = await submit(member, make_job(cpu=9))
+            await asyncio.sleep(5)
+            state = site.read_jobs()[job].state
+            await member.close()
+            return state
+
+        assert run_virtual(scenario) == 'unable'
+
+    def test_a_new_owner_adopts_what_runs(self):
+        async def scenario(now):
+            site = JobSite(now)
+            first = site.make_member('m1')
+            second = site.make_member('m2')
+            first.own()
+            jobs = await submit(first, *(make_job(seconds=20),) * 5)
+            await asyncio.sleep(5)
+            first.disown()
+            second.own()
+            await asyncio.sleep(40)
+            records = site.read_jobs()
+            shown = {(records[job].state, records[job].attempt) for job in jobs}
+            await first.close()
+            await second.close()
+            return shown
+
+        assert run_virtual(scenario) == {('done', 1)}
+
+    def test_jobs_of_a_lost_worker_run_elsewhere(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            jobs = await submit(member, *(make_job(seconds=20),) * 9)
+            await asyncio.sleep(5)
+            site.cut.add('a0')
+            await asyncio.sleep(120)
+            faults = find_faults(site, jobs)
+            blamed = [record.failed_vms for record in site.read_jobs().values()]
+            attempts = {record.attempt for record in site.read_jobs().values()}
+            await member.close()
+            return faults, set(blamed), attempts
+
+        assert run_virtual(scenario) == ([], {()}, {1, 2})
+
+    def test_a_wave_of_cancels_costs_few_writes(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            records = (make_job(seconds=600) for _ in range(1000))
+            jobs = await submit(member, *records)
+            await asyncio.sleep(5)
+            before = member.store.calls['swap']
+            await asyncio.gather(
+                *(
+                    member.ledger.change(POOL, job, make_cancel('me', now()))
+                    for job in jobs
+                )
+            )
+            writes = member.store.calls['swap'] - before
+            await asyncio.sleep(3)
+            states = {record.state for record in site.read_jobs().values()}
+            left = sum(len(desk.tasks) for desk in site.desks.values())
+            await member.close()
+            return states, left, writes <= 8
+
+        assert run_virtual(scenario) == ({'cancelled'}, 0, True)
