Accept, show and cancel jobs on every entry

Cause: POST /<service>/jobs/<path> was relayed like any request. Ruled out: an identity made of the key alone; two entries would store it under two keys and no single swap decides between them. The claim ring does. Urgent changes go first when a round of writes is full. A watch on the store in memory could stand still in virtual time, since timers fire up to the clock's resolution early; its test failed first.

--- /dev/null
+++ b/examples/tests/test_jobs.py
@@ -0,0 +1,71 @@
+"""Tests of accepted jobs over real processes."""
+
+import asyncio
+
+import aiohttp
+import uuid_utils
+
+from examples.tests.test_site import run_local_site
+
+SHORT = {'X-Job-Seconds': '0.2', 'X-Job-Cpu': '1', 'X-Team': 'shop'}
+LONG = {'X-Job-Seconds': '600', 'X-Team': 'shop'}
+
+
+class TestJobs:
+    async def test_an_accepted_job_ends_once_and_another_is_cancelled(
+        self, tmp_path
+    ):
+        async with (
+            run_local_site('caledon', tmp_path) as local,
+            aiohttp.ClientSession() as session,
+        ):
+            first, second = local.describe()['entries'][:2]
+            key = {'Idempotency-Key': str(uuid_utils.uuid7())}
+            places = [
+                await submit(session, entry, {**SHORT, **key})
+                for entry in (first, second)
+            ]
+            long = await submit(session, first, LONG)
+            await wait_for(session, f'{second["url"]}{long}', 'running')
+            async with session.delete(
+                f'{second["url"]}{long}', headers=LONG
+            ) as answer:
+                cancelled = await answer.json()
+            done = await wait_for(
+                session, f'{second["url"]}{places[0]}', 'done'
+            )
+            other = {'X-Team': 'other'}
+            async with session.get(
+                f'{first["url"]}{places[0]}', headers=other
+            ) as hidden:
+                assert hidden.status == 404
+            runs = await count_runs(session, local, done['job'])
+        assert places[0] == places[1]
+        assert cancelled['state'] == 'cancelled'
+        assert done['result'] == f'{done["job"]} done'
+        assert runs == 1
+
+
+async def submit(session, entry, headers):
+    url = f'{entry["url"]}/weighing/jobs/reports'
+    async with session.post(url, headers=headers, data=b'x') as answer:
+        assert answer.status == 202, await answer.text()
+        return answer.headers['Location']
+
+
+async def wait_for(session, url, state):
+    for _ in range(100):
+        async with session.get(url, headers={'X-Team': 'shop'}) as answer:
+            shown = await answer.json()
+        if shown['state'] == state:
+            return shown
+        await asyncio.sleep(0.1)
+    raise AssertionError(shown)
+
+
+async def count_runs(session, local, job):
+    total = 0
+    for target in local.describe()['targets']:
+        async with session.get(f'{target["url"]}/-/runs') as answer:
+            total += (await answer.json())['task_runs'].get(job, 0)
+    return total
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -20,6 +20,9 @@
 _UNAVAILABLE: Result[Any, Failure] = Err(Failure(ErrorKind.STORE_UNAVAILABLE))
 _UNKNOWN: Result[Any, Failure] = Err(Failure(ErrorKind.STORE_UNKNOWN))
 
+#: Seconds by which a timer of the event loop may fire early.
+TIMER_SLACK = 1e-6
+
 Operation = Callable[[], Result[Any, Failure]]
 
 
@@ -38,7 +41,7 @@
             changed.clear()
             batch = core.read_events(prefix, after, now())
             left = deadline - now()
-            if batch.events or batch.truncated or left <= 0:
+            if batch.events or batch.truncated or left <= TIMER_SLACK:
                 return batch
             await _wait_for_change(changed, core, left, now())
 
--- /dev/null
+++ b/standins/taskroutes.py
@@ -0,0 +1,84 @@
+"""Task interface of a stand-in worker over HTTP."""
+
+import asyncio
+import base64
+import dataclasses
+from typing import Any
+
+from aiohttp import web
+
+from standins.tasks import TaskDesk
+from verbenapost.protocol.tasks import TaskOrder, WorkerReport
+
+
+class TaskRoutes:
+    """Serves the tasks of one worker under ``/-/tasks``.
+
+    :param desk: tasks of the worker.
+    """
+
+    def __init__(self, desk: TaskDesk) -> None:
+        self.desk = desk
+
+    def register(self, app: web.Application) -> None:
+        """Add the routes to an application."""
+        app.router.add_get('/-/tasks', self.list_tasks)
+        app.router.add_post('/-/tasks', self.start)
+        app.router.add_post('/-/tasks/renew', self.renew)
+        app.router.add_post('/-/tasks/{task}/{action}', self.act)
+
+    async def list_tasks(self, _request: web.Request) -> web.Response:
+        """Answer with all tasks."""
+        return _show(self.desk.report(_read_clock()))
+
+    async def start(self, request: web.Request) -> web.Response:
+        """Start a task; 409 for an attempt that was replaced."""
+        body = await request.json()
+        body['task'] = body.pop('id')
+        body['content'] = base64.b64decode(body.get('content', ''))
+        return _answer(self.desk.start(TaskOrder(**body), _read_clock()))
+
+    async def renew(self, request: web.Request) -> web.Response:
+        """Renew the leases of tasks and answer with all."""
+        body = await request.json()
+        attempts = body['attempts']
+        return _show(self.desk.renew(attempts, body['lease'], _read_clock()))
+
+    async def act(self, request: web.Request) -> web.Response:
+        """Checkpoint, throttle or stop a task."""
+        body = await request.json()
+        task = request.match_info['task']
+        attempt = body['attempt']
+        now = _read_clock()
+        match request.match_info['action']:
+            case 'checkpoint':
+                return _answer(self.desk.checkpoint(task, attempt, now))
+            case 'throttle':
+                share = body['share']
+                return _answer(self.desk.throttle(task, attempt, share, now))
+            case 'stop':
+                return _answer(self.desk.stop(task, attempt, now))
+        raise web.HTTPNotFound
+
+    def count(self) -> dict[str, Any]:
+        """Return the completed tasks, by attempt and by job."""
+        self.desk.advance(_read_clock())
+        return {
+            'task_starts': self.desk.starts,
+            'task_completions': self.desk.completions,
+            'task_runs': self.desk.runs,
+        }
+
+
+def _read_clock() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _show(report: WorkerReport) -> web.Response:
+    return web.json_response(dataclasses.asdict(report))
+
+
+def _answer(accepted: bool) -> web.Response:  # noqa: FBT001
+    if accepted:
+        return web.json_response({})
+    return web.json_response({'detail': 'replaced or unknown'}, status=409)
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -18,7 +18,7 @@
 USAGE_LAG = 2.0
 
 #: Seconds after its end, or its lease, after which a task is forgotten.
-FORGET_SECONDS = 60.0
+FORGET_SECONDS = 600.0
 
 
 @dataclasses.dataclass
--- a/standins/tests/test_memory.py
+++ b/standins/tests/test_memory.py
@@ -1,10 +1,13 @@
 """Tests of the store's stand-in in one process."""
 
+import functools
+import itertools
+
 import pytest
 from result import Ok
 
 from standins.core import StoreCore
-from standins.memory import MemoryStore
+from standins.memory import MemoryStore, wait_for_events
 from standins.virtual import run_virtual
 from verbenapost.protocol.errors import ErrorKind
 
@@ -85,3 +88,26 @@
             return batch.events[0].value, round(now())
 
         assert run_virtual(scenario) == (None, 3)
+
+
+class CountingCore(StoreCore):
+    def __init__(self):
+        super().__init__()
+        self.reads = 0
+
+    def read_events(self, prefix, after, now):
+        self.reads += 1
+        if self.reads > 100:
+            raise AssertionError('time stands still')
+        return super().read_events(prefix, after, now)
+
+
+class TestWatchInVirtualTime:
+    def test_a_watch_ends_though_timers_fire_a_little_early(self):
+        async def scenario(_now):
+            moments = itertools.chain((0,), itertools.repeat(20 - 1e-12))
+            core = CountingCore()
+            clock = functools.partial(next, moments)
+            return await wait_for_events(core, 'a', 0, 20, clock)
+
+        assert not run_virtual(scenario).events
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,8 @@
 
 A request takes its run time from ``X-Run-Seconds`` and the size of its answer
 from ``X-Answer-Bytes``. ``GET /-/runs`` lists how often each key and request
-identifier ran; ``POST /-/faults`` sets a fault.
+identifier ran, and each task; ``POST /-/faults`` sets a fault. Accepted jobs
+run as tasks under ``/-/tasks``.
 """
 
 import asyncio
@@ -16,6 +17,9 @@
 import fire
 from aiohttp import web
 
+from standins.taskroutes import TaskRoutes
+from standins.tasks import TaskDesk
+
 #: Largest body that a stand-in accepts, in bytes.
 MAX_BODY = 64 * 1024 * 1024
 
@@ -54,6 +58,7 @@
         self.starts: dict[str, float] = {}
         self.running = 0
         self.most_running = 0
+        self.tasks = TaskRoutes(TaskDesk())
         self._before = 'none'
 
     def make_app(self) -> web.Application:
@@ -61,6 +66,7 @@
         app = web.Application(client_max_size=MAX_BODY)
         app.router.add_get('/-/runs', self.list_runs)
         app.router.add_post('/-/faults', self.set_faults)
+        self.tasks.register(app)
         app.router.add_route('*', '/{path:.*}', self.run)
         return app
 
@@ -75,6 +81,7 @@
                 'starts': self.starts,
                 'running': self.running,
                 'most_running': self.most_running,
+                **self.tasks.count(),
             }
         )
 
@@ -85,6 +92,7 @@
         if unknown:
             raise web.HTTPBadRequest(text=f'unknown faults {sorted(unknown)}')
         self.faults = Faults(**wanted)
+        self.tasks.desk.fail_all = self.faults.fail_all
         return web.json_response(dataclasses.asdict(self.faults))
 
     async def run(self, request: web.Request) -> web.StreamResponse:
--- a/verbenapost/coordination/jobs/entries.py
+++ b/verbenapost/coordination/jobs/entries.py
@@ -31,6 +31,14 @@
         return ()
 
 
+def read_writer(value: bytes) -> str:
+    """Return the mark of a batch, empty for one that can't be read."""
+    try:
+        return unpack_batch(value).writer
+    except JobRecordError:
+        return ''
+
+
 def find_job(entry: Entry | None, job: str) -> EntryResult:
     """Return a job of a batch."""
     if entry is not None:
--- a/verbenapost/coordination/jobs/ledger.py
+++ b/verbenapost/coordination/jobs/ledger.py
@@ -14,10 +14,12 @@
     find_job,
     make_missing,
     read_records,
+    read_writer,
 )
 from verbenapost.coordination.jobs.steps import Step
 from verbenapost.coordination.writes import SettledWriter
 from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.requests import DEFAULT_URGENCY
 from verbenapost.protocol.store import NO_REVISION, Entry, StorePort
 from verbenapost.state.jobs import (
     JobBatch,
@@ -25,7 +27,6 @@
     locate_job,
     name_job,
     pack_batch,
-    unpack_batch,
 )
 
 #: Seconds between two rounds of writes.
@@ -57,12 +58,14 @@
     :param record: submitted record without identity.
     :param job: identity of the job to change.
     :param step: change.
+    :param urgency: 0, written first, to 7.
     """
 
     future: asyncio.Future[EntryResult]
     record: JobRecord | None = None
     job: str = ''
     step: Step | None = None
+    urgency: int = DEFAULT_URGENCY
 
     def settle(self, outcome: EntryResult) -> None:
         """Answer whoever waits, who may have gone."""
@@ -125,9 +128,19 @@
         self._wanted.set()
         return await waiter.future
 
-    async def change(self, pool: str, job: str, step: Step) -> EntryResult:
-        """Apply a step to a job; ``CONFLICT`` when the step refuses."""
-        waiter = _Waiter(_make_future(), job=job, step=step)
+    async def change(
+        self,
+        pool: str,
+        job: str,
+        step: Step,
+        urgency: int = DEFAULT_URGENCY,
+    ) -> EntryResult:
+        """Apply a step to a job; ``CONFLICT`` when the step refuses.
+
+        :param urgency: 0, the most urgent, to 7; urgent changes go before
+            others when a round can't hold them all.
+        """
+        waiter = _Waiter(_make_future(), None, job, step, urgency)
         key = locate_job(pool, job)
         self._changes.setdefault(key, []).append(waiter)
         self._wanted.set()
@@ -155,12 +168,15 @@
         ]
         works.extend(
             self._change_key(key, self._changes.pop(key))
-            for key in tuple(self._changes)[:ROUND_KEYS]
+            for key in sorted(self._changes, key=self._rank)[:ROUND_KEYS]
         )
         if any(self._submissions.values()) or self._changes:
             self._wanted.set()
         await asyncio.gather(*works)
 
+    def _rank(self, key: str) -> int:
+        return min(waiter.urgency for waiter in self._changes[key])
+
     def _take_new(self) -> list[tuple[str, list[_Waiter]]]:
         taken = []
         for pool in tuple(self._submissions):
@@ -237,7 +253,7 @@
             key,
             revision,
             pack_batch(JobBatch(mark, records)),
-            lambda value: unpack_batch(value).writer == mark,
+            lambda value: read_writer(value) == mark,
             self._now() + SETTLE_SECONDS,
         )
 
--- a/verbenapost/coordination/jobs/owner.py
+++ b/verbenapost/coordination/jobs/owner.py
@@ -9,11 +9,12 @@
 
 from verbenapost.coordination.jobs import commands
 from verbenapost.coordination.jobs.board import TASK_LEASE, JobBoard
-from verbenapost.coordination.jobs.entries import JobEntry
+from verbenapost.coordination.jobs.entries import EntryResult, JobEntry
 from verbenapost.coordination.jobs.feed import JobFeed
 from verbenapost.coordination.jobs.ledger import JobLedger
-from verbenapost.coordination.jobs.steps import make_start
+from verbenapost.coordination.jobs.steps import Step, make_start
 from verbenapost.protocol.errors import Failure
+from verbenapost.protocol.requests import DEFAULT_URGENCY
 from verbenapost.protocol.store import StorePort
 from verbenapost.protocol.tasks import TaskOrder, TaskPort
 
@@ -146,17 +147,19 @@
                 await self._call(command)
 
     async def _change(self, command: commands.ChangeJob) -> None:
-        outcome = await self._ports.ledger.change(
-            self._pool,
-            command.job,
-            command.step,
-        )
+        outcome = await self._write(command.job, command.step)
         self.board.settle(command.job, outcome, self._ports.now())
 
+    async def _write(self, job: str, step: Step) -> EntryResult:
+        record = self.board.find(job)
+        urgency = DEFAULT_URGENCY if record is None else record.urgency
+        ledger = self._ports.ledger
+        return await ledger.change(self._pool, job, step, urgency)
+
     async def _start(self, command: commands.StartTask) -> None:
         ports = self._ports
         step = make_start(command.attempt, command.vm, self.board.holder)
-        outcome = await ports.ledger.change(self._pool, command.job, step)
+        outcome = await self._write(command.job, step)
         self.board.settle(command.job, outcome, ports.now())
         if isinstance(outcome, Err):
             return
--- a/verbenapost/coordination/jobs/tests/test_owner.py
+++ b/verbenapost/coordination/jobs/tests/test_owner.py
@@ -139,3 +139,96 @@
             return states, left, writes <= 8
 
         assert run_virtual(scenario) == ({'cancelled'}, 0, True)
+
+    def test_a_task_that_saves_too_slowly_is_stopped(self, monkeypatch):
+        monkeypatch.setattr('standins.tasks.CHECKPOINT_SECONDS', 1000)
+
+        async def scenario(now):
+            site = JobSite(now, vms=1)
+            member = site.make_member('m1')
+            member.own()
+            (slow,) = await submit(
+                member, make_job(seconds=600, urgency=6, cpu=8, memory=30)
+            )
+            await asyncio.sleep(5)
+            asked = now()
+            (job,) = await submit(member, make_job(urgency=0, cpu=8, memory=30))
+            while site.read_jobs()[job].state == 'queued':
+                await asyncio.sleep(0.1)
+            waited = now() - asked
+            state = site.read_jobs()[slow].state
+            await member.close()
+            return state, waited < 9
+
+        assert run_virtual(scenario) == ('queued', True)
+
+    def test_a_throttled_task_gets_its_processors_back(self):
+        async def scenario(now):
+            site = JobSite(now, vms=1)
+            member = site.make_member('m1')
+            member.own()
+            await submit(member, make_job(seconds=600, urgency=6, cpu=8))
+            await asyncio.sleep(1.5)
+            await submit(member, make_job(urgency=0, cpu=4, seconds=5))
+            shares = []
+            for _ in range(20):
+                await asyncio.sleep(1)
+                tasks = site.desks['a0'].tasks.values()
+                shares.append(min(task.share for task in tasks))
+            await member.close()
+            return min(shares), shares[-1]
+
+        assert run_virtual(scenario) == (0.25, 1)
+
+    def test_a_team_with_many_jobs_leaves_room_to_another(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            records = (make_job(team='many') for _ in range(200))
+            await submit(member, *records)
+            (job,) = await submit(member, make_job(team='few'))
+            asked = now()
+            while site.read_jobs()[job].state != 'done':
+                await asyncio.sleep(0.5)
+            waited = now() - asked
+            await member.close()
+            return waited < 15
+
+        assert run_virtual(scenario)
+
+    def test_a_leaving_worker_is_emptied_and_its_work_kept(self):
+        async def scenario(now):
+            site = JobSite(now, vms=2)
+            member = site.make_member('m1')
+            member.own()
+            (job,) = await submit(member, make_job(seconds=30))
+            await asyncio.sleep(15)
+            vm = site.read_jobs()[job].vm
+            leaving = {vm: site.addresses.pop(vm)}
+            member.owner.configure(site.addresses, leaving)
+            await asyncio.sleep(10)
+            record = site.read_jobs()[job]
+            await member.close()
+            return record.vm != vm, record.attempt, record.progress > 10
+
+        assert run_virtual(scenario) == (True, 2, True)
+
+    def test_work_goes_on_while_the_store_is_down(self):
+        async def scenario(now):
+            site = JobSite(now)
+            member = site.make_member('m1')
+            member.own()
+            jobs = await submit(member, *(make_job(seconds=20),) * 6)
+            await asyncio.sleep(5)
+            member.store.faults.refuse = 1
+            refused = await member.ledger.submit(make_job())
+            await asyncio.sleep(90)
+            member.store.faults.refuse = 0
+            await asyncio.sleep(10)
+            records = site.read_jobs()
+            shown = {(records[job].state, records[job].attempt) for job in jobs}
+            await member.close()
+            return str(refused.unwrap_err().outcome), shown
+
+        assert run_virtual(scenario) == ('not_run', {('done', 1)})
--- a/verbenapost/daemon/administration.py
+++ b/verbenapost/daemon/administration.py
@@ -20,13 +20,12 @@
 from verbenapost.coordination.roster import Roster
 from verbenapost.protocol.admin import (
     DocumentStatus,
-    JobStatus,
     TeamStatus,
     WaveAction,
     WaveRequest,
     WaveStatus,
 )
-from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.errors import Failure
 from verbenapost.protocol.store import StorePort
 from verbenapost.state.audit import AuditEntry
 from verbenapost.state.configuration import CONFIG_PREFIX, unpack_record
@@ -197,27 +196,6 @@
         return self._keeper.report.waiting
 
 
-class NoJobs:
-    """Jobs of a daemon that accepts none."""
-
-    async def list_jobs(self) -> Result[Sequence[JobStatus], Failure]:
-        """Return no job."""
-        return Ok(())
-
-    async def load_job(self, job: str) -> Result[JobStatus, Failure]:
-        """Refuse: there is no job."""
-        detail = f'There is no job {job}.'
-        return Err(Failure(ErrorKind.NOT_FOUND, detail))
-
-    async def cancel_job(
-        self,
-        job: str,
-        operator: str,
-    ) -> Result[JobStatus, Failure]:
-        """Refuse: there is no job."""
-        return await self.load_job(job)
-
-
 def _find_state(wave: WaveRecord, *, due_left: bool) -> str:
     if not wave.due_before:
         return 'none'
--- a/verbenapost/daemon/adminparts.py
+++ b/verbenapost/daemon/adminparts.py
@@ -2,10 +2,10 @@
 
 from verbenapost.daemon.administration import (
     ConfigurationDesk,
-    NoJobs,
     WaveDesk,
 )
 from verbenapost.daemon.fleetdesk import FleetDesk
+from verbenapost.daemon.jobs import JobDesk
 from verbenapost.daemon.memberdesk import MemberDesk, Standing
 from verbenapost.daemon.parts import Parts
 from verbenapost.daemon.ports import AdminPorts
@@ -41,6 +41,6 @@
             keeper.read_policy,
             keeper.keeper,
         ),
-        jobs=NoJobs(),
+        jobs=JobDesk(parts.jobs.ledger, parts.configuration),
         members=MemberDesk(parts.settings, standing, parts.applied, roster),
     )
--- a/verbenapost/daemon/assembly.py
+++ b/verbenapost/daemon/assembly.py
@@ -5,6 +5,7 @@
 
 from verbenapost.coordination.configuration import ConfigurationService
 from verbenapost.coordination.documents import Clocks
+from verbenapost.coordination.jobs.ledger import JobLedger
 from verbenapost.coordination.writes import SettledWriter
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock
@@ -85,3 +86,14 @@
     writer = SettledWriter(store, read_clock, chance)
     clocks = Clocks(unix=time.time, monotonic=read_clock)
     return ConfigurationService(store, start_id, writer, clocks)
+
+
+def make_ledger(store: StorePort, start_id: str) -> JobLedger:
+    """Return what reads and writes the records of jobs.
+
+    :param store: the platform's store.
+    :param start_id: random text made at each start of the process.
+    """
+    chance = random.Random(f'{start_id}-jobs')  # noqa: S311
+    writer = SettledWriter(store, read_clock, chance)
+    return JobLedger(store, writer, start_id, read_clock)
--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -42,6 +42,7 @@
         roles = [f'queue/{name}' for name in sorted(parts.queues.services)]
         if parts.claims.shards:
             roles.append('claims')
+        roles.extend(f'jobs/{pool}' for pool in parts.jobs.pools)
         if parts.keeper.owned:
             roles.append('pools')
         return roles
@@ -68,6 +69,7 @@
         parts.metrics.duties.put(parts.claims.shards, 'claim_owner')
         self._settle_pools()
         self._settle_queues()
+        self._settle_jobs()
 
     def _settle_pools(self) -> None:
         parts = self._parts
@@ -85,6 +87,11 @@
         self._configure_queues()
         parts.desk.report(services)
 
+    def _settle_jobs(self) -> None:
+        parts = self._parts
+        parts.jobs.settle()
+        parts.metrics.duties.put(len(parts.jobs.pools), 'job_owner')
+
     def _configure_queues(self) -> None:
         parts = self._parts
         parts.queues.configure(parts.configuration.view, parts.directory)
@@ -92,10 +99,12 @@
     def _adopt_view(self, view: ConfigurationView) -> None:
         self._parts.entry.view = view
         self._settle_queues()
+        self._settle_jobs()
         self._announce()
 
     def _adopt_vms(self) -> None:
         self._configure_queues()
+        self._parts.jobs.configure()
         self._announce()
 
     def _announce(self) -> None:
--- /dev/null
+++ b/verbenapost/daemon/jobs.py
@@ -0,0 +1,294 @@
+"""Accepted jobs: the entry's side, operators and the pools owned here."""
+
+import asyncio
+import time
+from collections.abc import Callable, Collection, Sequence
+from typing import final
+
+from result import Err, Ok, Result
+
+from verbenapost.coordination.configuration import ConfigurationService
+from verbenapost.coordination.directory import VmDirectory
+from verbenapost.coordination.jobs.entries import EntryResult, make_missing
+from verbenapost.coordination.jobs.ledger import JobLedger
+from verbenapost.coordination.jobs.owner import JobOwner, OwnerPorts
+from verbenapost.coordination.jobs.steps import make_cancel
+from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.serving import (
+    JOBS_SEGMENT,
+    AnswerResult,
+    Claimer,
+    Job,
+)
+from verbenapost.daemon.submissions import (
+    add_location,
+    read_submission,
+    show_accepted,
+    show_job,
+)
+from verbenapost.protocol.admin import JobStatus
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.state.jobs import JOBS_PREFIX, JobRecord
+from verbenapost.state.vms import VmState
+
+#: States of VMs that take tasks.
+SERVING_STATES = frozenset((VmState.IN_SERVICE,))
+
+#: States of VMs whose tasks make way.
+LEAVING_STATES = frozenset((VmState.DRAINING, VmState.IN_MAINTENANCE))
+
+OwnerOf = Callable[[str], str | None]
+
+
+@final
+class JobHost:
+    """Runs the job owners of the pools that this daemon owns.
+
+    :param name: name of this daemon.
+    :param holder: random text made at each start of the process.
+    :param ports: what job owners work with.
+    :param configuration: configuration in force.
+    :param directory: VM records in use.
+    :param owner_of: returns the owner of a role.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        ports: OwnerPorts,
+        configuration: ConfigurationService,
+        directory: VmDirectory,
+        owner_of: OwnerOf,
+    ) -> None:
+        self.ledger = ports.ledger
+        self._name = name
+        self._holder = holder
+        self._ports = ports
+        self._configuration = configuration
+        self._directory = directory
+        self._owner_of = owner_of
+        self._owners: dict[str, JobOwner] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._log = make_logger('jobs')
+
+    @property
+    def pools(self) -> Sequence[str]:
+        """Pools whose jobs are owned here."""
+        return sorted(self._owners)
+
+    def settle(self) -> None:
+        """Start the owners of new pools and close those of lost ones."""
+        pools = self._configuration.view.pools
+        owned = {
+            pool
+            for pool in pools
+            if self._owner_of(f'jobs/{pool}') == self._name
+        }
+        for lost in set(self._owners) - owned:
+            self.close(lost)
+        for gained in owned - set(self._owners):
+            self._open(gained)
+        self.configure()
+
+    def configure(self) -> None:
+        """Tell the owners which VMs serve their pools."""
+        for pool, owner in self._owners.items():
+            serving = self._list_vms(pool, SERVING_STATES)
+            owner.configure(serving, self._list_vms(pool, LEAVING_STATES))
+
+    def close(self, pool: str) -> None:
+        """Give the jobs of a pool up."""
+        self._owners.pop(pool)
+        self._tasks.pop(pool).cancel()
+        self._log.info('jobs given up', pool=pool)
+
+    def close_all(self) -> None:
+        """Give the jobs of every pool up."""
+        for pool in tuple(self._owners):
+            self.close(pool)
+
+    def _list_vms(
+        self,
+        pool: str,
+        states: Collection[VmState],
+    ) -> dict[str, str]:
+        records = [known.record for known in self._directory.vms.values()]
+        return {
+            record.name: record.address
+            for record in records
+            if record.pool == pool and record.state in states
+        }
+
+    def _open(self, pool: str) -> None:
+        owner = JobOwner(self._ports, pool, self._holder)
+        self._owners[pool] = owner
+        self._tasks[pool] = asyncio.create_task(owner.run())
+        self._log.info('jobs taken over', pool=pool)
+
+
+@final
+class JobEntrance:
+    """Accepts, shows and cancels jobs for callers.
+
+    :param ledger: reads and writes records.
+    :param claimer: makes sure that a repeat of a key submits nothing.
+    :param configuration: configuration in force.
+    """
+
+    def __init__(
+        self,
+        ledger: JobLedger,
+        claimer: Claimer,
+        configuration: ConfigurationService,
+    ) -> None:
+        self._ledger = ledger
+        self._claimer = claimer
+        self._configuration = configuration
+
+    async def serve(self, job: Job) -> AnswerResult:
+        """Answer a request about jobs."""
+        match job.request.method:
+            case 'POST':
+                return await self._submit(job)
+            case 'GET':
+                return (await self._load(job)).map(show_job)
+            case 'DELETE':
+                return await self._cancel(job)
+        detail = 'Jobs take POST, GET and DELETE.'
+        return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+
+    async def _submit(self, job: Job) -> AnswerResult:
+        service = job.request.service
+        owned = self._configuration.view.services[service]
+        record = read_submission(job, owned, time.time())
+        if isinstance(record, Err):
+            return record
+        if not job.request.key:
+            return await self._store(record.ok_value)
+        claim = await self._claimer.claim(job)
+        if isinstance(claim, Err):
+            return await self._find_repeat(record.ok_value, claim)
+        if claim.ok_value is not None:
+            return Ok(add_location(service, claim.ok_value))
+        return await self._store_claimed(job, record.ok_value)
+
+    async def _store_claimed(self, job: Job, record: JobRecord) -> AnswerResult:
+        outcome: AnswerResult | None = None
+        try:
+            outcome = await self._store(record)
+        finally:
+            if outcome is None:
+                self._claimer.forget(job)
+            else:
+                self._claimer.record(job, outcome)
+        return outcome
+
+    async def _store(self, record: JobRecord) -> AnswerResult:
+        stored = await self._ledger.submit(record)
+        return stored.map(lambda entry: show_accepted(entry.record))
+
+    async def _find_repeat(
+        self,
+        record: JobRecord,
+        refusal: Err[Failure],
+    ) -> AnswerResult:
+        """Look for the job of a key whose answer is no longer held."""
+        if refusal.err_value.kind is not ErrorKind.ALREADY_CLAIMED:
+            return refusal
+        prefix = f'{JOBS_PREFIX}{record.pool}/'
+        listed = await self._ledger.list_pool(prefix)
+        if isinstance(listed, Ok):
+            for known in listed.ok_value:
+                if (known.team, known.key) == (record.team, record.key):
+                    return Ok(show_accepted(known))
+        return refusal
+
+    async def _load(self, job: Job) -> Result[JobRecord, Failure]:
+        identity = job.request.route_path.removeprefix(JOBS_SEGMENT)
+        found = await find_job(self._ledger, self._configuration, identity)
+        if isinstance(found, Err):
+            return found
+        record = found.ok_value.record
+        if (record.team, record.service) != (job.team, job.request.service):
+            return Err(make_missing(identity))
+        return Ok(record)
+
+    async def _cancel(self, job: Job) -> AnswerResult:
+        loaded = await self._load(job)
+        if isinstance(loaded, Err):
+            return loaded
+        record = loaded.ok_value
+        step = make_cancel(f'team {job.team}', time.time())
+        changed = await self._ledger.change(record.pool, record.job, step)
+        return changed.map(lambda entry: show_job(entry.record))
+
+
+@final
+class JobDesk:
+    """The jobs for operators.
+
+    :param ledger: reads and writes records.
+    :param configuration: configuration in force.
+    """
+
+    def __init__(
+        self,
+        ledger: JobLedger,
+        configuration: ConfigurationService,
+    ) -> None:
+        self._ledger = ledger
+        self._configuration = configuration
+
+    async def list_jobs(self) -> Result[Sequence[JobStatus], Failure]:
+        """Return the jobs that are not long finished."""
+        listed = await self._ledger.list_pool(JOBS_PREFIX)
+        return listed.map(lambda records: tuple(map(_make_status, records)))
+
+    async def load_job(self, job: str) -> Result[JobStatus, Failure]:
+        """Return one job."""
+        found = await find_job(self._ledger, self._configuration, job)
+        return found.map(lambda entry: _make_status(entry.record))
+
+    async def cancel_job(
+        self,
+        job: str,
+        operator: str,
+    ) -> Result[JobStatus, Failure]:
+        """Cancel a job and return what became of it."""
+        found = await find_job(self._ledger, self._configuration, job)
+        if isinstance(found, Err):
+            return found
+        pool = found.ok_value.record.pool
+        step = make_cancel(f'operator {operator}', time.time())
+        changed = await self._ledger.change(pool, job, step)
+        return changed.map(lambda entry: _make_status(entry.record))
+
+
+async def find_job(
+    ledger: JobLedger,
+    configuration: ConfigurationService,
+    job: str,
+) -> EntryResult:
+    """Read a job in whichever pool it is."""
+    for pool in configuration.view.pools:
+        found = await ledger.load(pool, job)
+        if isinstance(found, Ok):
+            return found
+        if found.err_value.kind is not ErrorKind.NOT_FOUND:
+            return found
+    return Err(make_missing(job))
+
+
+def _make_status(record: JobRecord) -> JobStatus:
+    return JobStatus(
+        job=record.job,
+        team=record.team,
+        pool=record.pool,
+        state=record.state.value,
+        urgency=record.urgency,
+        attempt=record.attempt,
+        vm=record.vm,
+        submitted_at=record.submitted_at,
+        detail=record.detail,
+    )
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -91,6 +91,7 @@
         self._follow('vms', parts.directory)
         self._spawn(parts.keeper.run())
         self._spawn(parts.leaving.run())
+        self._spawn(parts.jobs.ledger.run())
         await self._web.start()
         self._log.info('started', name=self.settings.name)
 
@@ -112,6 +113,7 @@
 
     async def _end_tasks(self) -> None:
         self.parts.claims.close_all()
+        self.parts.jobs.close_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -1,23 +1,27 @@
 """The parts of a daemon, made from its settings and joined."""
 
 import secrets
+import time
 
 import aiohttp
 
 from verbenapost.coordination.applied import AppliedTable
 from verbenapost.coordination.askers import SlotAsker
 from verbenapost.coordination.directory import VmDirectory
+from verbenapost.coordination.jobs.owner import OwnerPorts
 from verbenapost.coordination.roster import Roster
 from verbenapost.coordination.timers import TimerService
 from verbenapost.coordination.writes import MonotonicReads
 from verbenapost.daemon.assembly import (
     make_configuration,
+    make_ledger,
     make_network,
     make_store,
     make_targets,
 )
 from verbenapost.daemon.claims import ClaimHost, KeyClaimer
 from verbenapost.daemon.fleet import KeeperHost, LeavingWatch
+from verbenapost.daemon.jobs import JobEntrance, JobHost
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.queues import QueueHost
 from verbenapost.daemon.routing import MessageRouter
@@ -27,6 +31,7 @@
 from verbenapost.daemon.teams import CallerTeams
 from verbenapost.daemon.timers import read_clock
 from verbenapost.transport.platform import HttpPlatform
+from verbenapost.transport.tasks import HttpTasks
 
 #: Random bytes that name one start of the process.
 START_BYTES = 6
@@ -57,6 +62,7 @@
         self._make_keeper()
         self._make_queues()
         self._make_claims()
+        self._make_jobs()
         self._make_entry()
 
     async def close(self) -> None:
@@ -113,6 +119,24 @@
         )
         self.claims.register_routes(self.router)
 
+    def _make_jobs(self) -> None:
+        ledger = make_ledger(self.reads, self.start_id)
+        ports = OwnerPorts(
+            self.reads,
+            HttpTasks(self._session),
+            ledger,
+            read_clock,
+            time.time,
+        )
+        self.jobs = JobHost(
+            self.settings.name,
+            self.start_id,
+            ports,
+            self.configuration,
+            self.directory,
+            self.roster.find_owner,
+        )
+
     def _make_entry(self) -> None:
         self.targets = make_targets(self.settings)
         self.entry = EntryServer(
@@ -125,5 +149,10 @@
                 claimer=self.claimer,
                 metrics=self.metrics,
                 clock=read_clock,
+                jobs=JobEntrance(
+                    self.jobs.ledger,
+                    self.claimer,
+                    self.configuration,
+                ),
             ),
         )
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -31,10 +31,25 @@
 #: Attempts of one request, on distinct targets.
 MAX_ATTEMPTS = 3
 
+#: First segment below a service of the paths of jobs.
+JOBS_SEGMENT = '/jobs/'
+
 Clock = Callable[[], float]
 AnswerResult = Result[TargetAnswer, Failure]
 
 
+def is_job_path(path: str) -> bool:
+    """Tell whether a decoded path below a service is about jobs.
+
+    Examples
+    ========
+
+    >>> is_job_path('/jobs/reports'), is_job_path('/jobsheet')
+    (True, False)
+    """
+    return f'{path}/'.startswith(JOBS_SEGMENT)
+
+
 class TeamFinder(Protocol):
     """Tells which team a caller belongs to."""
 
@@ -58,6 +73,13 @@
         """Leave the outcome unknown."""
 
 
+class Entrance(Protocol):
+    """Serves the requests that are about accepted jobs."""
+
+    async def serve(self, job: 'Job') -> AnswerResult:
+        """Return the answer of a request about jobs."""
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -106,6 +128,7 @@
     :param claimer: claims keys.
     :param metrics: counts.
     :param clock: returns monotonic seconds.
+    :param jobs: serves requests about jobs, ``None`` to take no jobs.
     """
 
     name: str
@@ -116,6 +139,7 @@
     claimer: Claimer
     metrics: Metrics
     clock: Clock
+    jobs: Entrance | None = None
 
 
 class EntryServer:
@@ -136,8 +160,7 @@
         if isinstance(outcome, Err):
             return self._refuse('', outcome.err_value, request_id)
         job = outcome.ok_value
-        self._budget.add_request()
-        answer = await self._run(job)
+        answer = await self._choose(job)
         service = job.request.service
         if isinstance(answer, Err):
             return self._refuse(service, answer.err_value, request_id)
@@ -181,6 +204,13 @@
             )
         )
 
+    async def _choose(self, job: Job) -> AnswerResult:
+        jobs = self._parts.jobs
+        if jobs is not None and is_job_path(job.request.route_path):
+            return await jobs.serve(job)
+        self._budget.add_request()
+        return await self._run(job)
+
     async def _run(self, job: Job) -> AnswerResult:
         outcome: AnswerResult | None = None
         try:
--- /dev/null
+++ b/verbenapost/transport/tasks.py
@@ -0,0 +1,156 @@
+"""HTTP client of the workers' task interface."""
+
+import base64
+import dataclasses
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any, final
+
+import aiohttp
+from result import Err, Ok, Result
+
+from verbenapost.protocol.errors import ErrorKind, Failure
+from verbenapost.protocol.tasks import (
+    TaskOrder,
+    TaskReport,
+    TaskState,
+    WorkerReport,
+)
+
+#: Seconds that a call may take.
+CALL_TIMEOUT = 2.0
+
+_TASK_FIELDS = frozenset(TaskReport.__slots__)
+
+_KINDS: Mapping[int, ErrorKind] = {
+    HTTPStatus.NOT_FOUND: ErrorKind.NOT_FOUND,
+    HTTPStatus.CONFLICT: ErrorKind.CONFLICT,
+}
+
+
+@final
+class HttpTasks:
+    """Implementation of ``TaskPort`` over HTTP and JSON.
+
+    :param session: session of the daemon; its owner closes it.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
+
+    async def start(
+        self,
+        address: str,
+        order: TaskOrder,
+    ) -> Result[None, Failure]:
+        """Start a task."""
+        body = dataclasses.asdict(order)
+        body['id'] = body.pop('task')
+        body['content'] = base64.b64encode(order.content).decode()
+        return (await self._post(address, '', body)).map(_drop)
+
+    async def renew(
+        self,
+        address: str,
+        attempts: Mapping[str, int],
+        lease: float,
+    ) -> Result[WorkerReport, Failure]:
+        """Renew the leases of tasks and read the state of all."""
+        body = {'attempts': dict(attempts), 'lease': lease}
+        answer = await self._post(address, '/renew', body)
+        return answer.and_then(_parse_report)
+
+    async def checkpoint(
+        self,
+        address: str,
+        task: str,
+        attempt: int,
+    ) -> Result[None, Failure]:
+        """Let a task save its progress and end."""
+        return await self._act(address, f'/{task}/checkpoint', attempt)
+
+    async def throttle(
+        self,
+        address: str,
+        task: str,
+        attempt: int,
+        share: float,
+    ) -> Result[None, Failure]:
+        """Limit a task to a share of its processors."""
+        return await self._act(
+            address,
+            f'/{task}/throttle',
+            attempt,
+            share=share,
+        )
+
+    async def stop(
+        self,
+        address: str,
+        task: str,
+        attempt: int,
+    ) -> Result[None, Failure]:
+        """End a task, forget it and refuse its attempt from now on."""
+        return await self._act(address, f'/{task}/stop', attempt)
+
+    async def _act(
+        self,
+        address: str,
+        path: str,
+        attempt: int,
+        **more: float,
+    ) -> Result[None, Failure]:
+        body = {'attempt': attempt, **more}
+        return (await self._post(address, path, body)).map(_drop)
+
+    async def _post(
+        self,
+        address: str,
+        path: str,
+        body: Mapping[str, Any],
+    ) -> Result[Any, Failure]:
+        url = f'http://{address}/-/tasks{path}'
+        try:
+            async with self._session.post(
+                url,
+                json=body,
+                timeout=self._timeout,
+            ) as response:
+                return await _read_answer(response)
+        except aiohttp.ClientConnectorError as refusal:
+            return Err(Failure(ErrorKind.TARGET_REFUSED, str(refusal)))
+        except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
+            return Err(Failure(ErrorKind.TARGET_FAILED, repr(fault)))
+
+
+async def _read_answer(
+    response: aiohttp.ClientResponse,
+) -> Result[Any, Failure]:
+    if response.status == HTTPStatus.OK:
+        return Ok(await response.json())
+    kind = _KINDS.get(response.status, ErrorKind.TARGET_FAILED)
+    return Err(Failure(kind, await response.text()))
+
+
+def _parse_report(answer: Any) -> Result[WorkerReport, Failure]:
+    try:
+        return Ok(
+            WorkerReport(
+                float(answer['cpu']),
+                float(answer['memory']),
+                tuple(_parse_task(row) for row in answer['tasks']),
+            ),
+        )
+    except (KeyError, TypeError, ValueError) as fault:
+        return Err(Failure(ErrorKind.TARGET_FAILED, f'bad report: {fault!r}'))
+
+
+def _parse_task(row: Mapping[str, Any]) -> TaskReport:
+    known = {name: row[name] for name in row if name in _TASK_FIELDS}
+    known['state'] = TaskState(row['state'])
+    return TaskReport(**known)
+
+
+def _drop(_answer: Any) -> None:
+    """Ignore the body of an answer."""
