--- a/verbenapost/coordination/runs.py
+++ b/verbenapost/coordination/runs.py
@@ -10,8 +10,9 @@
 from verbenapost.coordination.outliers import RunEnd
 from verbenapost.coordination.reserve import ShortReserve
 from verbenapost.coordination.runtimes import RunTimes
-from verbenapost.coordination.shares import FairShares, Share, Waiting
+from verbenapost.coordination.shares import FairShares
 from verbenapost.coordination.targets import TargetPool
+from verbenapost.coordination.waiting import Share, Waiting
 from verbenapost.protocol.slots import GrantSlot, RunningGrant, Verdict
 
 #: Weight that long work is given before any has come.
@@ -112,7 +113,7 @@
         """Size the part of the slots that is kept for short work."""
         self._shares.prune()
         slots = self._pool.count_slots(now)
-        self._shares.sample(slots)
+        self._shares.set_capacity(slots)
         short = [
             share
             for share in self._shares
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -10,9 +10,11 @@
 from verbenapost.daemon.assembly import make_app
 from verbenapost.daemon.duties import Duties
 from verbenapost.daemon.following import follow_store
+from verbenapost.daemon.gauges import register_gauges
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import sample_loop_lag
 from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.rebalancing import RebalanceTask
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock, run_timers
 from verbenapost.daemon.web import WebServer
@@ -40,6 +42,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = read_clock()
         self._confirmed_at = self._started_at
+        register_gauges(self.parts, self.measure_age)
         admin = AdminApp(
             make_admin_ports(self.parts, self),
             make_registry(settings),
@@ -90,6 +93,8 @@
         self._follow('configuration', parts.configuration)
         self._follow('vms', parts.directory)
         self._spawn(parts.keeper.run())
+        self._spawn(parts.keeper.watch_wave())
+        self._spawn(RebalanceTask(parts.keeper).run())
         self._spawn(parts.leaving.run())
         self._spawn(parts.jobs.ledger.run())
         await self._web.start()
