--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,8 +2,9 @@
 
 A request takes its run time from ``X-Run-Seconds`` and the size of its answer
 from ``X-Answer-Bytes``. ``GET /-/runs`` lists how often each key and request
-identifier ran, and ``GET /-/history`` each run with its start in Unix time;
-``POST /-/faults`` sets a fault.
+identifier ran, and each task, and ``GET /-/history`` each run with its start
+in Unix time; ``POST /-/faults`` sets a fault. Accepted jobs run as tasks under
+``/-/tasks``.
 """
 
 import asyncio
@@ -18,6 +19,9 @@
 import fire
 from aiohttp import web
 
+from standins.taskroutes import TaskRoutes
+from standins.tasks import TaskDesk
+
 #: Largest body that a stand-in accepts, in bytes.
 MAX_BODY = 64 * 1024 * 1024
 
@@ -58,6 +62,7 @@
         self.most_running = 0
         self.history: list[dict[str, Any]] = []
         self._before: tuple[str, bytes] = ('none', b'{}')
+        self.tasks = TaskRoutes(TaskDesk())
 
     def make_app(self) -> web.Application:
         """Return the web application of this target."""
@@ -65,6 +70,7 @@
         app.router.add_get('/-/runs', self.list_runs)
         app.router.add_get('/-/history', self.list_history)
         app.router.add_post('/-/faults', self.set_faults)
+        self.tasks.register(app)
         app.router.add_route('*', '/{path:.*}', self.run)
         return app
 
@@ -79,6 +85,7 @@
                 'starts': self.starts,
                 'running': self.running,
                 'most_running': self.most_running,
+                **self.tasks.count(),
             }
         )
 
@@ -93,6 +100,7 @@
         if unknown:
             raise web.HTTPBadRequest(text=f'unknown faults {sorted(unknown)}')
         self.faults = Faults(**wanted)
+        self.tasks.desk.fail_all = self.faults.fail_all
         return web.json_response(dataclasses.asdict(self.faults))
 
     async def run(self, request: web.Request) -> web.StreamResponse:
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -96,6 +96,7 @@
         self._spawn(parts.keeper.watch_wave())
         self._spawn(RebalanceTask(parts.keeper).run())
         self._spawn(parts.leaving.run())
+        self._spawn(parts.jobs.ledger.run())
         await self._web.start()
         self._log.info('started', name=self.settings.name)
 
@@ -117,6 +118,7 @@
 
     async def _end_tasks(self) -> None:
         self.parts.claims.close_all()
+        self.parts.jobs.close_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
