Serve from an entry's own share while no queue owner answers

Cause: an entry waited for the new owner of a lost queue until its caller's deadline; a grant of a replaced owner was used. Ruled out: telling a full owner from a lost one by the time that an ask waits; a full queue is silent just as long, so the owner now says when it is ready.

--- a/verbenapost/coordination/askers.py
+++ b/verbenapost/coordination/askers.py
@@ -4,24 +4,39 @@
 from collections.abc import Callable, Iterable
 from typing import Any, final
 
+from verbenapost.coordination.fallback import (
+    OWN_GRANT,
+    Fallback,
+    OwnerState,
+)
+from verbenapost.coordination.holdings import (
+    Running,
+    Waiting,
+    make_release,
+    pack_running,
+    pack_waiting,
+)
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.slots import (
     AskSlot,
     CancelAsk,
     Envelope,
     GrantSlot,
+    QueueReady,
     RefuseSlot,
-    ReleaseSlot,
     ReportSlots,
     RequestReport,
-    RunningGrant,
     Verdict,
-    pack_ask,
 )
 
 #: Seconds between two reports that keep long grants from expiring.
 REPORT_PERIOD = 2.0
 
+#: Seconds between two reports to an owner that is not heard.
+HELLO_PERIOD = 0.5
+
+_UNUSED = Verdict.CANCELLED
+
 OwnerOf = Callable[[str], str | None]
 
 
@@ -40,19 +55,6 @@
     failure: Failure | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiting:
-    ask: AskSlot
-    deadline: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Running:
-    ask: AskSlot
-    grant: GrantSlot
-    since: float
-
-
 class SlotAsker:
     """Asks the owners of queues and remembers what it holds.
 
@@ -61,7 +63,8 @@
 
     Every method returns what is to be sent. Decisions for the askers are
     collected by :meth:`take_decisions`. A new owner gets a report of all
-    that waits and runs here, so that a lost owner costs no request.
+    that waits and runs here, so that a lost owner costs no request. Until
+    an owner answers, asks are served from the entry's own static share.
 
     :param name: name of this daemon.
     :param owner_of: returns the owner of a service's queue now.
@@ -70,11 +73,12 @@
     def __init__(self, name: str, owner_of: OwnerOf) -> None:
         self._name = name
         self._owner_of = owner_of
-        self._waiting: dict[str, _Waiting] = {}
-        self._running: dict[str, _Running] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._running: dict[str, Running] = {}
         self._decisions: list[SlotDecision] = []
-        self._epochs: dict[str, int] = {}
+        self.fallback = Fallback(name)
         self._reported_at: float = 0
+        self._greeted_at: float = 0
 
     @property
     def waiting(self) -> int:
@@ -95,8 +99,11 @@
     def ask(self, now: float, ask: AskSlot) -> list[Envelope]:
         """Ask for a slot; the decision comes later."""
         deadline = now + ask.deadline_in
-        self._waiting[ask.ask_id] = _Waiting(ask, deadline)
-        return self._to_owner(ask.service, ask)
+        waiting = Waiting(ask, deadline, now)
+        self._waiting[ask.ask_id] = waiting
+        if self._see(ask.service).ready or not self._serve(now, waiting):
+            return self._to_owner(ask.service, ask)
+        return []
 
     def cancel(self, ask_id: str) -> list[Envelope]:
         """Withdraw an ask that has no decision yet."""
@@ -119,7 +126,16 @@
         held = self._running.pop(ask_id, None)
         if held is None:
             return []
-        return self._return_grant(held.grant, verdict, run_time)
+        service = held.ask.service
+        state = self.fallback.get(service)
+        state.shares.release(held.grant.target)
+        release = make_release(held.grant, verdict, run_time)
+        envelopes = self._to_owner(service, release)
+        if held.grant.grant == OWN_GRANT:
+            # The owner may have the ask and not yet know that it ran.
+            cancel = CancelAsk(ask_id, service)
+            envelopes.extend(self._to_owner(service, cancel))
+        return envelopes
 
     def accept_grant(
         self,
@@ -128,11 +144,16 @@
         grant: GrantSlot,
     ) -> list[Envelope]:
         """Take a grant; one that nobody waits for goes back at once."""
+        self._see(grant.service)
+        if self.fallback.is_stale(sender, grant):
+            # The ask was reported to a later owner and waits for that one.
+            return [Envelope(sender, make_release(grant, _UNUSED, 0))]
+        self.fallback.confirm(sender, grant.service, grant.owner_epoch)
         waiting = self._waiting.pop(grant.ask_id, None)
         if waiting is None:
-            return self._refuse_grant(sender, grant)
-        self._epochs[grant.service] = grant.owner_epoch
-        self._running[grant.ask_id] = _Running(waiting.ask, grant, now)
+            return self._refuse_grant(now, sender, grant)
+        self.fallback.get(grant.service).shares.occupy(grant.target)
+        self._running[grant.ask_id] = Running(waiting.ask, grant, now)
         self._decisions.append(SlotDecision(grant.ask_id, grant=grant))
         return []
 
@@ -156,10 +177,25 @@
         request: RequestReport,
     ) -> list[Envelope]:
         """Answer a new owner."""
-        self._epochs[request.service] = request.owner_epoch
+        self._see(request.service)
+        if not self.fallback.hear(now, sender, request):
+            return []
         report = self._make_report(now, request.service)
         return [Envelope(sender, report)]
 
+    def accept_ready(self, sender: str, message: QueueReady) -> None:
+        """Rely on an owner that gives slots again."""
+        self._see(message.service)
+        self.fallback.confirm(sender, message.service, message.owner_epoch)
+
+    def serve_waiting(self, now: float) -> None:
+        """Give slots of the own shares to what waits for no owner."""
+        if all(state.ready for _, state in self.fallback.list_states()):
+            return
+        for waiting in tuple(self._waiting.values()):
+            if not self.fallback.get(waiting.ask.service).ready:
+                self._serve(now, waiting)
+
     def report_services(
         self,
         now: float,
@@ -182,17 +218,54 @@
         ]
         envelopes = []
         for ask_id in late:
-            envelopes.extend(self._expire(ask_id))
+            envelopes.extend(self.cancel(ask_id))
+            failure = Failure(ErrorKind.DEADLINE_EXCEEDED)
+            self._decisions.append(SlotDecision(ask_id, failure=failure))
+        envelopes.extend(self._tick_fallback(now))
         if now - self._reported_at >= REPORT_PERIOD:
             self._reported_at = now
             envelopes.extend(self._report_long(now))
         return envelopes
 
-    def _expire(self, ask_id: str) -> list[Envelope]:
-        envelopes = self.cancel(ask_id)
-        failure = Failure(ErrorKind.DEADLINE_EXCEEDED)
-        self._decisions.append(SlotDecision(ask_id, failure=failure))
-        return envelopes
+    def _see(self, service: str) -> OwnerState:
+        state = self.fallback.get(service)
+        state.see(self._owner_of(service))
+        return state
+
+    def _tick_fallback(self, now: float) -> list[Envelope]:
+        due = now - self._greeted_at >= HELLO_PERIOD
+        if due:
+            self._greeted_at = now
+        self.serve_waiting(now)
+        return [
+            envelope
+            for service in self._list_unknown(due=due)
+            for envelope in self._to_owner(
+                service,
+                self._make_report(now, service),
+            )
+        ]
+
+    def _list_unknown(self, *, due: bool) -> list[str]:
+        """Return the services whose owner lacks a report."""
+        found = []
+        for service, state in self.fallback.list_states():
+            ready = self._see(service).ready
+            unreported = state.unreported and state.heard_at is not None
+            if unreported or (due and not ready):
+                state.unreported = False
+                found.append(service)
+        return found
+
+    def _serve(self, now: float, waiting: Waiting) -> bool:
+        """Serve an ask from the own share, where that is allowed."""
+        grant = self.fallback.grant(now, waiting.ask, waiting.since)
+        if grant is None:
+            return False
+        self._waiting.pop(grant.ask_id)
+        self._running[grant.ask_id] = Running(waiting.ask, grant, now)
+        self._decisions.append(SlotDecision(grant.ask_id, grant=grant))
+        return True
 
     def _report_long(self, now: float) -> list[Envelope]:
         services = {
@@ -204,67 +277,30 @@
         return self.report_services(now, sorted(services))
 
     def _make_report(self, now: float, service: str) -> ReportSlots:
-        running = tuple(
-            tuple(_make_row(now, held))
-            for held in self._running.values()
-            if held.ask.service == service
-        )
-        waiting = tuple(
-            pack_ask(
-                dataclasses.replace(
-                    row.ask,
-                    deadline_in=row.deadline - now,
-                )
-            )
-            for row in self._waiting.values()
-            if row.ask.service == service
-        )
-        epoch = self._epochs.get(service, 0)
+        epoch = self.fallback.get(service).epoch
+        running = pack_running(now, service, self._running.values())
+        waiting = pack_waiting(now, service, self._waiting.values())
         return ReportSlots(self._name, epoch, running, waiting, service)
 
-    def _refuse_grant(self, sender: str, grant: GrantSlot) -> list[Envelope]:
+    def _refuse_grant(
+        self,
+        now: float,
+        sender: str,
+        grant: GrantSlot,
+    ) -> list[Envelope]:
         if grant.ask_id in self._running:
             # A second owner granted the same ask; the first grant stands.
             held = self._running[grant.ask_id].grant
             if held.grant == grant.grant and held.target == grant.target:
                 return []
-        release = _make_release(grant, Verdict.CANCELLED, 0)
-        return [Envelope(sender, release)]
-
-    def _return_grant(
-        self,
-        grant: GrantSlot,
-        verdict: Verdict,
-        run_time: float,
-    ) -> list[Envelope]:
-        release = _make_release(grant, verdict, run_time)
-        return self._to_owner(grant.service, release)
+        envelopes = []
+        if grant.ask_id in self._running:
+            # First, so that the owner counts the run where it really is.
+            report = self._make_report(now, grant.service)
+            envelopes.append(Envelope(sender, report))
+        release = make_release(grant, _UNUSED, 0)
+        return [*envelopes, Envelope(sender, release)]
 
     def _to_owner(self, service: str, message: Any) -> list[Envelope]:
         owner = self._owner_of(service)
         return [] if owner is None else [Envelope(owner, message)]
-
-
-def _make_row(now: float, held: _Running) -> RunningGrant:
-    return RunningGrant(
-        held.grant.grant,
-        held.ask.ask_id,
-        held.grant.target,
-        held.ask.team,
-        held.ask.kind,
-        now - held.since,
-    )
-
-
-def _make_release(
-    grant: GrantSlot,
-    verdict: Verdict,
-    run_time: float,
-) -> ReleaseSlot:
-    return ReleaseSlot(
-        grant.grant,
-        grant.ask_id,
-        verdict.value,
-        run_time,
-        grant.service,
-    )
--- a/verbenapost/coordination/queue.py
+++ b/verbenapost/coordination/queue.py
@@ -78,7 +78,7 @@
         self._max_waiting = max_waiting
         self._sized_at: float = 0
         self._asks = OpenAsks(self.shares)
-        self._rebuild = Rebuild(service, epoch)
+        self.rebuild = Rebuild(service, epoch)
         self._runs = Runs(self.pool, self.shares, self.times)
         self.grants = self._runs.grants
         self._admission = Admission(
@@ -98,7 +98,7 @@
 
         :param members: names of the live daemons.
         """
-        return self._rebuild.start(now, members)
+        return self.rebuild.start(now, members)
 
     def set_members(
         self,
@@ -106,7 +106,7 @@
         members: Collection[str],
     ) -> list[Envelope]:
         """Drop the asks of entries that are gone."""
-        self._rebuild.set_members(members)
+        self.rebuild.set_members(members)
         for waiting in self._asks.list_orphans(members):
             self._asks.close(waiting)
         return self._run(now)
@@ -172,7 +172,7 @@
 
     def tick(self, now: float) -> list[Envelope]:
         """Expire grants and deadlines; size the part for short work."""
-        outgoing = self._rebuild.tick(now)
+        outgoing = self.rebuild.tick(now)
         for grant in self.grants.list_expired(now):
             self._end(now, grant, Verdict.CANCELLED)
         outgoing.extend(
@@ -195,7 +195,7 @@
             self._adopt(now, message.entry, running)
         for grant in self.grants.list_missing(now, message.entry, reported):
             self._end(now, grant, Verdict.CANCELLED)
-        self._rebuild.hear(message.entry)
+        self.rebuild.hear(message.entry)
         outgoing: list[Envelope] = []
         for row in message.waiting:
             outgoing.extend(self.ask(now, AskSlot(*row)))
@@ -217,7 +217,7 @@
 
     def _enqueue(self, now: float, ask: AskSlot) -> list[Envelope]:
         waiting = self._asks.prepare(now, ask)
-        if self._rebuild.is_done(now):
+        if self.rebuild.is_done(now):
             refusal = self._admission.check_wait(now, waiting)
             if refusal is not None:
                 return [self._reject(ask, refusal)]
@@ -234,7 +234,7 @@
         return [self._refuse(victim, refusal)]
 
     def _run(self, now: float) -> list[Envelope]:
-        if not self._rebuild.is_done(now):
+        if not self.rebuild.is_done(now):
             return []
         return [
             self._send(waiting, answer)
@@ -270,9 +270,14 @@
 
     def _adopt(self, now: float, entry: str, row: RunningGrant) -> None:
         known = self.grants.get(row.ask_id)
-        if known is not None:
+        if known is not None and _is_held(known, row):
             self._runs.renew(now, known)
             return
+        if known is not None:
+            # The entry had served the ask itself; it returns the grant.
+            self._runs.end(now, known, Verdict.CANCELLED)
+            self._runs.adopt(now, entry, row)
+            return
         if self._asks.is_closed(row.ask_id):
             return
         waiting = self._asks.get(row.ask_id)
@@ -285,6 +290,10 @@
     return refuse(ask, ErrorKind.DEADLINE_EXCEEDED, 1, _LATE)
 
 
+def _is_held(grant: Grant, row: RunningGrant) -> bool:
+    return bool(row.grant) or grant.message.grant == row.grant
+
+
 def _make_weigher(
     kind_weights: Mapping[str, float],
     quotas: Mapping[str, Quota],
--- a/verbenapost/coordination/staticshares.py
+++ b/verbenapost/coordination/staticshares.py
@@ -64,9 +64,13 @@
         if not candidates:
             return None
         target = min(candidates, key=self._count_used)
-        self._used[target.name] = self._count_used(target) + 1
+        self.occupy(target.name)
         return target
 
+    def occupy(self, target: str) -> None:
+        """Count a slot that the owner of the queue granted."""
+        self._used[target] = self._used.get(target, 0) + 1
+
     def release(self, target: str) -> None:
         """Give a slot back."""
         left = self._used.get(target, 0) - 1
--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -4,6 +4,7 @@
 
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.targetlists import list_all_targets
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.views import AppliedViews, LeavingVms
 from verbenapost.state.configuration import ConfigurationView
@@ -87,7 +88,13 @@
 
     def _configure_queues(self) -> None:
         parts = self._parts
-        parts.queues.configure(parts.configuration.view, parts.directory)
+        view = parts.configuration.view
+        parts.queues.configure(view, parts.directory)
+        fallback = parts.desk.asker.fallback
+        fallback.set_members(parts.roster.members)
+        fallback.set_targets(
+            list_all_targets(view, parts.directory, parts.queues.leaving),
+        )
 
     def _adopt_view(self, view: ConfigurationView) -> None:
         self._parts.entry.view = view
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -6,21 +6,21 @@
 
 from verbenapost.coordination.directory import VmDirectory
 from verbenapost.coordination.queue import ServiceQueue
-from verbenapost.coordination.targets import Target
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.routing import MessageRouter
+from verbenapost.daemon.targetlists import list_targets
 from verbenapost.protocol.slots import (
     AskSlot,
     CancelAsk,
     Envelope,
+    QueueReady,
     ReleaseSlot,
     ReportSlots,
     RequestReport,
 )
 from verbenapost.state.configuration import ANY, ConfigurationView, OwnedService
 from verbenapost.state.documents import Quota
-from verbenapost.state.vms import VmRecord
 
 #: Milliseconds of a second.
 MILLISECONDS = 1000
@@ -54,6 +54,7 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
+        self._announced: set[str] = set()
         self._members: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
         self._log = make_logger('queue')
@@ -63,6 +64,11 @@
         """Services whose queue is held here."""
         return self._queues.keys()
 
+    @property
+    def leaving(self) -> Collection[str]:
+        """VMs that the platform takes away."""
+        return self._leaving
+
     def register_routes(self, router: MessageRouter) -> None:
         """Take the messages of the slot protocol for the owning side."""
         router.register(AskSlot)(self._take_ask)
@@ -79,6 +85,7 @@
         owned = {name for name in services if self._owns(name)}
         for lost in set(self._queues) - owned:
             self._queues.pop(lost)
+            self._announced.discard(lost)
             self._metrics.queue_length.drop(lost)
             self._log.info('queue given up', service=lost)
         for service in sorted(owned):
@@ -110,6 +117,7 @@
         now = self._clock()
         for service, queue in self._queues.items():
             self._post(queue.tick(now))
+            self._announce(queue, ())
             self._metrics.queue_length.put(queue.waiting, service)
 
     def _owns(self, service: str) -> bool:
@@ -143,11 +151,7 @@
         quotas = _find_quotas(view, queue.service, owned.team)
         weights = owned.spec.weights
         self._post(queue.set_limits(now, weights, quotas))
-        targets = [
-            _make_target(record, owned.spec.slots)
-            for record in vms.list_serving(owned.spec.pool)
-            if record.name not in self._leaving
-        ]
+        targets = list_targets(owned.spec, vms, self._leaving)
         self._post(queue.set_targets(now, targets))
 
     def _take_ask(self, _sender: str, ask: AskSlot) -> None:
@@ -172,11 +176,24 @@
             return
         if report.owner_epoch == queue.epoch:
             self._post(queue.report(self._clock(), report))
+            self._announce(queue, (sender,))
         else:
             # The entry knows another owner; it reports again for this one.
             request = RequestReport(report.service, queue.epoch)
             self._send(sender, request)
 
+    def _announce(self, queue: ServiceQueue, members: Iterable[str]) -> None:
+        """Tell members that the queue gives slots, all of them once."""
+        if not queue.rebuild.is_done(self._clock()):
+            return
+        service = queue.service
+        receivers = set(members)
+        if service not in self._announced:
+            self._announced.add(service)
+            receivers.update(self._members)
+        for member in sorted(receivers):
+            self._send(member, QueueReady(service, queue.epoch))
+
     def _post(self, envelopes: Iterable[Envelope]) -> None:
         for envelope in envelopes:
             receiver: str | None = envelope.to
@@ -186,10 +203,6 @@
                 self._send(receiver, envelope.message)
 
 
-def _make_target(record: VmRecord, slots: int) -> Target:
-    return Target(record.name, record.address, slots, record.epoch)
-
-
 def _find_quotas(
     view: ConfigurationView,
     service: str,
--- a/verbenapost/daemon/slots.py
+++ b/verbenapost/daemon/slots.py
@@ -13,6 +13,7 @@
     AskSlot,
     Envelope,
     GrantSlot,
+    QueueReady,
     RefuseSlot,
     RequestReport,
     Verdict,
@@ -41,6 +42,7 @@
         """Take the messages of the slot protocol for the asking side."""
         router.register(GrantSlot)(self._take_grant)
         router.register(RefuseSlot)(self._take_refusal)
+        router.register(QueueReady)(self._take_ready)
         router.register(RequestReport)(self._take_request)
 
     async def acquire(self, ask: AskSlot) -> SlotResult:
@@ -65,6 +67,8 @@
         :param run_time: seconds.
         """
         self._post(self.asker.release(ask_id, verdict, run_time))
+        self.asker.serve_waiting(self._clock())
+        self._decide()
 
     def report(self, services: Iterable[str]) -> None:
         """Report to the owners of services."""
@@ -93,6 +97,9 @@
         now = self._clock()
         self._post(self.asker.answer_report(now, sender, request))
 
+    def _take_ready(self, sender: str, message: QueueReady) -> None:
+        self.asker.accept_ready(sender, message)
+
     def _decide(self) -> None:
         for decision in self.asker.take_decisions():
             future = self._futures.get(decision.ask_id)
@@ -105,4 +112,5 @@
 
     def _post(self, envelopes: Iterable[Envelope]) -> None:
         for envelope in envelopes:
-            self._send(envelope.to, envelope.message)
+            if not self._send(envelope.to, envelope.message):
+                self.asker.fallback.lose_owner(envelope.to)
--- a/verbenapost/protocol/slots.py
+++ b/verbenapost/protocol/slots.py
@@ -23,6 +23,7 @@
 _BORROW_SLOTS = 37
 _LEND_SLOTS = 38
 _RETURN_SLOTS = 39
+_QUEUE_READY = 40
 
 
 @enum.unique
@@ -216,6 +217,16 @@
     owner_epoch: int
 
 
+@register_message(_QUEUE_READY)
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueReady:
+    """The owner knows all running grants and gives slots again."""
+
+    service: str
+    owner_epoch: int
+
+
 @register_message(_BORROW_SLOTS)
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
