Lend the spare pool's idle slots; keep free targets in heaps

Cause: Lender and Borrower were not hosted; each ask and release went through all targets about eleven times. Ruled out: a cached list of usable targets alone; the choice stays linear. Change: daemon/overflow.py hosts loans for the services with an overflow pool; coordination/freeslots.py keeps two heaps (all work, long work) for as long as the limits hold; run times and ejections are looked up without a walk. A flood of 110 requests on 48 slots runs on the spare pool too (examples/tests/test_overflow.py) while its own work is served.

--- /dev/null
+++ b/examples/tests/test_overflow.py
@@ -0,0 +1,44 @@
+"""Tests of slots lent by the spare pool, over real processes."""
+
+import asyncio
+import collections
+
+import aiohttp
+
+from examples.tests.test_site import run_local_site
+
+#: Requests that run together; the service has 48 slots of its own.
+FLOOD = 110
+
+#: Seconds of one run.
+RUN_SECONDS = 0.4
+
+
+async def call(session, url):
+    headers = {'X-Run-Seconds': str(RUN_SECONDS), 'X-Request-Timeout': '10'}
+    async with session.post(url, headers=headers) as answer:
+        shown = await answer.json()
+    return shown.get('service') if answer.status == 200 else answer.status
+
+
+async def call_many(session, url, count):
+    return await asyncio.gather(*(call(session, url) for _ in range(count)))
+
+
+class TestOverflow:
+    async def test_a_flood_runs_on_idle_slots_of_the_spare_pool(self, tmp_path):
+        connector = aiohttp.TCPConnector(limit=0)
+        async with (
+            run_local_site('caledon', tmp_path) as local,
+            aiohttp.ClientSession(connector=connector) as session,
+        ):
+            url = local.describe()['entries'][0]['url']
+            booking = f'{url}/booking/visits'
+            spare = f'{url}/administration/notes'
+            flood = asyncio.create_task(call_many(session, booking, FLOOD))
+            await asyncio.sleep(RUN_SECONDS)
+            own = await call_many(session, spare, 6)
+            seen = collections.Counter(await flood)
+        assert set(own) == {'administration'}
+        assert seen['booking'] + seen['administration'] == FLOOD
+        assert seen['administration'] > 0
--- a/verbenapost/coordination/loans.py
+++ b/verbenapost/coordination/loans.py
@@ -49,7 +49,7 @@
         self._count(max(self.slots, min(kept, self.kept)))
 
     def _count(self, kept: int) -> None:
-        self.holder.lent += kept - self.kept
+        self.holder.lend(kept - self.kept)
         self.kept = kept
 
 
--- a/verbenapost/coordination/outliers.py
+++ b/verbenapost/coordination/outliers.py
@@ -32,6 +32,9 @@
 #: Seconds in which a target comes back to all of its slots.
 SLOW_START = 10.0
 
+#: Seconds between two steps of the slow start.
+RAMP_STEP = 0.1
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +74,14 @@
             return slots
         return min(slots, 1 + int((slots - 1) * ramped))
 
+    def find_change(self, now: float) -> float:
+        """Return the time up to which the limit is the same."""
+        if now < self.held_until:
+            return self.held_until
+        if self.probing or now >= self.ramp_from + SLOW_START:
+            return math.inf
+        return now + RAMP_STEP
+
     def hold(self, now: float, seconds: float) -> None:
         """Give the target no work for a time, then probe it."""
         self.held_until = max(self.held_until, now + seconds)
@@ -100,9 +111,9 @@
     def note(self, end: RunEnd) -> None:
         """Keep the end of a run."""
         self._ends.append(end)
-        whole = end.verdict is Verdict.OK
-        if whole and len(self._ends) == HISTORY and not self._failures(None):
-            self.ejections = 0
+        if self.ejections and len(self._ends) == HISTORY:
+            failed = any(row.verdict is Verdict.FAILED for row in self._ends)
+            self.ejections *= failed
 
     def is_outlier(self, suspects: Suspects) -> bool:
         """Tell whether the target fails what others can run."""
@@ -111,10 +122,8 @@
         enough = len(jobs) >= MIN_FAILURES
         return enough and len(failures) >= FAILED_PART * len(self._ends)
 
-    def _failures(self, suspects: Suspects | None) -> list[RunEnd]:
+    def _failures(self, suspects: Suspects) -> list[RunEnd]:
         failed = [end for end in self._ends if end.verdict is Verdict.FAILED]
-        if suspects is None:
-            return failed
         return [
             end
             for end in failed
@@ -142,6 +151,7 @@
 
     def __init__(self) -> None:
         self.suspects = Suspects()
+        self.version = 0
         self._health: dict[str, Health] = {}
 
     @property
@@ -163,11 +173,18 @@
         """Return how many slots of a target may be used now."""
         return self._health[target].limit(now, slots)
 
+    def find_change(self, now: float) -> float:
+        """Return the time up to which all limits are the same."""
+        changes = (health.find_change(now) for health in self._health.values())
+        return min(changes, default=math.inf)
+
     def record(self, now: float, target: str, end: RunEnd) -> None:
         """Judge a target by the end of a run."""
         health = self._health.get(target)
         if health is None or end.verdict is Verdict.CANCELLED:
             return
+        if health.probing or end.verdict is not Verdict.OK:
+            self.version += 1
         if end.verdict is Verdict.REFUSED:
             health.hold(now, REFUSED_HOLD)
             return
--- a/verbenapost/coordination/runtimes.py
+++ b/verbenapost/coordination/runtimes.py
@@ -1,6 +1,7 @@
 """Run times learned per kind of work."""
 
 import dataclasses
+import math
 from typing import final
 
 from ddsketch import DDSketch
@@ -23,6 +24,9 @@
 #: Shortest run time that is told apart, in seconds.
 SHORTEST = 0.0001
 
+#: Seconds for which the shortest mean is kept without a new sample.
+SHORTEST_AGE = 1.0
+
 _SHORT_END = 0.05
 _MIDDLE = 0.5
 _LONG_END = 0.99
@@ -76,6 +80,10 @@
         self._stale = REFRESH_SAMPLES
 
     def summarise(self, now: float) -> RunTime:
+        current = now - self._rotated_at < WINDOW
+        fresh = self._summary.known and self._stale < REFRESH_SAMPLES
+        if current and fresh:
+            return self._summary
         self.rotate(now)
         fresh = self._summary.known and self._stale < REFRESH_SAMPLES
         if not fresh and self._stale:
@@ -115,6 +123,9 @@
 
     def __init__(self) -> None:
         self._kinds: dict[str, _KindTimes] = {}
+        self._shortest: float | None = None
+        self._samples = 0
+        self._found = (-1, -math.inf)
 
     def add(self, now: float, kind: str, seconds: float) -> None:
         """Learn the run time of a whole run."""
@@ -123,6 +134,7 @@
             times = _KindTimes(now)
             self._kinds[kind] = times
         times.add(now, seconds)
+        self._samples += 1
 
     def add_cut(self, now: float, kind: str, seconds: float) -> None:
         """Learn from a run that was cut, if it was longer than most."""
@@ -136,5 +148,10 @@
 
     def find_shortest(self, now: float) -> float | None:
         """Return the mean run time of the shortest known kind."""
-        known = (self.get(now, kind) for kind in self._kinds)
-        return min((time.mean for time in known if time.known), default=None)
+        samples, found_at = self._found
+        if self._samples != samples or not 0 <= now - found_at < SHORTEST_AGE:
+            self._found = self._samples, now
+            known = [self.get(now, kind) for kind in self._kinds]
+            means = [run.mean for run in known if run.known]
+            self._shortest = min(means, default=None)
+        return self._shortest
--- a/verbenapost/coordination/targets.py
+++ b/verbenapost/coordination/targets.py
@@ -1,9 +1,10 @@
 """Slots of the targets of one service."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import final
 
+from verbenapost.coordination.freeslots import FreeSlots
 from verbenapost.coordination.outliers import Outliers, RunEnd
 
 
@@ -28,9 +29,16 @@
 
 @final
 class TargetSlots:
-    """Use of the slots of one target."""
+    """Use of the slots of one target.
 
-    def __init__(self, target: Target) -> None:
+    :param on_change: called when the use has changed.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        on_change: Callable[['TargetSlots'], None],
+    ) -> None:
         self.target = target
         self.used = 0
         self.long_used = 0
@@ -39,12 +47,24 @@
         self.removed = False
         self.reserve = 0
         self.turn = 0
+        self._on_change = on_change
 
     @property
     def busy(self) -> int:
         """Return the slots in use, lent ones included."""
         return self.used + self.lent
 
+    def lend(self, slots: int) -> None:
+        """Count slots more as lent, or fewer."""
+        self.lent += slots
+        self._on_change(self)
+
+    def use(self, slots: int, *, long: bool) -> None:
+        """Count slots more as used, or fewer."""
+        self.used += slots
+        self.long_used += slots * long
+        self._on_change(self)
+
     def can_take(self, limit: int, *, long: bool) -> bool:
         """Tell whether one more run may start.
 
@@ -83,6 +103,8 @@
         self.outliers = Outliers()
         self._slots: dict[str, TargetSlots] = {}
         self._turn = 0
+        self._free: FreeSlots | None = None
+        self._version = 0
 
     def __iter__(self) -> Iterator[TargetSlots]:
         return iter(self._slots.values())
@@ -102,9 +124,10 @@
 
     def put(self, target: Target) -> None:
         """Add a target or change it."""
+        self._free = None
         slots = self._slots.get(target.name)
         if slots is None:
-            self._slots[target.name] = TargetSlots(target)
+            self._slots[target.name] = TargetSlots(target, self._note)
             self.outliers.add(target.name)
             return
         newer = target.generation > slots.target.generation
@@ -117,8 +140,7 @@
         """Give a target no new run and forget it when it is empty."""
         slots = self._slots.get(name)
         if slots is not None:
-            slots.leaving = True
-            slots.removed = True
+            self.remove_later(name)
             self._forget(slots)
 
     def mark_leaving(self, name: str) -> None:
@@ -126,24 +148,23 @@
         slots = self._slots.get(name)
         if slots is not None:
             slots.leaving = True
+            self._free = None
 
     def list_usable(self, now: float) -> list[tuple[TargetSlots, int]]:
         """Return the targets that may get work and their limits."""
-        limits = ((slots, self._limit(now, slots)) for slots in self._listed())
-        return [(slots, limit) for slots, limit in limits if limit]
+        return self._find_free(now).rows
 
     def count_slots(self, now: float) -> int:
         """Return the slots that may be used now, busy ones included."""
-        return sum(limit for _, limit in self.list_usable(now))
+        return self._find_free(now).slots
 
     def has_members(self) -> bool:
         """Tell whether any target is not leaving."""
-        return any(not slots.leaving for slots in self._listed())
+        return any(not slots.leaving for slots in self)
 
     def has_free(self, now: float, *, long: bool = False) -> bool:
         """Tell whether a run may start now."""
-        usable = self.list_usable(now)
-        return any(slots.can_take(limit, long=long) for slots, limit in usable)
+        return self._find_free(now).find(long=long) is not None
 
     def pick(
         self,
@@ -156,6 +177,8 @@
 
         :param avoid: names to pass over while any other is usable.
         """
+        if not avoid:
+            return self._find_free(now).find(long=long)
         usable = self.list_usable(now)
         others = [row for row in usable if row[0].target.name not in avoid]
         free = [
@@ -170,8 +193,7 @@
         slots = self._slots[name]
         self._turn += 1
         slots.turn = self._turn
-        slots.used += 1
-        slots.long_used += long
+        slots.use(1, long=long)
 
     def adopt(self, name: str, *, long: bool) -> None:
         """Count a run that an earlier owner or an entry started."""
@@ -185,12 +207,12 @@
         slots = self._slots[name]
         slots.leaving = True
         slots.removed = True
+        self._free = None
 
     def give_back(self, name: str, *, long: bool) -> None:
         """Free a slot."""
         slots = self._slots[name]
-        slots.used -= 1
-        slots.long_used -= long
+        slots.use(-1, long=long)
         self._forget(slots)
 
     def record(self, now: float, name: str, end: RunEnd) -> None:
@@ -203,22 +225,42 @@
         for index, slots in enumerate(usable):
             each, rest = divmod(reserve, len(usable))
             slots.reserve = each + (index < rest)
-
-    def _listed(self) -> Iterable[TargetSlots]:
-        return self._slots.values()
-
-    def _limit(self, now: float, slots: TargetSlots) -> int:
-        if slots.leaving:
-            return 0
-        target = slots.target
-        return self.outliers.limit(now, target.name, target.slots)
+        self._free = None
+
+    def _find_free(self, now: float) -> FreeSlots:
+        free = self._free
+        known = free is not None and free.holds(now)
+        if free is None or not known or self._version != self.outliers.version:
+            free = self._sort_free(now)
+            self._free = free
+            self._version = self.outliers.version
+        return free
+
+    def _sort_free(self, now: float) -> FreeSlots:
+        limits = (
+            (slots, _find_limit(self.outliers, now, slots)) for slots in self
+        )
+        rows = [(slots, limit) for slots, limit in limits if limit]
+        return FreeSlots(rows, now, self.outliers.find_change(now))
+
+    def _note(self, slots: TargetSlots) -> None:
+        if self._free is not None:
+            self._free.note(slots)
 
     def _forget(self, slots: TargetSlots) -> None:
         if slots.removed and not slots.busy:
+            self._free = None
             self._slots.pop(slots.target.name, None)
             self.outliers.drop(slots.target.name)
 
 
+def _find_limit(outliers: Outliers, now: float, slots: TargetSlots) -> int:
+    if slots.leaving:
+        return 0
+    target = slots.target
+    return outliers.limit(now, target.name, target.slots)
+
+
 def _rank(slots: TargetSlots, limit: int) -> tuple[bool, float, int]:
     return bool(slots.target.lender), slots.busy / limit, slots.turn
 
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -8,6 +8,7 @@
 from verbenapost.coordination.queue import ServiceQueue
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import Metrics
+from verbenapost.daemon.overflow import LoanDesk
 from verbenapost.daemon.routing import MessageRouter
 from verbenapost.daemon.targetlists import list_targets
 from verbenapost.protocol.slots import (
@@ -54,6 +55,7 @@
         self._clock = clock
         self._metrics = metrics
         self._queues: dict[str, ServiceQueue] = {}
+        self._loans = LoanDesk(self._queues, self._post, clock)
         self._announced: set[str] = set()
         self._members: frozenset[str] = frozenset()
         self._leaving: frozenset[str] = frozenset()
@@ -75,6 +77,7 @@
         router.register(CancelAsk)(self._take_cancel)
         router.register(ReleaseSlot)(self._take_release)
         router.register(ReportSlots)(self._take_report)
+        self._loans.register_routes(router)
 
     def settle(self, services: Iterable[str], members: Collection[str]) -> None:
         """Create the queues that this daemon owns now and drop the others.
@@ -86,6 +89,7 @@
         for lost in set(self._queues) - owned:
             self._queues.pop(lost)
             self._announced.discard(lost)
+            self._loans.drop(lost)
             self._metrics.queue_length.drop(lost)
             self._log.info('queue given up', service=lost)
         for service in sorted(owned):
@@ -99,6 +103,7 @@
             owned = view.services.get(service)
             if owned is not None:
                 self._configure_queue(queue, owned, view, vms)
+        self._loans.configure(view)
 
     def measure(self, service: str) -> tuple[int, int]:
         """Return the running and waiting requests of a queue held here."""
@@ -119,6 +124,7 @@
             self._post(queue.tick(now))
             self._announce(queue, ())
             self._metrics.queue_length.put(queue.waiting, service)
+        self._loans.tick()
 
     def _owns(self, service: str) -> bool:
         return self._owner_of(service) == self._name
