Put membership into the daemon

Cause: members were the connected peers of the settings; nobody could join without a change of all settings, nothing told an outage from isolation, and a daemon that started during an outage never became ready. Change: MemberHost runs the decision objects: a leased life key, the member set's key, confirmations of the views, heartbeats over the peer streams. The roster follows the live members; isolation fails readiness and refuses new work. VM records are relayed between daemons (codes 75 and 76) on need. `members` and `member forget` speak of the set. Ruled out: the live list alone as roster, since a broken stream shows a dead process at once and silence only after the view timeout; the roster is the live members with a stream. A cut-off daemon keeps the roster that it had, as it would otherwise take over every role. Conclusion: joins, ends, outage, replacement and isolation work over real processes.

--- /dev/null
+++ b/examples/tests/test_membership.py
@@ -0,0 +1,259 @@
+"""Membership over real processes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import signal
+import time
+
+import aiohttp
+import pytest
+
+from examples.layout import make_settings
+from examples.operators import Operator, OperatorError
+from examples.ports import find_ports
+from examples.site import LocalSite
+from examples.sites import CALEDON
+
+#: Seconds after which a state that does not come is a failure.
+PATIENCE = 40.0
+
+NEW = 'entry-7'
+
+
+class MemberSite:
+    """A local site with what these tests ask it."""
+
+    def __init__(self, session, local):
+        self.session = session
+        self.local = local
+        self.processes = local.processes
+
+    def operator(self, name):
+        return Operator(self.session, self.local.layout.find_url(name))
+
+    async def read_members(self, name):
+        answer = await self.operator(name).get('members')
+        return {row['name']: row['state'] for row in answer['items']}
+
+    async def list_live(self, name):
+        members = await self.read_members(name)
+        return {name for name, state in members.items() if state == 'live'}
+
+    async def find_roles(self, name):
+        status = await self.operator(name).get('status')
+        return set(status['duties'])
+
+    async def explain(self, name):
+        status = await self.operator(name).get('status')
+        return status['reason']
+
+    async def break_store(self, **faults):
+        url = f'{self.local.layout.store_url}/-/faults'
+        async with self.session.post(url, json=faults) as answer:
+            assert answer.status < 300
+
+    async def send(self, name, service='weighing'):
+        url = f'{self.local.layout.find_url(name)}/{service}/things'
+        async with self.session.post(url, data=b'1') as answer:
+            await answer.read()
+            return answer.status
+
+    def add_daemon(self, seeds):
+        """Plan a seventh daemon that only knows some seeds."""
+        layout = self.local.layout
+        http_port, peer_port = find_ports(2)
+        layout.http_ports[NEW] = http_port
+        layout.data_centres[NEW] = layout.data_centres['entry-1']
+        ports = {**layout.peer_ports, NEW: peer_port}
+        known = {name: ports[name] for name in (*seeds, NEW)}
+        seen = dataclasses.replace(layout, peer_ports=known)
+        path = self.local._folder / f'{NEW}.json'
+        path.write_text(json.dumps(make_settings(seen, NEW)))
+        self.local._settings[NEW] = path
+
+    async def kill(self, name):
+        self.processes.send_signal(name, signal.SIGKILL)
+        await asyncio.to_thread(self.processes.wait, name)
+
+
+async def wait_until(look, wanted=None):
+    """Wait until a look shows what is wanted."""
+    deadline = time.monotonic() + PATIENCE
+    shown = None
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OperatorError, aiohttp.ClientError, OSError):
+            shown = await look()
+            if shown if wanted is None else shown == wanted:
+                return shown
+        await asyncio.sleep(0.05)
+    pytest.fail(f'still {shown}')
+
+
+@contextlib.asynccontextmanager
+async def run_site(folder):
+    local = LocalSite(CALEDON, folder)
+    try:
+        await local.start()
+        async with aiohttp.ClientSession() as session:
+            yield MemberSite(session, local)
+    finally:
+        local.stop()
+
+
+class TestMembership:
+    async def test_joins_and_ends(self, tmp_path):
+        async with run_site(tmp_path) as site:
+            first = set(site.local.layout.http_ports)
+            for name in sorted(first):
+                await wait_until(lambda name=name: site.list_live(name), first)
+            # The new daemon names one seed and nobody names it.
+            site.add_daemon(['entry-2'])
+            site.local.start_daemon(NEW)
+            for name in sorted(first | {NEW}):
+                await wait_until(
+                    lambda name=name: site.list_live(name),
+                    first | {NEW},
+                )
+            await site.local.wait_ready(NEW)
+            assert await site.send(NEW) == 200
+            roles = {name: await site.find_roles(name) for name in first}
+            victim = max(first, key=lambda name: len(roles[name]))
+            await site.kill(victim)
+            rest = (first | {NEW}) - {victim}
+            for name in sorted(rest):
+                await wait_until(lambda name=name: site.list_live(name), rest)
+
+            async def find_all_roles():
+                found = [await site.find_roles(name) for name in rest]
+                return set().union(*found) >= roles[victim]
+
+            await wait_until(find_all_roles)
+            assert {await site.send(name) for name in rest} == {200}
+            observer = min(rest)
+            with pytest.raises(OperatorError, match='alive'):
+                await forget(site, observer, max(rest))
+            await forget(site, observer, victim)
+            for name in sorted(rest):
+
+                async def list_known(name=name):
+                    return set(await site.read_members(name))
+
+                await wait_until(list_known, rest)
+
+    async def test_outage(self, tmp_path):
+        async with run_site(tmp_path) as site:
+            names = sorted(site.local.layout.http_ports)
+            for name in names:
+                await wait_until(
+                    lambda name=name: site.list_live(name), {*names}
+                )
+            before = await read_state(site, names[0])
+            await site.break_store(refuse=1)
+            for name in names:
+
+                async def is_stale(name=name):
+                    status = await site.operator(name).get('status')
+                    return status['freshness_age'] > 4
+
+                await wait_until(is_stale)
+                assert await site.send(name) == 200
+            assert await site.explain(names[0]) == ''
+            for name in names:
+                await site.kill(name)
+                site.local.start_daemon(name)
+                await site.local.wait_ready(name)
+                assert await site.send(name) == 200
+                assert await read_state(site, name) == before
+            for name in names:
+                await wait_until(
+                    lambda name=name: site.list_live(name), {*names}
+                )
+                assert await read_state(site, name) == before
+            await site.break_store(refuse=0)
+            for name in names:
+
+                async def is_fresh(name=name):
+                    status = await site.operator(name).get('status')
+                    return status['freshness_age'] < 2
+
+                await wait_until(is_fresh)
+            assert {await site.send(name) for name in names} == {200}
+
+    async def test_frozen(self, tmp_path):
+        async with run_site(tmp_path) as site:
+            names = sorted(site.local.layout.http_ports)
+            for name in names:
+                await wait_until(
+                    lambda name=name: site.list_live(name), {*names}
+                )
+            frozen, rest = names[-1], {*names[:-1]}
+            site.processes.send_signal(frozen, signal.SIGSTOP)
+            for name in sorted(rest):
+                await wait_until(lambda name=name: site.list_live(name), rest)
+
+            async def has_lapsed():
+                body = {'key': f'alive/{frozen}'}
+                url = f'{site.local.layout.store_url}/v1/get'
+                async with site.session.post(url, json=body) as answer:
+                    return '"revision"' not in await answer.text()
+
+            await wait_until(has_lapsed)
+            operator = site.operator(names[0])
+            document = (await operator.get('config/caledon'))['document']
+            slots = document['services']['weighing']['slots'] - 1
+            document['services']['weighing']['slots'] = slots
+            await operator.apply('caledon', document, 'while-one-is-frozen')
+            changed = await read_state(site, names[0])
+            site.processes.send_signal(frozen, signal.SIGCONT)
+            # What waits in its sockets is refused or served, never lost.
+            assert await site.send(frozen) in {200, 503}
+            for name in names:
+                await wait_until(
+                    lambda name=name: site.list_live(name), {*names}
+                )
+                await wait_until(
+                    lambda name=name: read_state(site, name),
+                    changed,
+                )
+            await site.local.wait_ready(frozen)
+
+    async def test_isolated(self, tmp_path):
+        async with run_site(tmp_path) as site:
+            names = sorted(site.local.layout.http_ports)
+            for name in names:
+                await wait_until(
+                    lambda name=name: site.list_live(name), {*names}
+                )
+            alone = names[0]
+            await site.break_store(refuse=1)
+            for name in names[1:]:
+                site.processes.send_signal(name, signal.SIGSTOP)
+
+            async def is_isolated():
+                return 'Neither' in await site.explain(alone)
+
+            await wait_until(is_isolated)
+            assert await site.send(alone) == 503
+            for name in names[1:]:
+                site.processes.send_signal(name, signal.SIGCONT)
+            await site.local.wait_ready(*names)
+            assert {await site.send(name) for name in names} == {200}
+
+
+async def forget(site, observer, name):
+    await site.operator(observer).post(f'members/{name}/forget', {})
+
+
+async def read_state(site, name):
+    """Return configuration and pools as a daemon has them in force."""
+    operator = site.operator(name)
+    teams = (await operator.get('teams'))['items']
+    services = (await operator.get('services'))['items']
+    vms = (await operator.get('vms'))['items']
+    return (
+        {row['team']: row['revision'] for row in teams},
+        {row['name']: (row['pool'], row['slots']) for row in services},
+        {row['name']: (row['pool'], row['state']) for row in vms},
+    )
--- a/verbenapost/daemon/adminparts.py
+++ b/verbenapost/daemon/adminparts.py
@@ -42,5 +42,11 @@
             keeper.keeper,
         ),
         jobs=NoJobs(),
-        members=MemberDesk(parts.settings, standing, parts.applied, roster),
+        members=MemberDesk(
+            parts.settings,
+            standing,
+            parts.applied,
+            roster,
+            parts.members,
+        ),
     )
--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -11,8 +11,11 @@
 #: Seconds between two ticks of queues and asks.
 QUEUE_PERIOD = 0.05
 
-#: Seconds between two looks at who is connected.
-MEMBER_PERIOD = 0.2
+#: Seconds between two looks at who is alive.
+MEMBER_PERIOD = 0.1
+
+#: Seconds between two looks at whether VM records are behind.
+RELAY_PERIOD = 0.5
 
 
 class Duties:
@@ -24,6 +27,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._log = make_logger('members')
+        self._worked = False
         parts.router.register(AppliedViews)(parts.applied.note)
         parts.router.register(LeavingVms)(self._take_leaving)
         parts.configuration.subscribe(self._adopt_view)
@@ -35,6 +39,7 @@
         subscribe = self._parts.timers.subscribe
         subscribe('queues', QUEUE_PERIOD, self._tick_queues, now=now)
         subscribe('members', MEMBER_PERIOD, self._tick_members, now=now)
+        subscribe('relay', RELAY_PERIOD, self._tick_relay, now=now)
 
     def list_roles(self) -> list[str]:
         """Return the roles that the daemon holds."""
@@ -53,15 +58,25 @@
 
     def _tick_members(self, _tick: Any) -> None:
         parts = self._parts
+        parts.members.tick()
+        parts.metrics.freshness_age.put(parts.members.measure_age())
+        works = parts.members.takes_work() and parts.members.settled
         before = parts.roster.members
-        members = parts.network.connected | {parts.settings.name}
-        if parts.roster.replace(members):
+        # A daemon that is cut off keeps to the members that it knew, so that
+        # it takes no role over.
+        members = parts.members.list_live() if works else before
+        changed = works != self._worked
+        self._worked = works
+        if parts.roster.replace(members) or changed:
             # A report can come before its sender is seen as a member, so
             # only those of members that were seen and went are dropped.
             parts.applied.forget(before - members)
             self._log.info('members changed', names=sorted(members))
             self._settle_all()
 
+    def _tick_relay(self, _tick: Any) -> None:
+        self._parts.vm_relay.tick(self._parts.network.connected)
+
     def _settle_all(self) -> None:
         parts = self._parts
         parts.claims.settle()
@@ -71,7 +86,8 @@
 
     def _settle_pools(self) -> None:
         parts = self._parts
-        owned = parts.roster.owns(f'pools/{parts.settings.region}')
+        role = f'pools/{parts.settings.region}'
+        owned = self._worked and parts.roster.owns(role)
         for part in (parts.keeper, parts.leaving):
             part.owned = owned
             part.members = parts.roster.members
--- a/verbenapost/daemon/following.py
+++ b/verbenapost/daemon/following.py
@@ -25,33 +25,26 @@
         """Wait once for changes."""
 
 
-async def follow_store(
-    name: str,
-    follower: Follower,
-    confirm: Callable[[], None],
-) -> None:
+async def follow_store(name: str, follower: Follower) -> None:
     """Load once, then follow until cancelled.
 
     :param name: name of the part, for the log.
     :param follower: the copy.
-    :param confirm: called each time that the store has confirmed the copy.
     """
-    await _insist(name, follower.load, confirm)
+    await _insist(name, follower.load)
     while True:
-        await _insist(name, follower.follow, confirm)
+        await _insist(name, follower.follow)
 
 
 async def _insist(
     name: str,
     call: Callable[[], Awaitable[Result[Any, Failure]]],
-    confirm: Callable[[], None],
 ) -> None:
     log = make_logger(name)
     pause = PAUSE_MIN
     while True:
         answer = await call()
         if isinstance(answer, Ok):
-            confirm()
             return
         log.warning('the store does not answer', detail=answer.err().detail)
         await asyncio.sleep(pause * (1 + random.random()))  # noqa: S311
--- a/verbenapost/daemon/memberdesk.py
+++ b/verbenapost/daemon/memberdesk.py
@@ -1,13 +1,15 @@
 """Answers operators about the daemons."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol, final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from verbenapost import __version__
 from verbenapost.coordination.applied import AppliedTable
 from verbenapost.coordination.roster import Roster
+from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.membership import MemberHost
 from verbenapost.daemon.settings import Settings
 from verbenapost.protocol.admin import DaemonStatus, MemberStatus
 from verbenapost.protocol.errors import ErrorKind, Failure
@@ -40,7 +42,8 @@
     :param settings: settings of this daemon.
     :param standing: what it knows of its own state.
     :param applied: what the members have applied.
-    :param roster: live members.
+    :param roster: members that share the roles.
+    :param host: membership of this daemon.
     """
 
     def __init__(
@@ -49,11 +52,14 @@
         standing: Standing,
         applied: AppliedTable,
         roster: Roster,
+        host: MemberHost,
     ) -> None:
         self._settings = settings
         self._standing = standing
         self._applied = applied
         self._roster = roster
+        self._host = host
+        self._log = make_logger('members')
 
     def read_status(self) -> DaemonStatus:
         """Return what this daemon says of itself."""
@@ -75,24 +81,18 @@
 
     def list_members(self) -> Sequence[MemberStatus]:
         """Return the members that this daemon knows."""
-        settings = self._settings
-        own = settings.peers_listen
-        rows = [(settings.name, own.address, own.port, settings.data_centre)]
-        rows.extend(
-            (peer.name, peer.address, peer.port, peer.data_centre)
-            for peer in settings.peers
-        )
-        live = self._roster.members
+        host = self._host
+        live = host.list_live()
         return [
             MemberStatus(
                 name=name,
-                address=f'{address}:{port}',
-                data_centre=data_centre,
-                state='live' if name in live else 'silent',
+                address=record.address,
+                data_centre=record.data_centre,
+                state=self._find_state(name, live),
                 revision=self._applied.find(name).configuration,
-                age=0,
+                age=host.measure_silence(name),
             )
-            for name, address, port, data_centre in sorted(rows)
+            for name, record in sorted(host.list_known().items())
         ]
 
     async def forget_member(
@@ -100,6 +100,19 @@
         name: str,
         operator: str,
     ) -> Result[None, Failure]:
-        """Refuse: members of the settings are never counted for good."""
-        detail = f'{name} is named in the settings of the daemons.'
-        return Err(Failure(ErrorKind.CONFLICT, detail))
+        """Drop a member whose process is dead.
+
+        :param operator: who vouches that it is.
+        """
+        if name in self._host.list_live():
+            return Err(Failure(ErrorKind.CONFLICT, f'{name} is alive.'))
+        outcome = await self._host.tasks.forget(name)
+        if isinstance(outcome, Ok):
+            self._log.info('member forgotten', name=name, operator=operator)
+        return outcome
+
+    def _find_state(self, name: str, live: Collection[str]) -> str:
+        if name not in live:
+            return 'silent'
+        members = self._host.register.member_set.members
+        return 'live' if name in members else 'joining'
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -14,12 +14,9 @@
 from verbenapost.daemon.metrics import sample_loop_lag
 from verbenapost.daemon.parts import Parts
 from verbenapost.daemon.settings import Settings
-from verbenapost.daemon.timers import read_clock, run_timers
+from verbenapost.daemon.timers import run_timers
 from verbenapost.daemon.web import WebServer
 
-#: Seconds after which a daemon goes on without the peers it can't reach.
-SETTLE_SECONDS = 3.0
-
 #: Seconds between two looks at whether requests still run at shutdown.
 DRAIN_POLL = 0.05
 
@@ -38,8 +35,6 @@
         self._duties = Duties(self.parts)
         self._log = make_logger('daemon')
         self._tasks: list[asyncio.Task[None]] = []
-        self._started_at = read_clock()
-        self._confirmed_at = self._started_at
         admin = AdminApp(
             make_admin_ports(self.parts, self),
             make_registry(settings),
@@ -62,13 +57,11 @@
             return 'The configuration has not been read yet.'
         if not parts.directory.position:
             return 'The VM records have not been read yet.'
-        if not self._has_settled():
-            return 'The peers have not been reached yet.'
-        return ''
+        return parts.members.explain()
 
     def measure_age(self) -> float:
         """Return the seconds since the store confirmed the view."""
-        return read_clock() - self._confirmed_at
+        return self.parts.members.measure_age()
 
     def list_duties(self) -> Sequence[str]:
         """Return the roles that the daemon holds."""
@@ -89,6 +82,9 @@
         self._spawn(sample_loop_lag(parts.metrics))
         self._follow('configuration', parts.configuration)
         self._follow('vms', parts.directory)
+        self._spawn(parts.members.tasks.run_life())
+        self._spawn(parts.members.tasks.run_alive())
+        self._spawn(parts.members.tasks.run_contacts())
         self._spawn(parts.keeper.run())
         self._spawn(parts.keeper.watch_wave())
         self._spawn(parts.leaving.run())
@@ -108,6 +104,7 @@
                 await self._drain()
         await self._web.stop()
         await self._end_tasks()
+        await self.parts.members.tasks.release()
         await self.parts.close()
         self._log.info('stopped')
 
@@ -121,22 +118,8 @@
         while self._app.running:
             await asyncio.sleep(DRAIN_POLL)
 
-    def _has_settled(self) -> bool:
-        """Tell whether owners are chosen among all the members.
-
-        A daemon that has not reached its peers would take itself for the
-        owner of every role.
-        """
-        named = {peer.name for peer in self.settings.peers}
-        if named <= self.parts.roster.members:
-            return True
-        return read_clock() - self._started_at >= SETTLE_SECONDS
-
     def _follow(self, name: str, follower: Any) -> None:
-        self._spawn(follow_store(name, follower, self._confirm))
-
-    def _confirm(self) -> None:
-        self._confirmed_at = read_clock()
+        self._spawn(follow_store(name, follower))
 
     def _spawn(self, task: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(task))
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -18,6 +18,7 @@
 )
 from verbenapost.daemon.claims import ClaimHost, KeyClaimer
 from verbenapost.daemon.fleet import KeeperHost, LeavingWatch
+from verbenapost.daemon.membership import MemberHost
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.queues import QueueHost
 from verbenapost.daemon.routing import MessageRouter
@@ -26,6 +27,7 @@
 from verbenapost.daemon.slots import SlotDesk
 from verbenapost.daemon.teams import CallerTeams
 from verbenapost.daemon.timers import read_clock
+from verbenapost.daemon.vmrelay import VmRelay
 from verbenapost.transport.platform import HttpPlatform
 
 #: Random bytes that name one start of the process.
@@ -54,6 +56,7 @@
             self.router.deliver,
         )
         self._make_views()
+        self._make_members()
         self._make_keeper()
         self._make_queues()
         self._make_claims()
@@ -72,6 +75,22 @@
         self.configuration = make_configuration(self.reads, self.start_id)
         self.directory = VmDirectory(self.reads)
 
+    def _make_members(self) -> None:
+        self.members = MemberHost(
+            self.settings,
+            self.start_id,
+            self.reads,
+            self.configuration,
+            self.network,
+        )
+        self.members.register_routes(self.router)
+        self.vm_relay = VmRelay(
+            self.directory,
+            self.applied,
+            self.network.send,
+        )
+        self.vm_relay.register_routes(self.router)
+
     def _make_keeper(self) -> None:
         self._session = aiohttp.ClientSession()
         platform = HttpPlatform(self._session, self.settings.vm_list.url)
@@ -131,3 +150,4 @@
                 clock=read_clock,
             ),
         )
+        self.entry.takes_work = self.members.takes_work
--- /dev/null
+++ b/verbenapost/daemon/peerbook.py
@@ -0,0 +1,118 @@
+"""Addresses of the peers, and the streams to them."""
+
+import ipaddress
+from typing import final
+
+from verbenapost.coordination.register import MemberRegister
+from verbenapost.transport.peers import PeerNetwork
+
+#: Seconds for which the address in a peer's last message is kept.
+GUEST_SECONDS = 30.0
+
+#: Highest TCP port.
+MAX_PORT = 65_535
+
+Address = tuple[str, int]
+
+
+def split_address(address: str) -> Address | None:
+    """Return IP number and port, or ``None`` when the text is neither.
+
+    Examples
+    ========
+
+    >>> split_address('10.0.0.1:70'), split_address('[::1]:70')
+    (('10.0.0.1', 70), ('::1', 70))
+    >>> split_address('some-host:70') is None
+    True
+    """
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        return None
+    return host, int(port)
+
+
+def join_address(host: str, port: int) -> str:
+    """Return the text of an address.
+
+    Examples
+    ========
+
+    >>> join_address('10.0.0.1', 70), join_address('::1', 70)
+    ('10.0.0.1:70', '[::1]:70')
+    """
+    return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+
+
+@final
+class PeerBook:
+    """Keeps a stream to each member, seed and recent sender.
+
+    Explanation
+    ===========
+
+    The address in a peer's latest message comes before that in the member
+    set, which a process that starts during an outage can't change, and that
+    before the settings.
+
+    :param network: streams to peers.
+    :param seeds: addresses of the settings by name.
+    """
+
+    def __init__(self, network: PeerNetwork, seeds: dict[str, Address]) -> None:
+        self._network = network
+        self._seeds = seeds
+        self._guests: dict[str, tuple[Address, float]] = {}
+        self._known: dict[str, Address] = {}
+        self._names: dict[Address, str] = {}
+
+    def find_name(self, address: str) -> str | None:
+        """Return the name of the peer at ``IP:port``."""
+        parts = split_address(address)
+        return None if parts is None else self._names.get(parts)
+
+    def note_sender(self, name: str, address: str, now: float) -> None:
+        """Note the address that a peer wants answers at."""
+        parts = split_address(address)
+        if parts is None:
+            return
+        self._guests[name] = (parts, now)
+        if self._known.get(name) != parts:
+            self._connect(name, parts)
+
+    def settle(self, register: MemberRegister, now: float) -> None:
+        """Connect to new peers and drop those that have gone."""
+        self._guests = {
+            name: guest
+            for name, guest in self._guests.items()
+            if now - guest[1] < GUEST_SECONDS
+        }
+        wanted = self._list_wanted(register)
+        for gone in self._known.keys() - wanted.keys():
+            self._network.drop_peer(gone)
+        self._known = {}
+        self._names = {}
+        for name, address in wanted.items():
+            self._connect(name, address)
+
+    def _list_wanted(self, register: MemberRegister) -> dict[str, Address]:
+        wanted = dict(self._seeds)
+        member_set = register.member_set
+        joining = member_set.intent.target if member_set.intent else {}
+        for name, record in {**member_set.members, **joining}.items():
+            parts = split_address(record.address)
+            if parts is not None:
+                wanted[name] = parts
+        for guest, (address, _) in self._guests.items():
+            wanted[guest] = address
+        return wanted
+
+    def _connect(self, name: str, address: Address) -> None:
+        self._known[name] = address
+        self._names[address] = name
+        self._network.add_peer(name, address)
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -124,6 +124,7 @@
     def __init__(self, parts: EntryParts) -> None:
         self.closing = False
         self.accepting = True
+        self.takes_work: Callable[[], bool] = _always
         self.view = ConfigurationView()
         self._parts = parts
         self._budget = RetryBudget()
@@ -148,7 +149,7 @@
         received: ReceivedRequest,
         request_id: str,
     ) -> Result[Job, Failure]:
-        if not self.accepting:
+        if not (self.accepting and self.takes_work()):
             return Err(Failure(ErrorKind.NOT_READY))
         parsed = parse_caller_request(
             received.method,
@@ -306,6 +307,11 @@
         return CallerAnswer(answer.status, headers, answer.content)
 
 
+def _always() -> bool:
+    """Take work, until membership is asked instead."""
+    return True
+
+
 def _qualify(job: Job, outcome: AnswerResult) -> AnswerResult:
     """Withdraw a "not run" that an earlier attempt may have made untrue."""
     if isinstance(outcome, Ok) or not job.touched:
--- /dev/null
+++ b/verbenapost/daemon/vmrelay.py
@@ -0,0 +1,79 @@
+"""Relay of VM records between daemons, on need."""
+
+import itertools
+from collections.abc import Callable, Collection
+from typing import Any, final
+
+from verbenapost.coordination.applied import AppliedTable
+from verbenapost.coordination.directory import VmDirectory
+from verbenapost.daemon.routing import MessageRouter
+from verbenapost.protocol.membership import VmRecordsOffer, VmRecordsRequest
+from verbenapost.protocol.store import Entry, Listing
+
+#: Looks in which the own records stayed behind before a peer is asked.
+PATIENT_LOOKS = 2
+
+Send = Callable[[str, Any], bool]
+
+
+@final
+class VmRelay:
+    """Fetches VM records from a peer when the store does not give them.
+
+    :param directory: VM records of this daemon.
+    :param applied: what the members have applied.
+    :param send: sends to a peer.
+    """
+
+    def __init__(
+        self,
+        directory: VmDirectory,
+        applied: AppliedTable,
+        send: Send,
+    ) -> None:
+        self._directory = directory
+        self._applied = applied
+        self._send = send
+        self._behind = 0
+        self._turns = itertools.count()
+
+    def register_routes(self, router: MessageRouter) -> None:
+        """Take the messages of the relay."""
+        router.register(VmRecordsRequest)(self._answer)
+        router.register(VmRecordsOffer)(self._adopt)
+
+    def tick(self, peers: Collection[str]) -> None:
+        """Ask a peer once the own records have been behind for a while.
+
+        :param peers: peers that can be sent to.
+        """
+        source = self._find_source(sorted(peers))
+        self._behind = self._behind + 1 if source else 0
+        # A start can't wait; else the store most likely answers soon.
+        hurries = self._directory.position == 0
+        if source and (hurries or self._behind >= PATIENT_LOOKS):
+            self._send(source, VmRecordsRequest(self._directory.position))
+
+    def _find_source(self, peers: list[str]) -> str:
+        if not peers:
+            return ''
+        position = self._directory.position
+        if position == 0:
+            return peers[next(self._turns) % len(peers)]
+        newest = max(peers, key=lambda name: self._applied.find(name).vms)
+        ahead = self._applied.find(newest).vms > position
+        return newest if ahead else ''
+
+    def _answer(self, sender: str, request: VmRecordsRequest) -> None:
+        listing = self._directory.offer()
+        if listing.revision <= request.position:
+            return
+        rows = [
+            (entry.key, entry.value, entry.revision)
+            for entry in listing.entries
+        ]
+        self._send(sender, VmRecordsOffer(listing.revision, tuple(rows)))
+
+    def _adopt(self, _sender: str, offer: VmRecordsOffer) -> None:
+        entries = tuple(Entry(*row) for row in offer.entries)
+        self._directory.adopt(Listing(entries, offer.position))
--- a/verbenapost/protocol/admin.py
+++ b/verbenapost/protocol/admin.py
@@ -231,7 +231,7 @@
     :param name: name of the daemon.
     :param address: ``IP:port`` of its peer stream.
     :param data_centre: data centre that it runs in.
-    :param state: ``live``, ``silent`` or ``leaving``.
+    :param state: ``live``, ``joining`` or ``silent``.
     :param revision: configuration revision that it has applied.
     :param age: seconds since it was last heard of.
     """
--- a/verbenapost/protocol/membership.py
+++ b/verbenapost/protocol/membership.py
@@ -13,6 +13,8 @@
 VIEW_OFFER_CODE = 72
 REVISION_QUERY_CODE = 73
 REVISION_REPORT_CODE = 74
+VM_REQUEST_CODE = 75
+VM_OFFER_CODE = 76
 
 
 @final
@@ -122,6 +124,32 @@
     revision: int
 
 
+@final
+@register_message(VM_REQUEST_CODE)
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmRecordsRequest:
+    """Asks a peer for VM records that are newer than the sender's.
+
+    :param position: store revision up to which the sender's are complete.
+    """
+
+    position: int
+
+
+@final
+@register_message(VM_OFFER_CODE)
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmRecordsOffer:
+    """All VM records of a peer.
+
+    :param position: store revision up to which they are complete.
+    :param entries: rows of key, value and revision.
+    """
+
+    position: int
+    entries: tuple[tuple[str, bytes, int], ...] = ()
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Envelope:
