--- a/verbenapost/daemon/adminparts.py
+++ b/verbenapost/daemon/adminparts.py
@@ -42,5 +42,11 @@
             keeper.keeper,
         ),
         jobs=JobDesk(parts.jobs.ledger, parts.configuration),
-        members=MemberDesk(parts.settings, standing, parts.applied, roster),
+        members=MemberDesk(
+            parts.settings,
+            standing,
+            parts.applied,
+            roster,
+            parts.members,
+        ),
     )
--- /dev/null
+++ b/verbenapost/daemon/foundation.py
@@ -0,0 +1,78 @@
+"""What every part of a daemon stands on: streams, store, views, members."""
+
+import secrets
+
+import aiohttp
+
+from verbenapost.coordination.applied import AppliedTable
+from verbenapost.coordination.directory import VmDirectory
+from verbenapost.coordination.roster import Roster
+from verbenapost.coordination.timers import TimerService
+from verbenapost.coordination.writes import MonotonicReads
+from verbenapost.daemon.assembly import (
+    make_configuration,
+    make_network,
+    make_store,
+)
+from verbenapost.daemon.membership import MemberHost
+from verbenapost.daemon.metrics import Metrics
+from verbenapost.daemon.routing import MessageRouter
+from verbenapost.daemon.settings import Settings
+from verbenapost.daemon.vmrelay import VmRelay
+
+#: Random bytes that name one start of the process.
+START_BYTES = 6
+
+
+class Foundation:
+    """Streams, store, views and members of one daemon.
+
+    Made inside the running event loop.
+
+    :param settings: checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.start_id = secrets.token_hex(START_BYTES)
+        self.metrics = Metrics()
+        self.router = MessageRouter()
+        self.timers = TimerService()
+        self.roster = Roster(settings.name)
+        self.applied = AppliedTable()
+        self.session = aiohttp.ClientSession()
+        self.network = make_network(
+            settings,
+            self.start_id,
+            self.router.deliver,
+        )
+        self._make_views()
+        self._make_members()
+
+    async def close(self) -> None:
+        """Close every socket."""
+        await self.network.stop()
+        await self.session.close()
+        await self.store.close()
+
+    def _make_views(self) -> None:
+        self.store = make_store(self.settings)
+        self.reads = MonotonicReads(self.store)
+        self.configuration = make_configuration(self.reads, self.start_id)
+        self.directory = VmDirectory(self.reads)
+
+    def _make_members(self) -> None:
+        self.members = MemberHost(
+            self.settings,
+            self.start_id,
+            self.reads,
+            self.configuration,
+            self.network,
+        )
+        self.members.register_routes(self.router)
+        self.vm_relay = VmRelay(
+            self.directory,
+            self.applied,
+            self.network.send,
+        )
+        self.vm_relay.register_routes(self.router)
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -1,31 +1,19 @@
 """The parts of a daemon, made from its settings and joined."""
 
-import secrets
 import time
 
-import aiohttp
-
-from verbenapost.coordination.applied import AppliedTable
 from verbenapost.coordination.askers import SlotAsker
-from verbenapost.coordination.directory import VmDirectory
 from verbenapost.coordination.jobs.owner import OwnerPorts
-from verbenapost.coordination.roster import Roster
-from verbenapost.coordination.timers import TimerService
-from verbenapost.coordination.writes import MonotonicReads
 from verbenapost.daemon.assembly import (
-    make_configuration,
     make_ledger,
-    make_network,
-    make_store,
     make_targets,
 )
 from verbenapost.daemon.claims import ClaimHost, KeyClaimer
 from verbenapost.daemon.fleet import KeeperHost
+from verbenapost.daemon.foundation import Foundation
 from verbenapost.daemon.jobs import JobEntrance, JobHost
 from verbenapost.daemon.leaving import LeavingWatch
-from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.queues import QueueHost
-from verbenapost.daemon.routing import MessageRouter
 from verbenapost.daemon.serving import EntryParts, EntryServer
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.slots import SlotDesk
@@ -35,32 +23,15 @@
 from verbenapost.transport.platform import HttpPlatform
 from verbenapost.transport.tasks import HttpTasks
 
-#: Random bytes that name one start of the process.
-START_BYTES = 6
-
 
-class Parts:
+class Parts(Foundation):
     """Everything that a daemon is made of.
 
-    Made inside the running event loop.
-
     :param settings: checked settings.
     """
 
     def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        self.start_id = secrets.token_hex(START_BYTES)
-        self.metrics = Metrics()
-        self.router = MessageRouter()
-        self.timers = TimerService()
-        self.roster = Roster(settings.name)
-        self.applied = AppliedTable()
-        self.network = make_network(
-            settings,
-            self.start_id,
-            self.router.deliver,
-        )
-        self._make_views()
+        super().__init__(settings)
         self._make_keeper()
         self._make_queues()
         self._make_claims()
@@ -69,20 +40,11 @@
 
     async def close(self) -> None:
         """Close every socket."""
-        await self.network.stop()
         await self.targets.stop()
-        await self._session.close()
-        await self.store.close()
-
-    def _make_views(self) -> None:
-        self.store = make_store(self.settings)
-        self.reads = MonotonicReads(self.store)
-        self.configuration = make_configuration(self.reads, self.start_id)
-        self.directory = VmDirectory(self.reads)
+        await super().close()
 
     def _make_keeper(self) -> None:
-        self._session = aiohttp.ClientSession()
-        platform = HttpPlatform(self._session, self.settings.vm_list.url)
+        platform = HttpPlatform(self.session, self.settings.vm_list.url)
         self.keeper = KeeperHost(
             self.reads,
             platform,
@@ -129,7 +91,7 @@
         ledger = make_ledger(self.reads, self.start_id)
         ports = OwnerPorts(
             self.reads,
-            HttpTasks(self._session),
+            HttpTasks(self.session),
             ledger,
             read_clock,
             time.time,
@@ -163,6 +125,7 @@
                 ),
             ),
         )
+        self.entry.takes_work = self.members.takes_work
 
     def _is_leaving(self, target: str) -> bool:
         if self.queues.is_leaving(target):
