Linger over idle connections at shutdown; tell the end of a request truly

Cause: after the balancer's grace a daemon refused and closed connections at once, also one that its caller was just using; an answer from a key's record counted as a run of the target; unable_to_run never reached a caller, and would have said 'ran' without any answer; soft quotas were not counted in metrics. Ruled out: a longer grace; it does not tell whether connections are in use.

--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -23,6 +23,10 @@
 #: Seconds between two looks at whether requests still run at shutdown.
 DRAIN_POLL = 0.05
 
+#: Seconds without a request before idle connections are closed; a caller may
+#: be using one at that moment.
+LINGER_SECONDS = 1.0
+
 
 class Daemon:
     """Everything that runs on one entry VM.
@@ -102,6 +106,9 @@
         entry.closing = True
         self._log.info('leaving', grace=shutdown.balancer_grace)
         await asyncio.sleep(shutdown.balancer_grace)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(shutdown.drain):
+                await self._linger()
         entry.accepting = False
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(shutdown.drain):
@@ -117,6 +124,16 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _linger(self) -> None:
+        """Serve what still comes until nothing has come for a while."""
+        quiet_from = read_clock()
+        served = self._app.served
+        while read_clock() - quiet_from < LINGER_SECONDS:
+            await asyncio.sleep(DRAIN_POLL)
+            if self._app.running or self._app.served != served:
+                quiet_from = read_clock()
+                served = self._app.served
+
     async def _drain(self) -> None:
         while self._app.running:
             await asyncio.sleep(DRAIN_POLL)
--- a/verbenapost/daemon/queues.py
+++ b/verbenapost/daemon/queues.py
@@ -123,6 +123,7 @@
         for service, queue in self._queues.items():
             self._post(queue.tick(now))
             self._announce(queue, ())
+            self._count_soft(queue)
             self._metrics.queue_length.put(queue.waiting, service)
         self._loans.tick()
 
@@ -200,6 +201,13 @@
         for member in sorted(receivers):
             self._send(member, QueueReady(service, queue.epoch))
 
+    def _count_soft(self, queue: ServiceQueue) -> None:
+        counted = queue.quotas.would_refuse
+        for team, amount in counted.items():
+            series = self._metrics.soft_refusals
+            series.add(queue.service, team, amount=amount)
+        counted.clear()
+
     def _post(self, envelopes: Iterable[Envelope]) -> None:
         for envelope in envelopes:
             receiver: str | None = envelope.to
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -71,7 +71,9 @@
     :param deadline: monotonic seconds at which the caller stops waiting.
     :param headers: headers for the target.
     :param claimed: the key is claimed for this request.
+    :param sent: the attempt that runs was sent to its target.
     :param touched: a target may have acted on the request.
+    :param answered: a target gave a whole answer, an error included.
     :param attempts: attempts so far.
     :param avoid: targets of earlier attempts.
     """
@@ -84,7 +86,9 @@
     deadline: float
     headers: Headers = ()
     claimed: bool = False
+    sent: bool = False
     touched: bool = False
+    answered: bool = False
     attempts: int = 0
     avoid: tuple[str, ...] = ()
 
@@ -204,6 +208,7 @@
 
     async def _attempt(self, job: Job) -> AnswerResult:
         job.attempts += 1
+        job.sent = False
         if job.needs_claim and not job.claimed:
             await self._parts.claimer.wait_turn(job)
         ask = self._make_ask(job)
@@ -214,7 +219,8 @@
         started = self._parts.clock()
         try:
             outcome = await self._use_slot(job, slot.ok_value)
-            verdict = _judge(outcome)
+            # An answer from the key's record is no merit of the target.
+            verdict = _judge(outcome) if job.sent else verdict
         finally:
             run_time = self._parts.clock() - started
             self._parts.desk.release(ask.ask_id, verdict, run_time)
@@ -231,12 +237,14 @@
             job.claimed = True
         outcome = await self._send(job, grant)
         job.touched = job.touched or not _is_untouched(outcome)
+        job.answered = job.answered or isinstance(outcome, Ok)
         return outcome
 
     async def _send(self, job: Job, grant: GrantSlot) -> AnswerResult:
         left = job.deadline - self._parts.clock()
         if left <= 0:
             return Err(Failure(ErrorKind.DEADLINE_EXCEEDED))
+        job.sent = True
         return await self._parts.targets.send(
             TargetRequest(
                 address=grant.address,
@@ -307,17 +315,25 @@
 
 
 def _qualify(job: Job, outcome: AnswerResult) -> AnswerResult:
-    """Withdraw a "not run" that an earlier attempt may have made untrue."""
+    """Say of the request what is true of all of its attempts."""
     if isinstance(outcome, Ok) or not job.touched:
         return outcome
-    if outcome.err_value.outcome is not Outcome.NOT_RUN:
-        return outcome
-    return Err(
-        dataclasses.replace(
-            outcome.err_value,
-            known_outcome=Outcome.UNKNOWN,
-        ),
-    )
+    failure = outcome.err_value
+    known = failure.outcome
+    if _is_unable(job, failure):
+        failure = Failure(ErrorKind.UNABLE_TO_RUN)
+        known = Outcome.RAN if job.answered else Outcome.UNKNOWN
+    if known is Outcome.NOT_RUN:
+        known = Outcome.UNKNOWN
+    return Err(dataclasses.replace(failure, known_outcome=known))
+
+
+def _is_unable(job: Job, failure: Failure) -> bool:
+    """Tell whether the request failed on as many targets as it may try."""
+    if failure.kind is ErrorKind.UNABLE_TO_RUN:
+        return True
+    failed = failure.kind is ErrorKind.TARGET_FAILED
+    return failed and len(set(job.avoid)) >= MAX_ATTEMPTS
 
 
 def _is_server_error(outcome: Ok[TargetAnswer]) -> bool:
--- a/verbenapost/transport/callers.py
+++ b/verbenapost/transport/callers.py
@@ -65,6 +65,7 @@
         budget: ByteBudget,
     ) -> None:
         self.running = 0
+        self.served = 0
         self._server = server
         self._own_app = own_app
         self._limits = limits
@@ -87,6 +88,7 @@
         finally:
             reader.release()
             self.running -= 1
+            self.served += 1
 
     async def _answer(
         self,
