--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -16,7 +16,7 @@
 from verbenapost.daemon.parts import Parts
 from verbenapost.daemon.rebalancing import RebalanceTask
 from verbenapost.daemon.settings import Settings
-from verbenapost.daemon.timers import run_timers
+from verbenapost.daemon.timers import read_clock, run_timers
 from verbenapost.daemon.web import WebServer
 
 #: Seconds between two looks at whether requests still run at shutdown.
