--- a/verbenapost/daemon/assembly.py
+++ b/verbenapost/daemon/assembly.py
@@ -3,11 +3,19 @@
 import random
 import time
 
+import aiohttp
+
+from verbenapost.coordination.applied import AppliedTable
 from verbenapost.coordination.configuration import ConfigurationService
+from verbenapost.coordination.directory import VmDirectory
 from verbenapost.coordination.documents import Clocks
+from verbenapost.coordination.jobs.ledger import JobLedger
 from verbenapost.coordination.writes import SettledWriter
+from verbenapost.daemon.membership import MemberHost
+from verbenapost.daemon.routing import MessageRouter
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock
+from verbenapost.daemon.vmrelay import VmRelay
 from verbenapost.protocol.store import StorePort
 from verbenapost.transport.bodies import ByteBudget
 from verbenapost.transport.callers import (
@@ -17,8 +25,10 @@
     RequestServer,
 )
 from verbenapost.transport.peers import Deliver, Identity, PeerNetwork
+from verbenapost.transport.platform import HttpPlatform
 from verbenapost.transport.store import HttpStore, StoreSettings
 from verbenapost.transport.targets import TargetClient, TargetLimits
+from verbenapost.transport.tasks import HttpTasks
 
 #: Connections to one target.
 TARGET_CONNECTIONS = 64
@@ -85,3 +95,66 @@
     writer = SettledWriter(store, read_clock, chance)
     clocks = Clocks(unix=time.time, monotonic=read_clock)
     return ConfigurationService(store, start_id, writer, clocks)
+
+
+def make_ledger(store: StorePort, start_id: str) -> JobLedger:
+    """Return what reads and writes the records of jobs.
+
+    :param store: the platform's store.
+    :param start_id: random text made at each start of the process.
+    """
+    chance = random.Random(f'{start_id}-jobs')  # noqa: S311
+    writer = SettledWriter(store, read_clock, chance)
+    return JobLedger(store, writer, start_id, read_clock)
+
+
+def make_members(
+    settings: Settings,
+    start_id: str,
+    store: StorePort,
+    views: ConfigurationService,
+    network: PeerNetwork,
+    router: MessageRouter,
+) -> MemberHost:
+    """Return the membership of the daemon, with its messages routed to it.
+
+    :param start_id: random text made at each start of the process.
+    :param store: the platform's store.
+    :param views: configuration, relayed between members.
+    :param network: streams to peers.
+    :param router: where its messages come from.
+    """
+    host = MemberHost(settings, start_id, store, views, network)
+    host.register_routes(router)
+    return host
+
+
+def make_vm_relay(
+    directory: VmDirectory,
+    applied: AppliedTable,
+    network: PeerNetwork,
+    router: MessageRouter,
+) -> VmRelay:
+    """Return the relay of VM records, with its messages routed to it.
+
+    :param directory: VM records of the daemon.
+    :param applied: what the members have applied.
+    :param network: streams to peers.
+    :param router: where its messages come from.
+    """
+    relay = VmRelay(directory, applied, network.send)
+    relay.register_routes(router)
+    return relay
+
+
+def make_platform(
+    session: aiohttp.ClientSession,
+    settings: Settings,
+) -> HttpPlatform:
+    """Return the client of the platform's VM list and pool interface."""
+    return HttpPlatform(session, settings.vm_list.url)
+
+
+def make_tasks(session: aiohttp.ClientSession) -> HttpTasks:
+    """Return the client of the targets' task interface."""
+    return HttpTasks(session)
--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -2,8 +2,11 @@
 
 from typing import Any
 
+from verbenapost.coordination.ownership import rank_members
+from verbenapost.daemon.leaving import READERS, LeavingNames
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.targetlists import list_all_targets
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.views import AppliedViews, LeavingVms
 from verbenapost.state.configuration import ConfigurationView
@@ -28,6 +31,7 @@
         self._parts = parts
         self._log = make_logger('members')
         self._worked = False
+        self._leaving = LeavingNames()
         parts.router.register(AppliedViews)(parts.applied.note)
         parts.router.register(LeavingVms)(self._take_leaving)
         parts.configuration.subscribe(self._adopt_view)
@@ -47,6 +51,7 @@
         roles = [f'queue/{name}' for name in sorted(parts.queues.services)]
         if parts.claims.shards:
             roles.append('claims')
+        roles.extend(f'jobs/{pool}' for pool in parts.jobs.pools)
         if parts.keeper.owned:
             roles.append('pools')
         return roles
@@ -59,7 +64,6 @@
     def _tick_members(self, _tick: Any) -> None:
         parts = self._parts
         parts.members.tick()
-        parts.metrics.freshness_age.put(parts.members.measure_age())
         works = parts.members.takes_work() and parts.members.settled
         before = parts.roster.members
         # A daemon that is cut off keeps to the members that it knew, so that
@@ -83,14 +87,20 @@
         parts.metrics.duties.put(parts.claims.shards, 'claim_owner')
         self._settle_pools()
         self._settle_queues()
+        self._settle_jobs()
 
     def _settle_pools(self) -> None:
         parts = self._parts
         role = f'pools/{parts.settings.region}'
+        members = parts.roster.members
+        ranked = rank_members(role, members)
         owned = self._worked and parts.roster.owns(role)
-        for part in (parts.keeper, parts.leaving):
-            part.owned = owned
-            part.members = parts.roster.members
+        parts.keeper.owned = owned
+        parts.keeper.members = members
+        reads = parts.settings.name in ranked[:READERS]
+        parts.leaving.settle(members, reads=reads)
+        self._leaving.keep(members)
+        parts.queues.set_leaving(self._leaving.join())
         parts.metrics.duties.put(int(owned), 'pool_keeper')
         self._announce()
 
@@ -101,17 +111,30 @@
         self._configure_queues()
         parts.desk.report(services)
 
+    def _settle_jobs(self) -> None:
+        parts = self._parts
+        parts.jobs.settle()
+        parts.metrics.duties.put(len(parts.jobs.pools), 'job_owner')
+
     def _configure_queues(self) -> None:
         parts = self._parts
-        parts.queues.configure(parts.configuration.view, parts.directory)
+        view = parts.configuration.view
+        parts.queues.configure(view, parts.directory)
+        fallback = parts.desk.asker.fallback
+        fallback.set_members(parts.roster.members)
+        fallback.set_targets(
+            list_all_targets(view, parts.directory, parts.queues.leaving),
+        )
 
     def _adopt_view(self, view: ConfigurationView) -> None:
         self._parts.entry.view = view
         self._settle_queues()
+        self._settle_jobs()
         self._announce()
 
     def _adopt_vms(self) -> None:
         self._configure_queues()
+        self._parts.jobs.configure()
         self._announce()
 
     def _announce(self) -> None:
@@ -123,6 +146,7 @@
         for member in parts.roster.members:
             parts.network.send(member, report)
 
-    def _take_leaving(self, _sender: str, message: LeavingVms) -> None:
-        self._parts.queues.set_leaving(message.names)
+    def _take_leaving(self, sender: str, message: LeavingVms) -> None:
+        self._leaving.note(sender, message.names)
+        self._parts.queues.set_leaving(self._leaving.join())
         self._configure_queues()
--- a/verbenapost/daemon/membertasks.py
+++ b/verbenapost/daemon/membertasks.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Awaitable, Callable
-from typing import final
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, final
 
 from result import Err, Ok, Result
 
@@ -71,6 +71,10 @@
         self._chance = random.Random(record.identity)  # noqa: S311
         self._log = make_logger('members')
 
+    def list_tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
+        """Return the tasks to run while the daemon does."""
+        return (self.run_life(), self.run_alive(), self.run_contacts())
+
     async def run_life(self) -> None:
         """Keep the life key until cancelled."""
         while True:
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -10,9 +10,11 @@
 from verbenapost.daemon.assembly import make_app
 from verbenapost.daemon.duties import Duties
 from verbenapost.daemon.following import follow_store
+from verbenapost.daemon.gauges import register_gauges
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import sample_loop_lag
 from verbenapost.daemon.parts import Parts
+from verbenapost.daemon.rebalancing import RebalanceTask
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import run_timers
 from verbenapost.daemon.web import WebServer
@@ -35,6 +37,7 @@
         self._duties = Duties(self.parts)
         self._log = make_logger('daemon')
         self._tasks: list[asyncio.Task[None]] = []
+        register_gauges(self.parts, self.measure_age)
         admin = AdminApp(
             make_admin_ports(self.parts, self),
             make_registry(settings),
@@ -82,12 +85,13 @@
         self._spawn(sample_loop_lag(parts.metrics))
         self._follow('configuration', parts.configuration)
         self._follow('vms', parts.directory)
-        self._spawn(parts.members.tasks.run_life())
-        self._spawn(parts.members.tasks.run_alive())
-        self._spawn(parts.members.tasks.run_contacts())
+        for task in parts.members.tasks.list_tasks():
+            self._spawn(task)
         self._spawn(parts.keeper.run())
         self._spawn(parts.keeper.watch_wave())
+        self._spawn(RebalanceTask(parts.keeper).run())
         self._spawn(parts.leaving.run())
+        self._spawn(parts.jobs.ledger.run())
         await self._web.start()
         self._log.info('started', name=self.settings.name)
 
@@ -110,6 +114,7 @@
 
     async def _end_tasks(self) -> None:
         self.parts.claims.close_all()
+        self.parts.jobs.close_all()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
