--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -115,9 +115,8 @@
         self._spawn(sample_loop_lag(parts.metrics))
         self._follow('configuration', parts.configuration)
         self._follow('vms', parts.directory)
-        self._spawn(parts.members.tasks.run_life())
-        self._spawn(parts.members.tasks.run_alive())
-        self._spawn(parts.members.tasks.run_contacts())
+        for task in parts.members.tasks.list_tasks():
+            self._spawn(task)
         self._spawn(parts.keeper.run())
         self._spawn(parts.keeper.watch_wave())
         self._spawn(RebalanceTask(parts.keeper).run())
