--- a/standins/worker.py
+++ b/standins/worker.py
@@ -2,7 +2,9 @@
 
 A request takes its run time from ``X-Run-Seconds`` and the size of its answer
 from ``X-Answer-Bytes``. ``GET /-/runs`` lists how often each key and request
-identifier ran; ``POST /-/faults`` sets a fault.
+identifier ran, and each task, and ``GET /-/history`` each run with its start
+in Unix time; ``POST /-/faults`` sets a fault. Accepted jobs run as tasks under
+``/-/tasks``.
 """
 
 import asyncio
@@ -11,11 +13,15 @@
 import json
 import signal
 import sys
+import time
 from typing import Any
 
 import fire
 from aiohttp import web
 
+from standins.taskroutes import TaskRoutes
+from standins.tasks import TaskDesk
+
 #: Largest body that a stand-in accepts, in bytes.
 MAX_BODY = 64 * 1024 * 1024
 
@@ -29,7 +35,7 @@
     :param slow: seconds added to each run.
     :param fail_all: answer 500 at once, as a worker that is broken does.
     :param cut: break the connection in the middle of each answer.
-    :param cross: give an answer the request identifier of the one before.
+    :param cross: give the whole answer of the request before.
     :param late: seconds between the end of a run and its answer.
     :param refuse: close each connection before anything runs.
     """
@@ -54,13 +60,17 @@
         self.starts: dict[str, float] = {}
         self.running = 0
         self.most_running = 0
-        self._before = 'none'
+        self.history: list[dict[str, Any]] = []
+        self._before: tuple[str, bytes] = ('none', b'{}')
+        self.tasks = TaskRoutes(TaskDesk())
 
     def make_app(self) -> web.Application:
         """Return the web application of this target."""
         app = web.Application(client_max_size=MAX_BODY)
         app.router.add_get('/-/runs', self.list_runs)
+        app.router.add_get('/-/history', self.list_history)
         app.router.add_post('/-/faults', self.set_faults)
+        self.tasks.register(app)
         app.router.add_route('*', '/{path:.*}', self.run)
         return app
 
@@ -75,9 +85,14 @@
                 'starts': self.starts,
                 'running': self.running,
                 'most_running': self.most_running,
+                **self.tasks.count(),
             }
         )
 
+    async def list_history(self, _request: web.Request) -> web.Response:
+        """Answer with each run in the order of the starts."""
+        return web.json_response({'name': self.name, 'runs': self.history})
+
     async def set_faults(self, request: web.Request) -> web.Response:
         """Replace the faults by those in the body."""
         wanted = await request.json()
@@ -85,6 +100,7 @@
         if unknown:
             raise web.HTTPBadRequest(text=f'unknown faults {sorted(unknown)}')
         self.faults = Faults(**wanted)
+        self.tasks.desk.fail_all = self.faults.fail_all
         return web.json_response(dataclasses.asdict(self.faults))
 
     async def run(self, request: web.Request) -> web.StreamResponse:
@@ -109,6 +125,14 @@
         self.starts[request_id] = asyncio.get_running_loop().time()
         if key:
             self.keys[key] += 1
+        self.history.append(
+            {
+                'request_id': request_id,
+                'key': key or '',
+                'path': request.path,
+                'started_at': time.time(),
+            }
+        )
 
     async def _work(self, request: web.Request) -> None:
         if self.faults.fail_all:
@@ -127,9 +151,10 @@
         request_id = request.headers.get('X-Request-Id', '')
         if faults.late > 0:
             await asyncio.sleep(faults.late)
-        shown = self._before if faults.cross else request_id
-        self._before = request_id
         content = self._make_content(request, request_id, len(body))
+        own = (request_id, content)
+        shown, content = self._before if faults.cross else own
+        self._before = own
         if faults.cut:
             return await self._cut(request, shown, content)
         return web.Response(
--- a/verbenapost/daemon/duties.py
+++ b/verbenapost/daemon/duties.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from verbenapost.coordination.ownership import rank_members
+from verbenapost.daemon.leaving import READERS, LeavingNames
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.parts import Parts
 from verbenapost.daemon.targetlists import list_all_targets
@@ -25,6 +27,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._log = make_logger('members')
+        self._leaving = LeavingNames()
         parts.router.register(AppliedViews)(parts.applied.note)
         parts.router.register(LeavingVms)(self._take_leaving)
         parts.configuration.subscribe(self._adopt_view)
@@ -43,6 +46,7 @@
         roles = [f'queue/{name}' for name in sorted(parts.queues.services)]
         if parts.claims.shards:
             roles.append('claims')
+        roles.extend(f'jobs/{pool}' for pool in parts.jobs.pools)
         if parts.keeper.owned:
             roles.append('pools')
         return roles
@@ -69,13 +73,20 @@
         parts.metrics.duties.put(parts.claims.shards, 'claim_owner')
         self._settle_pools()
         self._settle_queues()
+        self._settle_jobs()
 
     def _settle_pools(self) -> None:
         parts = self._parts
-        owned = parts.roster.owns(f'pools/{parts.settings.region}')
-        for part in (parts.keeper, parts.leaving):
-            part.owned = owned
-            part.members = parts.roster.members
+        role = f'pools/{parts.settings.region}'
+        members = parts.roster.members
+        ranked = rank_members(role, members)
+        owned = parts.roster.owns(role)
+        parts.keeper.owned = owned
+        parts.keeper.members = members
+        reads = parts.settings.name in ranked[:READERS]
+        parts.leaving.settle(members, reads=reads)
+        self._leaving.keep(members)
+        parts.queues.set_leaving(self._leaving.join())
         parts.metrics.duties.put(int(owned), 'pool_keeper')
         self._announce()
 
@@ -86,6 +97,11 @@
         self._configure_queues()
         parts.desk.report(services)
 
+    def _settle_jobs(self) -> None:
+        parts = self._parts
+        parts.jobs.settle()
+        parts.metrics.duties.put(len(parts.jobs.pools), 'job_owner')
+
     def _configure_queues(self) -> None:
         parts = self._parts
         view = parts.configuration.view
@@ -99,10 +115,12 @@
     def _adopt_view(self, view: ConfigurationView) -> None:
         self._parts.entry.view = view
         self._settle_queues()
+        self._settle_jobs()
         self._announce()
 
     def _adopt_vms(self) -> None:
         self._configure_queues()
+        self._parts.jobs.configure()
         self._announce()
 
     def _announce(self) -> None:
@@ -114,6 +132,7 @@
         for member in parts.roster.members:
             parts.network.send(member, report)
 
-    def _take_leaving(self, _sender: str, message: LeavingVms) -> None:
-        self._parts.queues.set_leaving(message.names)
+    def _take_leaving(self, sender: str, message: LeavingVms) -> None:
+        self._leaving.note(sender, message.names)
+        self._parts.queues.set_leaving(self._leaving.join())
         self._configure_queues()
--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -31,10 +31,26 @@
 #: Attempts of one request, on distinct targets.
 MAX_ATTEMPTS = 3
 
+_LEAVING = 'The target gets no new work.'
+#: First segment below a service of the paths of jobs.
+JOBS_SEGMENT = '/jobs/'
+
 Clock = Callable[[], float]
 AnswerResult = Result[TargetAnswer, Failure]
 
 
+def is_job_path(path: str) -> bool:
+    """Tell whether a decoded path below a service is about jobs.
+
+    Examples
+    ========
+
+    >>> is_job_path('/jobs/reports'), is_job_path('/jobsheet')
+    (True, False)
+    """
+    return f'{path}/'.startswith(JOBS_SEGMENT)
+
+
 class TeamFinder(Protocol):
     """Tells which team a caller belongs to."""
 
@@ -58,6 +74,13 @@
         """Leave the outcome unknown."""
 
 
+class Entrance(Protocol):
+    """Serves the requests that are about accepted jobs."""
+
+    async def serve(self, job: 'Job') -> AnswerResult:
+        """Return the answer of a request about jobs."""
+
+
 @final
 @dataclasses.dataclass(slots=True)
 class Job:
@@ -110,6 +133,9 @@
     :param claimer: claims keys.
     :param metrics: counts.
     :param clock: returns monotonic seconds.
+    :param is_leaving: tells whether this daemon knows of a target that it
+        gets no new work.
+    :param jobs: serves requests about jobs, ``None`` to take no jobs.
     """
 
     name: str
@@ -120,6 +146,8 @@
     claimer: Claimer
     metrics: Metrics
     clock: Clock
+    is_leaving: Callable[[str], bool]
+    jobs: Entrance | None = None
 
 
 class EntryServer:
@@ -140,8 +168,7 @@
         if isinstance(outcome, Err):
             return self._refuse('', outcome.err_value, request_id)
         job = outcome.ok_value
-        self._budget.add_request()
-        answer = await self._run(job)
+        answer = await self._choose(job)
         service = job.request.service
         if isinstance(answer, Err):
             return self._refuse(service, answer.err_value, request_id)
@@ -185,6 +212,13 @@
             )
         )
 
+    async def _choose(self, job: Job) -> AnswerResult:
+        jobs = self._parts.jobs
+        if jobs is not None and is_job_path(job.request.route_path):
+            return await jobs.serve(job)
+        self._budget.add_request()
+        return await self._run(job)
+
     async def _run(self, job: Job) -> AnswerResult:
         outcome: AnswerResult | None = None
         try:
@@ -215,12 +249,14 @@
         slot = await self._parts.desk.acquire(ask)
         if isinstance(slot, Err):
             return slot
+        self._parts.metrics.grants.add(job.request.service)
         verdict = Verdict.CANCELLED
         started = self._parts.clock()
         try:
             outcome = await self._use_slot(job, slot.ok_value)
             # An answer from the key's record is no merit of the target.
-            verdict = _judge(outcome) if job.sent else verdict
+            judged = job.sent or isinstance(outcome, Err)
+            verdict = _judge(outcome) if judged else verdict
         finally:
             run_time = self._parts.clock() - started
             self._parts.desk.release(ask.ask_id, verdict, run_time)
@@ -228,6 +264,9 @@
         return outcome
 
     async def _use_slot(self, job: Job, grant: GrantSlot) -> AnswerResult:
+        # An owner that was paused grants by what it knew before.
+        if self._parts.is_leaving(grant.target):
+            return Err(Failure(ErrorKind.TARGET_REFUSED, _LEAVING))
         if job.needs_claim and not job.claimed:
             claim = await self._parts.claimer.claim(job)
             if isinstance(claim, Err):
