--- a/verbenapost/daemon/serving.py
+++ b/verbenapost/daemon/serving.py
@@ -256,7 +256,8 @@
         try:
             outcome = await self._use_slot(job, slot.ok_value)
             # An answer from the key's record is no merit of the target.
-            verdict = _judge(outcome) if job.sent else verdict
+            judged = job.sent or isinstance(outcome, Err)
+            verdict = _judge(outcome) if judged else verdict
         finally:
             run_time = self._parts.clock() - started
             self._parts.desk.release(ask.ask_id, verdict, run_time)
