--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup run demo test bench format
+.PHONY: setup run demo test bench slopes format
 
 setup: $(VENV)/installed
 
@@ -32,3 +32,6 @@
 
 bench: setup
 	$(BIN)/python -m bench.relay
+
+slopes: setup
+	$(BIN)/python -m bench.slopes
