--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,6 +21,7 @@
 from bench.meters import describe_run
 
 RESULTS = pathlib.Path(__file__).parent / 'results' / 'slopes.json'
+CLAIMS = RESULTS.with_name('claims.json')
 RELAY = RESULTS.with_name('relay.json')
 
 
@@ -43,6 +44,7 @@
         'messages': slopes_queue.measure_messages(),
         'tool_cpu_seconds': slopes_members.measure_tool(),
         'restart_reads': courses,
+        'claim_takeover_run': json.loads(CLAIMS.read_text())['takeover'],
         'relay': json.loads(RELAY.read_text()),
     }
 
--- a/bench/slopes_capacity.py
+++ b/bench/slopes_capacity.py
@@ -5,6 +5,7 @@
 
 from bench import slopes_sizes as sizes
 from bench.slopes_fit import predict
+from bench.slopes_restart import OUTAGE
 from verbenapost.protocol import codec
 from verbenapost.protocol.views import AppliedViews
 
@@ -92,6 +93,28 @@
     }
 
 
+def compute_claim_memory(results):
+    """Return the memory of a full claim shard, from one takeover."""
+    row = results['claim_takeover_run']
+    held = row['memory_growth_megabytes'] / row['claims'] * MAX_CLAIMS
+    idle = statistics.median(
+        daemon['resident_mb'] for daemon in results['relay']['idle']
+    )
+    return {
+        'claim_memory': held,
+        'claim_memory_share': (held + idle) * 1e6 / sizes.MEMORY_BOUND * 100,
+    }
+
+
+def compute_restart(results):
+    """Return the seconds after an outage in which daemons read."""
+    reads = results['restart_reads'][str(sizes.DAEMONS_REGION)]
+    end = int(OUTAGE)
+    return {
+        'restart_spread': sum(1 for count in reads[end : end + 10] if count)
+    }
+
+
 def compute_claims(lines):
     """Return the figures of a claim owner."""
     rate = sizes.REQUESTS * sizes.CLAIMED_SHARE
@@ -173,6 +196,9 @@
         'centre_bytes': sizes.CENTRE_RATE
         * (record + daemons * REPORT_BYTES)
         / 1e3,
+        'centre_share': sizes.CENTRE_RATE
+        * (record + daemons * REPORT_BYTES)
+        / sizes.TRAFFIC_BOUND,
         'centre_seconds': sizes.VMS_CENTRE / sizes.CENTRE_RATE,
         'centre_most_daemons': sizes.STORE_READS / sizes.CENTRE_RATE,
     }
@@ -248,6 +274,8 @@
         **compute_queue(lines),
         **compute_entry(lines, results['relay'], results['messages']),
         **compute_claims(lines),
+        **compute_claim_memory(results),
+        **compute_restart(results),
         **compute_keeper(lines, results),
         **compute_watch(lines),
         **compute_configuration(lines),
