--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: setup run demo test bench format soak
+.PHONY: setup run demo test bench slopes format soak
 
 setup: $(VENV)/installed
 
@@ -36,3 +36,6 @@
 soak: setup
 	@$(BIN)/python -m examples.histories.soak --site=$(SITE) \
 		$(if $(SEED),--seed=$(SEED)) --minutes=$(or $(MINUTES),1)
+
+slopes: setup
+	$(BIN)/python -m bench.slopes
