--- /dev/null
+++ b/verbenapost/coordination/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on jobs with steps, without sockets and clocks."""
--- /dev/null
+++ b/verbenapost/coordination/scheduling/commands.py
@@ -0,0 +1,43 @@
+"""What a board wants done on its workers."""
+
+import dataclasses
+from typing import final
+
+from verbenapost.coordination.scheduling.jobs import Task
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartTask:
+    """Start a run; the board has booked it.
+
+    :param worker: identity of the worker.
+    :param task: the task.
+    :param run: number of the run.
+    :param payload: text of the job.
+    :param ticket: ticket of the queue's policy, or empty.
+    """
+
+    worker: str
+    task: Task
+    run: int
+    payload: str
+    ticket: str = ''
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTask:
+    """Stop a run.
+
+    :param worker: identity of the worker.
+    :param task: the task.
+    :param run: number of the run.
+    """
+
+    worker: str
+    task: Task
+    run: int
+
+
+Command = StartTask | StopTask
--- /dev/null
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -0,0 +1,136 @@
+"""Which waiting tasks start now, and where."""
+
+import dataclasses
+from collections.abc import Iterator
+from typing import final
+
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.commands import StartTask
+from verbenapost.coordination.scheduling.jobs import StepRun, Task, TaskState
+from verbenapost.coordination.scheduling.placing import (
+    choose_gang,
+    choose_worker,
+)
+from verbenapost.coordination.scheduling.tickets import Tickets
+from verbenapost.coordination.scheduling.workers import Worker
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Moment:
+    """The time of a decision.
+
+    :param now: local seconds.
+    :param wall: Unix seconds.
+    """
+
+    now: float
+    wall: float
+
+
+class Planner:
+    """Plans one round of starts on a board.
+
+    :param board: the board.
+    :param moment: when.
+    """
+
+    def __init__(self, board: Board, moment: Moment) -> None:
+        self._board = board
+        self._moment = moment
+        self._ready = [
+            worker
+            for worker in board.workers.values()
+            if worker.can_take(moment.now)
+        ]
+
+    def plan(self) -> list[StartTask]:
+        """Return what to start now; each start is booked."""
+        commands: list[StartTask] = []
+        if self._ready:
+            for step in self.find_waiting():
+                commands.extend(self._place_step(step))
+        return commands
+
+    def find_waiting(self) -> list[StepRun]:
+        """Return the steps with tasks that could start, most urgent first."""
+        found = [
+            step
+            for step in self._board.open_steps(self._moment.wall)
+            if any(task.state is TaskState.WAITING for task in step.tasks)
+        ]
+        found.sort(key=self._rank)
+        return found
+
+    def find_unadvised(self) -> list[StepRun]:
+        """Return the steps that wait for the word of their queue's policy."""
+        return [
+            step
+            for step in self.find_waiting()
+            if self._board.find_route(step.job).advice is not None
+            and self._find_tickets(step) is None
+        ]
+
+    def _find_tickets(self, step: StepRun) -> Tickets | None:
+        return self._board.tickets.find(step.tasks[0].key, self._moment.now)
+
+    def _rank(self, step: StepRun) -> tuple[int, bool, float]:
+        job = step.job
+        objective = self._board.estimate_objective(job)
+        late = self._moment.now > job.arrived + objective
+        route = self._board.find_route(job)
+        return route.priority, late and not job.long_running, job.arrived
+
+    def _place_step(self, step: StepRun) -> Iterator[StartTask]:
+        tickets = self._find_tickets(step)
+        advised = self._board.find_route(step.job).advice is not None
+        if advised and tickets is None:
+            return
+        waiting = [
+            task for task in step.tasks if task.state is TaskState.WAITING
+        ]
+        if step.spec.gang:
+            yield from self._place_gang(step, waiting, tickets)
+            return
+        for task in waiting:
+            worker = choose_worker(step, self._ready, tickets)
+            if worker is None:
+                return
+            yield self._start(step, task, worker, tickets)
+
+    def _place_gang(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        tickets: Tickets | None,
+    ) -> Iterator[StartTask]:
+        if len(waiting) < len(step.tasks):
+            # Members of the run before have not ended yet.
+            return
+        chosen = choose_gang(step, waiting, self._ready, tickets)
+        if chosen is None:
+            return
+        run = max(task.run for task in waiting)
+        checkpoint = max(task.checkpoint for task in waiting)
+        for task, worker in zip(waiting, chosen, strict=True):
+            task.run = run
+            task.checkpoint = checkpoint
+            yield self._start(step, task, worker, tickets)
+
+    def _start(
+        self,
+        step: StepRun,
+        task: Task,
+        worker: Worker,
+        tickets: Tickets | None,
+    ) -> StartTask:
+        name = worker.entry.worker
+        task.state = TaskState.STARTING
+        task.worker = name
+        task.run = max(task.run + 1, self._board.first_run)
+        task.started_at = self._moment.now
+        task.stop_sent = False
+        task.percent = 100
+        worker.book(task)
+        ticket = '' if tickets is None else tickets.get(name, '')
+        return StartTask(name, task, task.run, step.job.spec.payload, ticket)
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -0,0 +1,96 @@
+"""Jobs and workers for tests of the scheduling decisions."""
+
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.coordination.scheduling.planning import Moment, Planner
+from verbenapost.coordination.scheduling.reports import ReportReader
+from verbenapost.protocol.orders import (
+    EndKind,
+    RunEnd,
+    RunningTask,
+    WorkerReport,
+)
+from verbenapost.state.workloads import (
+    JobSpec,
+    Route,
+    Size,
+    StepSpec,
+    WorkerEntry,
+)
+
+JOB = '5c0e7a21d94b36f8'
+ROUTE = Route(
+    'plan',
+    'host',
+    '/plan/',
+    'routing',
+    max_attempts=3,
+    slack_factor=1.6,
+    target_latency=0.6,
+)
+SMALL = Size(1000, 100)
+ROOM = Size(4000, 1000)
+
+
+def make_entry(name='w0', **changes):
+    fields = {
+        'worker': name,
+        'born': 1,
+        'service': 'routing',
+        'address': '127.0.0.1:1',
+        'data_centre': 'a',
+        'draining': False,
+        'room': ROOM,
+        'labels': ('a', 'r1'),
+        'vm': f'vm-{name}',
+    }
+    return WorkerEntry(**(fields | changes))
+
+
+def make_board(*workers, token=1):
+    """Return a board with adopted workers, one of them by default."""
+    board = Board('routing', token)
+    for entry in workers or (make_entry(),):
+        worker = board.set_worker(entry)
+        worker.adopted = True
+        worker.reachable = True
+    return board
+
+
+def add_job(board, *steps, job=JOB, now=0.0, route=ROUTE, **changes):
+    spec = JobSpec(
+        job, route.name, 'text', steps or (StepSpec(2, SMALL),), 'routing'
+    )
+    made = Job(spec, now, **changes)
+    board.add_job(made, route)
+    return made
+
+
+def plan(board, now=0.0, wall=0.0):
+    return Planner(board, Moment(now, wall)).plan()
+
+
+def start_all(board, now=0.0, wall=0.0):
+    """Plan a round and have each start acknowledged."""
+    starts = plan(board, now, wall)
+    for start in starts:
+        board.note_started(start.task, start.run, now)
+    return starts
+
+
+def end_run(board, start, kind=EndKind.DONE, now=1.0, checkpoint=''):
+    """Report the end of a start's run and return the commands."""
+    end = RunEnd(1, start.task.key, start.run, kind, checkpoint)
+    worker = board.workers[start.worker]
+    return ReportReader(board, worker, now).take_end(end)
+
+
+def make_row(start, checkpoint='', load=0.0):
+    return RunningTask(start.task.key, start.run, checkpoint, 100, load)
+
+
+def report(board, name, running=(), ends=(), sent=0.0, now=1.0):
+    """Apply a report of a worker and return the commands."""
+    worker = board.workers[name]
+    reader = ReportReader(board, worker, now)
+    return reader.apply(WorkerReport(0, running, ends), ends, sent)
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_board.py
@@ -0,0 +1,225 @@
+"""What starts, ends and starts again."""
+
+from verbenapost.coordination.scheduling.commands import StopTask
+from verbenapost.coordination.scheduling.jobs import Job, TaskState
+from verbenapost.coordination.scheduling.tests import sample
+from verbenapost.coordination.scheduling.tests.sample import (
+    SMALL,
+    add_job,
+    end_run,
+    make_board,
+    make_entry,
+    make_row,
+    plan,
+    report,
+    start_all,
+)
+from verbenapost.protocol.orders import EndKind, Fault
+from verbenapost.state.workloads import JobState, Size, StepSpec
+
+
+class TestStarts:
+    def test_a_step_waits_for_the_steps_before(self):
+        board = make_board()
+        job = add_job(board, StepSpec(2, SMALL), StepSpec(1, SMALL, after=(0,)))
+        first = start_all(board)
+        assert [start.task.key.step for start in first] == [0, 0]
+        end_run(board, first[0])
+        assert plan(board) == []
+        end_run(board, first[1])
+        last = start_all(board)
+        assert [start.task.key.step for start in last] == [1]
+        end_run(board, last[0])
+        assert job.state is JobState.COMPLETED
+
+    def test_no_worker_is_overbooked(self):
+        board = make_board()
+        add_job(board, StepSpec(9, SMALL))
+        assert len(plan(board)) == 4
+        assert plan(board) == []
+
+    def test_what_fills_is_booked_by_memory_alone(self):
+        board = make_board()
+        add_job(board, StepSpec(9, Size(1000, 200), fills=True))
+        assert len(plan(board)) == 5
+
+    def test_anti_affinity_and_labels_bound_the_choice(self):
+        board = make_board(
+            make_entry('w0'), make_entry('w1', labels=('b', 'r'))
+        )
+        add_job(board, StepSpec(4, SMALL, anti_affinity=1))
+        assert [start.worker for start in plan(board)] == ['w0', 'w1']
+        add_job(board, StepSpec(2, SMALL, requires='b'), job='0' * 16)
+        assert {start.worker for start in plan(board)} == {'w1'}
+
+    def test_a_draining_worker_gets_nothing(self):
+        board = make_board(make_entry(draining=True))
+        add_job(board)
+        assert plan(board) == []
+
+    def test_an_occurrence_waits_for_its_time(self):
+        board = make_board()
+        job = add_job(board)
+        spec = sample.JobSpec(
+            '0' * 16,
+            'plan',
+            '',
+            (StepSpec(1, SMALL),),
+            'routing',
+            repetitions=2,
+            start_at=10,
+            interval=5,
+        )
+        board.add_job(Job(spec, 0), sample.ROUTE)
+        board.cancel_job(job.spec.job)
+        assert plan(board, wall=9.9) == []
+        assert [row.task.key.occurrence for row in plan(board, wall=10)] == [0]
+        assert [row.task.key.occurrence for row in plan(board, wall=15)] == [1]
+
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        board = make_board()
+        add_job(board, StepSpec(5, SMALL, gang=True))
+        assert plan(board) == []
+        worker = board.set_worker(make_entry('w1'))
+        worker.adopted = worker.reachable = True
+        starts = start_all(board)
+        assert {start.run for start in starts} == {1}
+        end_run(board, starts[0])
+        assert board.jobs[sample.JOB].state is JobState.COMPLETED
+
+    def test_runs_of_a_later_owner_are_above_all_earlier_ones(self):
+        board = make_board(token=3)
+        add_job(board)
+        assert plan(board)[0].run == 2001
+
+
+class TestUnansweredStart:
+    def test_it_starts_nowhere_else_until_it_is_barred(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        add_job(board, StepSpec(1, SMALL))
+        (start,) = plan(board)
+        board.note_start_failed(start.task, start.run, Fault.UNKNOWN, 1)
+        assert plan(board, now=9) == []
+        (stop,) = report(board, start.worker, sent=2, now=2)
+        assert stop == StopTask(start.worker, start.task, start.run)
+        assert plan(board, now=9) == []
+        board.note_stopped(start.task, start.run, now=3)
+        report(board, start.worker, sent=2.5, now=4)
+        assert plan(board, now=9) == []
+        report(board, start.worker, sent=3.5, now=4)
+        assert len(plan(board, now=9)) == 1
+
+    def test_a_list_that_shows_it_settles_it(self):
+        board = make_board()
+        add_job(board, StepSpec(1, SMALL))
+        (start,) = plan(board)
+        board.note_start_failed(start.task, start.run, Fault.UNKNOWN, 1)
+        assert report(board, 'w0', [make_row(start)], sent=2) == []
+        assert start.task.state is TaskState.RUNNING
+
+    def test_a_list_asked_for_before_the_answer_proves_nothing(self):
+        board = make_board()
+        add_job(board, StepSpec(1, SMALL))
+        (start,) = plan(board)
+        board.note_started(start.task, start.run, now=2)
+        report(board, 'w0', sent=1, now=3)
+        assert start.task.state is TaskState.RUNNING
+        report(board, 'w0', sent=2.5, now=3)
+        assert start.task.state is TaskState.WAITING
+
+
+class TestEnds:
+    def test_a_failure_counts_once(self):
+        board = make_board()
+        job = add_job(board, StepSpec(1, SMALL))
+        (start,) = start_all(board)
+        for _ in range(5):
+            end_run(board, start, EndKind.FAILED)
+        assert start.task.failed_runs == (1,)
+        assert job.state is JobState.RUNNING
+
+    def test_failures_up_to_the_bound_end_the_job(self):
+        board = make_board()
+        job = add_job(board, StepSpec(1, SMALL))
+        for _ in range(3):
+            (start,) = start_all(board)
+            end_run(board, start, EndKind.FAILED)
+        assert job.state is JobState.FAILED
+        assert plan(board) == []
+
+    def test_a_task_that_lasts_starts_again_without_bound(self):
+        board = make_board()
+        add_job(board, StepSpec(1, SMALL, long_running=True))
+        for _ in range(9):
+            (start,) = start_all(board)
+            end_run(board, start, EndKind.FAILED)
+        assert len(plan(board)) == 1
+
+    def test_a_stopped_run_goes_on_from_its_checkpoint(self):
+        board = make_board()
+        add_job(board, StepSpec(1, SMALL, checkpointing=True))
+        (start,) = start_all(board)
+        end_run(board, start, EndKind.STOPPED, checkpoint='half')
+        assert plan(board)[0].task.checkpoint == 'half'
+        assert board.take_dirty() == {sample.JOB}
+
+    def test_what_is_done_never_starts_again(self):
+        board = make_board()
+        add_job(board, StepSpec(2, SMALL))
+        first, second = start_all(board)
+        end_run(board, first)
+        end_run(board, first, EndKind.LAPSED)
+        assert first.task.state is TaskState.DONE
+        end_run(board, second)
+        assert plan(board) == []
+
+    def test_a_cancel_stops_what_runs_and_frees_it_by_its_end(self):
+        board = make_board()
+        job = add_job(board)
+        starts = start_all(board)
+        stops = board.cancel_job(sample.JOB)
+        assert [stop.run for stop in stops] == [1, 1]
+        assert board.workers['w0'].used.cpu == 2000
+        for start in starts:
+            end_run(board, start, EndKind.STOPPED)
+        assert board.workers['w0'].used.cpu == 0
+        assert job.state is JobState.CANCELLED
+        assert plan(board) == []
+
+
+class TestTakeover:
+    def test_inherited_jobs_wait_until_all_workers_were_asked(self):
+        board = make_board(token=2)
+        board.unsettled = True
+        add_job(board, inherited=True)
+        add_job(board, job='0' * 16)
+        assert {row.task.key.job for row in plan(board)} == {'0' * 16}
+        board.unsettled = False
+        assert {row.task.key.job for row in plan(board)} == {sample.JOB}
+
+    def test_what_runs_is_adopted_and_what_no_job_wants_is_stopped(self):
+        board = make_board()
+        add_job(board, StepSpec(1, SMALL))
+        (start,) = start_all(board)
+        successor = make_board(token=2)
+        add_job(successor, StepSpec(1, SMALL), inherited=True)
+        assert report(successor, 'w0', [make_row(start)]) == []
+        assert plan(successor) == []
+        stranger = make_board(token=2)
+        (stop,) = report(stranger, 'w0', [make_row(start)])
+        assert stop.run == start.run
+
+    def test_progress_outlives_the_owner(self):
+        board = make_board()
+        job = add_job(board, StepSpec(3, SMALL))
+        done, failed, stopped = start_all(board)
+        end_run(board, done)
+        end_run(board, failed, EndKind.FAILED)
+        end_run(board, stopped, EndKind.STOPPED, checkpoint='half')
+        successor = Job(job.spec, 0)
+        successor.restore(job.pack(), revision=7)
+        states = [task.state for task in successor.tasks()]
+        assert states == [TaskState.DONE, TaskState.WAITING, TaskState.WAITING]
+        runs = [task.failed_runs for task in successor.tasks()]
+        assert runs == [(), (1,), ()]
+        assert [task.checkpoint for task in successor.tasks()][2] == 'half'
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -17,7 +17,7 @@
 from verbenapost.daemon.rebalancing import RebalanceTask
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.timers import read_clock, run_timers
-from verbenapost.daemon.web import WebServer
+from verbenapost.daemon.web import WebAddress, WebServer
 
 #: Seconds between two looks at whether requests still run at shutdown.
 DRAIN_POLL = 0.05
@@ -48,7 +48,14 @@
             self.parts.metrics,
         )
         self._app = make_app(settings, self.parts.entry, admin.build())
-        self._web = WebServer(self._app, settings)
+        self._web = WebServer(
+            self._app,
+            WebAddress(
+                settings.listen.address,
+                settings.listen.port,
+                settings.limits.connections,
+            ),
+        )
 
     @property
     def ready(self) -> bool:
--- a/verbenapost/daemon/web.py
+++ b/verbenapost/daemon/web.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import Iterator
 from typing import final
 
 import uvicorn
 
-from verbenapost.daemon.settings import Settings
 from verbenapost.transport.callers import AsgiApp
 
 #: Seconds after which an idle connection of a caller is closed.
@@ -27,14 +27,29 @@
         yield
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WebAddress:
+    """Where a server listens.
+
+    :param host: IP number.
+    :param port: TCP port.
+    :param backlog: connections that may wait to be taken.
+    """
+
+    host: str
+    port: int
+    backlog: int
+
+
 class WebServer:
-    """Serves one ASGI application on the address in the settings."""
+    """Serves one ASGI application on one address."""
 
-    def __init__(self, app: AsgiApp, settings: Settings) -> None:
+    def __init__(self, app: AsgiApp, address: WebAddress) -> None:
         config = uvicorn.Config(
             app,
-            host=settings.listen.address,
-            port=settings.listen.port,
+            host=address.host,
+            port=address.port,
             loop='asyncio',
             http='httptools',
             ws='none',
@@ -43,7 +58,7 @@
             log_config=None,
             server_header=False,
             date_header=False,
-            backlog=settings.limits.connections,
+            backlog=address.backlog,
             timeout_keep_alive=IDLE_SECONDS,
         )
         self._server = _Server(config)
--- /dev/null
+++ b/verbenapost/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the platform; decides nothing."""
--- /dev/null
+++ b/verbenapost/platform/cloud.py
@@ -0,0 +1,110 @@
+"""Client of the interface that moves and maintains VMs."""
+
+from typing import Final
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from verbenapost.platform import names
+from verbenapost.platform.fields import (
+    FieldError,
+    Fields,
+    read_rows,
+)
+from verbenapost.platform.http import Answer, Call, HttpClient
+from verbenapost.platform.manifest import read_vm
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.state.workloads import FleetVm
+
+#: Seconds that a call may take.
+CLOUD_TIMEOUT: Final = 2.0
+
+_CONFLICT = 409
+_LIMITED = 429
+_UNAVAILABLE = 503
+_REASONS: Final = {'fence': Fault.FENCED, 'busy': Fault.BUSY}
+
+
+class CloudClient:
+    """Calls of the cloud, one method for each.
+
+    :param http: keeps the connections.
+    :param address: ``IP:port`` of the cloud.
+    :param holder: name of this daemon, sent with each order.
+    """
+
+    def __init__(self, http: HttpClient, address: str, holder: str) -> None:
+        self._http = http
+        self._address = address
+        self._holder = holder
+
+    async def list_vms(self) -> Result[list[FleetVm], CallFault]:
+        """Return all VMs of the fleet."""
+        found: list[FleetVm] = []
+        page = ''
+        while True:
+            query = f'?{urlencode({"page_token": page})}' if page else ''
+            call = Call(
+                'GET',
+                self._address,
+                f'{names.VMS_PATH}{query}',
+                timeout=CLOUD_TIMEOUT,
+            )
+            answer = (await self._http.exchange(call)).and_then(_judge)
+            if isinstance(answer, Err):
+                return answer
+            fields = answer.ok_value.fields
+            try:
+                found.extend(map(read_vm, read_rows(fields, 'machines')))
+            except FieldError as fault:
+                return Err(CallFault(Fault.UNKNOWN, str(fault)))
+            page = str(fields.get('next_token') or '')
+            if not page:
+                return Ok(found)
+
+    async def move(
+        self,
+        vm: str,
+        pool: str,
+        token: int,
+    ) -> Result[Answer, CallFault]:
+        """Move a VM into another pool; all that runs on it ends at once."""
+        body = {'machine': vm, 'pool': pool}
+        return await self._order(names.MOVE_PATH, body, token)
+
+    async def maintain(
+        self,
+        vm: str,
+        wave: int,
+        token: int,
+    ) -> Result[Answer, CallFault]:
+        """Begin a VM's maintenance; all that runs on it ends at once."""
+        body = {'machine': vm, 'wave': wave}
+        return await self._order(names.MAINTAIN_PATH, body, token)
+
+    async def _order(
+        self,
+        path: str,
+        body: Fields,
+        token: int,
+    ) -> Result[Answer, CallFault]:
+        headers = {
+            names.HOLDER_HEADER: self._holder,
+            names.TOKEN_HEADER: str(token),
+        }
+        call = Call('POST', self._address, path, body, headers, CLOUD_TIMEOUT)
+        return (await self._http.exchange(call)).and_then(_judge)
+
+
+def _judge(answer: Answer) -> Result[Answer, CallFault]:
+    if answer.ok:
+        return Ok(answer)
+    if answer.status == _LIMITED:
+        return Err(CallFault(Fault.LIMITED, 'the cloud is over its rate'))
+    if answer.status == _UNAVAILABLE:
+        return Err(CallFault(Fault.NOT_DONE, 'the cloud is unavailable'))
+    reason = str(answer.fields.get('reason', f'status {answer.status}'))
+    fault = Fault.REFUSED
+    if answer.status == _CONFLICT:
+        fault = _REASONS.get(reason, Fault.REFUSED)
+    return Err(CallFault(fault, reason))
--- /dev/null
+++ b/verbenapost/platform/http.py
@@ -0,0 +1,144 @@
+"""One exchange with a server of the platform."""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Mapping
+from typing import Any, Final, final
+
+import aiohttp
+from result import Err, Ok, Result
+
+from verbenapost.platform.fields import Fields
+from verbenapost.protocol.orders import CallFault, Fault
+
+#: Seconds for which an idle connection is kept; a new one costs more.
+IDLE_SECONDS: Final = 60.0
+
+#: Seconds to connect; a VM that has lost its power doesn't refuse.
+CONNECT_SECONDS: Final = 1.0
+
+#: Errors that come before a byte of the request was sent.
+_BEFORE_SENDING: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_AFTER_SENDING: Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+_OK = 200
+_JSON_HEADERS: Final = {'Content-Type': 'application/json'}
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call to a server of the platform.
+
+    :param method: HTTP method.
+    :param address: ``IP:port``.
+    :param path: path with its query.
+    :param body: fields of the body, or ``None``.
+    :param headers: further headers.
+    :param timeout: seconds for the whole exchange.
+    """
+
+    method: str
+    address: str
+    path: str
+    body: Fields | None = None
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+    timeout: float = 2.0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer.
+
+    :param status: HTTP status.
+    :param fields: decoded body; empty when there is none.
+    """
+
+    status: int
+    fields: Fields
+
+    @property
+    def ok(self) -> bool:
+        """Whether the call has succeeded."""
+        return self.status == _OK
+
+
+class HttpClient:
+    """Keeps the connections to the platform's servers."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def exchange(self, call: Call) -> Result[Answer, CallFault]:
+        """Send a call and return its whole answer.
+
+        :returns: the answer with any status, or a fault that tells whether
+            the call may have had an effect.
+        """
+        try:
+            async with asyncio.timeout(call.timeout):
+                return await self._send(call)
+        except _BEFORE_SENDING as fault:
+            return Err(CallFault(Fault.NOT_DONE, repr(fault)))
+        except _AFTER_SENDING as fault:
+            return Err(CallFault(Fault.UNKNOWN, repr(fault)))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def _send(self, call: Call) -> Result[Answer, CallFault]:
+        payload = None
+        headers = dict(call.headers)
+        if call.body is not None:
+            payload = json.dumps(call.body, separators=(',', ':')).encode()
+            headers.update(_JSON_HEADERS)
+        request = self._find_session().request(
+            call.method,
+            f'http://{call.address}{call.path}',
+            data=payload,
+            headers=headers,
+        )
+        async with request as response:
+            status = response.status
+            fields = decode_body(await response.read())
+        if fields is None:
+            return Err(CallFault(Fault.UNKNOWN, f'{status} with a broken body'))
+        return Ok(Answer(status, fields))
+
+    def _find_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=IDLE_SECONDS,
+                use_dns_cache=False,
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector,
+                timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS),
+                auto_decompress=False,
+                skip_auto_headers=('User-Agent', 'Accept-Encoding'),
+            )
+        return self._session
+
+
+def decode_body(body: bytes) -> Fields | None:
+    """Return the fields of a body, or ``None`` when it holds no object.
+
+    >>> decode_body(b'{"a": 1}'), decode_body(b''), decode_body(b'[')
+    ({'a': 1}, {}, None)
+    """
+    if not body:
+        return {}
+    try:
+        found: Any = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    return found if isinstance(found, dict) else None
--- /dev/null
+++ b/verbenapost/platform/manifest.py
@@ -0,0 +1,189 @@
+"""What operators and workers write into the store, decoded."""
+
+import json
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from result import Err, Ok, Result
+
+from verbenapost.platform.fields import (
+    FieldError,
+    Fields,
+    read_count,
+    read_flag,
+    read_number,
+    read_object,
+    read_rows,
+    read_text,
+)
+from verbenapost.state.workloads import (
+    AdviceTerms,
+    FleetConfiguration,
+    FleetVm,
+    MaintenanceWave,
+    Route,
+    Service,
+    Size,
+    VmState,
+    WorkerEntry,
+)
+
+_MS = 1000
+_WORKER_STATES: Final = frozenset(('ready', 'draining'))
+_VM_STATES: Final = {
+    'up': VmState.UP,
+    'moving': VmState.MOVING,
+    'upkeep': VmState.MAINTENANCE,
+    'down': VmState.DOWN,
+}
+_Shape = TypeVar('_Shape')
+
+
+def decode_configuration(value: bytes) -> Result[FleetConfiguration, str]:
+    """Return the operators' configuration."""
+    return _decode(value, _read_configuration)
+
+
+def decode_wave(value: bytes) -> Result[MaintenanceWave, str]:
+    """Return a maintenance wave."""
+    return _decode(value, _read_wave)
+
+
+def decode_worker(worker: str, value: bytes) -> Result[WorkerEntry, str]:
+    """Return the entry of a worker.
+
+    :param worker: identity, which stands only in the key.
+    """
+    return _decode(value, lambda fields: _read_worker(worker, fields))
+
+
+def encode_wave_status(*, completed: bool) -> bytes:
+    """Return the status of a wave for its operators."""
+    state = 'completed' if completed else 'running'
+    return json.dumps({'state': state}).encode()
+
+
+def read_vm(row: Any) -> FleetVm:
+    """Return a VM of the cloud's list.
+
+    :raises FieldError: when a field is missing or of another type.
+    """
+    fields = read_object(row, 'machines')
+    state = read_text(fields, 'state')
+    return FleetVm(
+        vm=read_text(fields, 'machine'),
+        pool=read_text(fields, 'pool'),
+        # A state of a later version is one in which the VM can't be used.
+        state=_VM_STATES.get(state, VmState.DOWN),
+        labels=_read_labels(fields),
+        room=_read_room(fields),
+        worker=fields.get('id') or '',
+    )
+
+
+def _decode(
+    value: bytes,
+    read: Callable[[Fields], _Shape],
+) -> Result[_Shape, str]:
+    try:
+        fields = read_object(json.loads(value), 'entry')
+    except (ValueError, RecursionError) as fault:
+        return Err(f'can not be read: {fault}')
+    try:
+        return Ok(read(fields))
+    except (FieldError, ValueError) as refusal:
+        return Err(str(refusal))
+
+
+def _read_configuration(fields: Fields) -> FleetConfiguration:
+    routes = [
+        _read_route(read_object(row, 'routes'))
+        for row in read_rows(fields, 'routes')
+    ]
+    services = [
+        _read_service(read_object(row, 'services'))
+        for row in read_rows(fields, 'services')
+    ]
+    return FleetConfiguration(
+        version=read_count(fields, 'version'),
+        routes={route.name: route for route in routes},
+        services={service.name: service for service in services},
+    )
+
+
+def _read_route(fields: Fields) -> Route:
+    return Route(
+        name=read_text(fields, 'name'),
+        host=read_text(fields, 'hostname'),
+        prefix=read_text(fields, 'prefix'),
+        service=read_text(fields, 'service'),
+        priority=read_count(fields, 'priority', 0),
+        max_attempts=read_count(fields, 'max_attempts', 1),
+        slack_factor=read_number(fields, 'slack_factor', 1),
+        target_latency=read_number(fields, 'target_latency_ms', 0) / _MS,
+        advice=_read_advice(fields),
+    )
+
+
+def _read_advice(fields: Fields) -> AdviceTerms | None:
+    terms = fields.get('recommendation')
+    if not terms:
+        return None
+    found = read_object(terms, 'recommendation')
+    return AdviceTerms(
+        decide=read_number(found, 'decide_ms', 0) / _MS,
+        per_worker=read_number(found, 'period_ms', 0) / _MS,
+        valid=read_number(found, 'valid_ms', 0) / _MS,
+    )
+
+
+def _read_service(fields: Fields) -> Service:
+    return Service(
+        read_text(fields, 'name'),
+        standby=read_flag(fields, 'standby'),
+    )
+
+
+def _read_worker(worker: str, fields: Fields) -> WorkerEntry:
+    state = read_text(fields, 'state')
+    if state not in _WORKER_STATES:
+        raise FieldError('state', f'is {state!r}, which is unknown')
+    return WorkerEntry(
+        worker=worker,
+        born=read_count(fields, 'born', 0),
+        service=read_text(fields, 'service'),
+        address=read_text(fields, 'address'),
+        data_centre=read_text(fields, 'zone'),
+        draining=state == 'draining',
+        room=_read_room(fields),
+        labels=_read_labels(fields),
+        vm=read_text(fields, 'machine', ''),
+    )
+
+
+def _read_room(fields: Fields) -> Size:
+    room = read_object(fields.get('capacity'), 'capacity')
+    return Size(
+        read_count(room, 'cpu', 0),
+        read_count(room, 'mem_mb', 0),
+        read_count(room, 'gpu', 0),
+    )
+
+
+def _read_labels(fields: Fields) -> tuple[str, ...]:
+    labels = read_rows(fields, 'labels')
+    if not all(isinstance(label, str) for label in labels):
+        raise FieldError('labels', 'must be strings')
+    return tuple(labels)
+
+
+def _read_wave(fields: Fields) -> MaintenanceWave:
+    vms = read_rows(fields, 'machines')
+    if not all(isinstance(name, str) for name in vms):
+        raise FieldError('machines', 'must be strings')
+    return MaintenanceWave(
+        number=read_count(fields, 'wave'),
+        vms=tuple(vms),
+        duration=read_number(fields, 'duration_s', 0),
+        cap=read_count(fields, 'cap', 1),
+    )
--- /dev/null
+++ b/verbenapost/platform/store.py
@@ -0,0 +1,285 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from collections import Counter
+from collections.abc import Callable
+from typing import Final, TypeVar
+from urllib.parse import urlencode
+
+from result import Err, Ok, Result
+
+from verbenapost.platform import names
+from verbenapost.platform.fields import (
+    FieldError,
+    Fields,
+    read_count,
+    read_flag,
+    read_object,
+    read_rows,
+    read_text,
+)
+from verbenapost.platform.http import Answer, Call, HttpClient
+from verbenapost.protocol.orders import (
+    CallFault,
+    Change,
+    ChangeBatch,
+    Conflict,
+    Fault,
+    Item,
+    ItemPage,
+    Transaction,
+)
+
+#: Seconds that a call may take; the store answers in 4 ms when it is well.
+CALL_TIMEOUT: Final = 1.0
+
+#: Seconds that an answer to a watch may take beyond the watch's own wait.
+WATCH_MARGIN: Final = 0.7
+
+_MS = 1000
+_NOT_FOUND = 404
+_GONE = 410
+_CONFLICT = 412
+_LIMITED = 429
+_UNAVAILABLE = 503
+_MISSING: Final = CallFault(Fault.NOT_FOUND)
+
+_Shape = TypeVar('_Shape')
+
+
+class PlatformStore:
+    """Calls of the store, one method for each.
+
+    :param http: keeps the connections.
+    :param address: ``IP:port`` of the store.
+    """
+
+    def __init__(self, http: HttpClient, address: str) -> None:
+        self.calls: Counter[str] = Counter()
+        self._http = http
+        self._address = address
+
+    async def read_key(self, key: str) -> Result[Item | None, CallFault]:
+        """Return a key, or ``None`` when it does not exist."""
+        query = urlencode({'key': key})
+        answer = await self._call('GET', f'{names.KEY_PATH}?{query}')
+        if isinstance(answer, Err):
+            if answer.err_value.fault is Fault.NOT_FOUND:
+                return Ok(None)
+            return answer
+        return _decode(answer.ok_value, _read_item)
+
+    async def read_page(
+        self,
+        prefix: str,
+        after: str = '',
+    ) -> Result[ItemPage, CallFault]:
+        """Return one page of the keys under a prefix.
+
+        :param after: last key of the page before.
+        """
+        query = {'prefix': prefix}
+        if after:
+            query['after'] = after
+        path = f'{names.RANGE_PATH}?{urlencode(query)}'
+        answer = await self._call('GET', path)
+        if isinstance(answer, Err):
+            return answer
+        return _decode(answer.ok_value, _read_page)
+
+    async def read_range(self, prefix: str) -> Result[ItemPage, CallFault]:
+        """Return all keys under a prefix.
+
+        The pages are no snapshot: the revision is that of the first page, so
+        that a watch from there shows what has changed since.
+        """
+        items: list[Item] = []
+        revision = 0
+        while True:
+            page = await self.read_page(prefix, items[-1].key if items else '')
+            if isinstance(page, Err):
+                return page
+            items.extend(page.ok_value.items)
+            revision = revision or page.ok_value.revision
+            if not page.ok_value.truncated or not page.ok_value.items:
+                return Ok(ItemPage(items, truncated=False, revision=revision))
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[ChangeBatch, CallFault]:
+        """Wait for changes; ``NOT_FOUND`` when the history is gone.
+
+        :param after: revision up to which all is known.
+        :param wait: seconds, at most 30.
+        """
+        query = urlencode(
+            {'prefix': prefix, 'after': after, 'wait_ms': round(wait * _MS)},
+        )
+        answer = await self._call(
+            'GET',
+            f'{names.WATCH_PATH}?{query}',
+            timeout=wait + WATCH_MARGIN,
+        )
+        if isinstance(answer, Err):
+            return answer
+        return _decode(answer.ok_value, _read_changes)
+
+    async def commit(
+        self,
+        transaction: Transaction,
+    ) -> Result[int, CallFault | Conflict]:
+        """Carry out a transaction and return its revision.
+
+        :returns: ``Conflict`` when an expectation does not hold;
+            ``NOT_FOUND`` when a lease has ended.
+        """
+        answer = await self._call(
+            'POST',
+            names.TRANSACTION_PATH,
+            _encode_transaction(transaction),
+        )
+        if isinstance(answer, Err):
+            return answer
+        found = answer.ok_value
+        if found.status == _CONFLICT:
+            return _decode(found, _read_conflict).and_then(_refuse)
+        return _decode(found, _read_revision)
+
+    async def grant_lease(self, ttl: float) -> Result[int, CallFault]:
+        """Create a lease of ``ttl`` seconds and return its number."""
+        body = {'ttl_ms': round(ttl * _MS)}
+        answer = await self._call('POST', names.LEASE_PATH, body)
+        if isinstance(answer, Err):
+            return answer
+        return _decode(answer.ok_value, _read_lease)
+
+    async def renew_lease(self, lease: int) -> Result[None, CallFault]:
+        """Renew a lease; ``NOT_FOUND`` once it has ended."""
+        answer = await self._call('POST', f'{names.RENEW_PATH}/{lease}')
+        return answer.map(_drop)
+
+    async def revoke_lease(self, lease: int) -> Result[None, CallFault]:
+        """End a lease and remove its keys."""
+        answer = await self._call('DELETE', f'{names.REVOKE_PATH}/{lease}')
+        return answer.map(_drop)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Fields | None = None,
+        timeout: float = CALL_TIMEOUT,
+    ) -> Result[Answer, CallFault]:
+        call = Call(method, self._address, path, body, timeout=timeout)
+        answer = await self._http.exchange(call)
+        kind = path.partition('?')[0].split('/')[2]
+        judged = answer.and_then(_judge)
+        outcome = judged.err_value.fault if isinstance(judged, Err) else 'ok'
+        self.calls[f'{kind} {outcome}'] += 1
+        return judged
+
+
+def _judge(answer: Answer) -> Result[Answer, CallFault]:
+    """Turn a status into what it says of the call's effect."""
+    status = answer.status
+    if answer.ok or status == _CONFLICT:
+        return Ok(answer)
+    if status in {_NOT_FOUND, _GONE}:
+        return Err(_MISSING)
+    if status == _LIMITED:
+        return Err(CallFault(Fault.LIMITED, 'the store is over its rate'))
+    if status == _UNAVAILABLE:
+        return Err(CallFault(Fault.NOT_DONE, 'the store is unavailable'))
+    return Err(CallFault(Fault.REFUSED, f'status {status}'))
+
+
+def _decode(
+    answer: Answer,
+    read: Callable[[Fields], _Shape],
+) -> Result[_Shape, CallFault]:
+    try:
+        return Ok(read(answer.fields))
+    except (FieldError, binascii.Error) as fault:
+        return Err(CallFault(Fault.UNKNOWN, str(fault)))
+
+
+def _refuse(conflict: Conflict) -> Result[int, Conflict]:
+    return Err(conflict)
+
+
+def _drop(_answer: Answer) -> None:
+    """Leave out an answer that says no more than that it went well."""
+
+
+def _encode_transaction(transaction: Transaction) -> Fields:
+    return {
+        'expect': [
+            {'key': row.key, 'revision': row.revision}
+            for row in transaction.expected
+        ],
+        'writes': [
+            {
+                'key': row.key,
+                'value': base64.b64encode(row.value).decode(),
+                'lease': row.lease,
+            }
+            for row in transaction.writes
+        ],
+        'remove': list(transaction.removed),
+    }
+
+
+def _read_item(fields: Fields) -> Item:
+    return Item(
+        read_text(fields, 'key'),
+        base64.b64decode(read_text(fields, 'value', '')),
+        read_count(fields, 'revision'),
+    )
+
+
+def _read_change(fields: Fields) -> Change:
+    item = _read_item(fields)
+    value = None if read_flag(fields, 'removed') else item.value
+    return Change(item.key, value, item.revision)
+
+
+def _read_page(fields: Fields) -> ItemPage:
+    return ItemPage(
+        [
+            _read_item(read_object(row, 'items'))
+            for row in read_rows(fields, 'items')
+        ],
+        truncated=read_flag(fields, 'truncated'),
+        revision=read_count(fields, 'store_revision'),
+    )
+
+
+def _read_changes(fields: Fields) -> ChangeBatch:
+    return ChangeBatch(
+        [
+            _read_change(read_object(row, 'events'))
+            for row in read_rows(fields, 'events')
+        ],
+        read_count(fields, 'store_revision'),
+    )
+
+
+def _read_conflict(fields: Fields) -> Conflict:
+    return Conflict(
+        [
+            _read_item(read_object(row, 'items'))
+            for row in read_rows(fields, 'items')
+        ],
+    )
+
+
+def _read_revision(fields: Fields) -> int:
+    return read_count(fields, 'revision')
+
+
+def _read_lease(fields: Fields) -> int:
+    return read_count(fields, 'lease')
--- /dev/null
+++ b/verbenapost/platform/submissions.py
@@ -0,0 +1,184 @@
+"""Callers' jobs and answers in the platform's format."""
+
+import json
+import re
+from typing import Any, Final
+
+from verbenapost.platform.fields import (
+    FieldError,
+    Fields,
+    read_count,
+    read_flag,
+    read_number,
+    read_object,
+    read_rows,
+    read_text,
+)
+from verbenapost.protocol.strictjson import parse_json
+from verbenapost.state.workloads import (
+    JobSpec,
+    JobState,
+    Route,
+    Size,
+    StepSpec,
+    TaskKey,
+)
+
+#: Bytes that the payload of a job may have, from the platform's pages.
+MAX_PAYLOAD_BYTES: Final = 4000
+
+#: Tasks of one job, so that one submission can't exhaust the memory.
+MAX_TASKS: Final = 10_000
+
+#: Steps of one job, for the same reason.
+MAX_STEPS: Final = 200
+
+#: Characters of a label, image or rack.
+MAX_NAME: Final = 200
+
+_MS = 1000
+_JOB_ID = re.compile(r'[0-9a-fA-F]{16}')
+_TASK_PARTS = 4
+
+
+def is_job_id(text: str) -> bool:
+    """Return whether a text is an identity of a job.
+
+    >>> is_job_id('5c0e7a21d94b36f8'), is_job_id('5c0e')
+    (True, False)
+    """
+    return _JOB_ID.fullmatch(text) is not None
+
+
+def decode_job(job: str, route: Route, body: bytes) -> JobSpec:
+    """Return the job in the body of a submission.
+
+    :param job: identity from the path.
+    :param route: the queue's route.
+    :raises FieldError: when a field breaks a rule.
+    """
+    try:
+        fields = read_object(parse_json(body), 'body')
+    except FieldError:
+        raise
+    except ValueError as fault:
+        raise FieldError('body', str(fault)) from fault
+    payload = read_text(fields, 'spec', '')
+    if len(payload.encode(errors='surrogatepass')) > MAX_PAYLOAD_BYTES:
+        raise FieldError('spec', f'must have at most {MAX_PAYLOAD_BYTES} bytes')
+    steps = tuple(
+        _decode_step(read_object(row, f'steps.{number}'), number)
+        for number, row in enumerate(read_rows(fields, 'steps'))
+    )
+    if not steps or len(steps) > MAX_STEPS:
+        raise FieldError('steps', f'must have 1 to {MAX_STEPS} entries')
+    spec = JobSpec(
+        job=job,
+        route=route.name,
+        service=route.service,
+        payload=payload,
+        steps=steps,
+        repetitions=read_count(fields, 'repetitions', 0),
+        start_at=read_number(fields, 'start_at_ms', 0) / _MS,
+        interval=read_number(fields, 'interval_ms', 0) / _MS,
+    )
+    _check_tasks(spec)
+    return spec
+
+
+def encode_state(state: JobState) -> bytes:
+    """Return the answer to a question for a job's state.
+
+    >>> encode_state(JobState.RUNNING)
+    b'{"state":"running"}'
+    """
+    return _encode({'state': state.value})
+
+
+def encode_pending(pending: int) -> bytes:
+    """Return the answer to a question for a queue's waiting jobs."""
+    return _encode({'pending': pending})
+
+
+def encode_refusal(reason: str) -> bytes:
+    """Return the body of a refusal."""
+    return _encode({'error': reason})
+
+
+def encode_task(task: TaskKey) -> str:
+    """Return the platform's name of a task.
+
+    >>> encode_task(TaskKey('5c0e7a21d94b36f8', 0, 1, 17))
+    '5c0e7a21d94b36f8.0.1.17'
+    """
+    return f'{task.job}.{task.occurrence}.{task.step}.{task.index}'
+
+
+def decode_task(text: Any) -> TaskKey:
+    """Return the task of a name.
+
+    >>> decode_task('5c0e7a21d94b36f8.0.1.17').index
+    17
+
+    :raises FieldError: when it names none.
+    """
+    parts = text.split('.') if isinstance(text, str) else []
+    if len(parts) != _TASK_PARTS or not all(map(_is_number, parts[1:])):
+        raise FieldError('task', 'must have the form ID.K.STEP.INDEX')
+    occurrence, step, index = map(int, parts[1:])
+    return TaskKey(parts[0], occurrence, step, index)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
+def _decode_step(fields: Fields, number: int) -> StepSpec:
+    after = tuple(read_rows(fields, 'after'))
+    for earlier in after:
+        # Only earlier steps may be named, so that no circle is possible.
+        if not _is_index(earlier) or earlier >= number:
+            raise FieldError(f'steps.{number}.after', 'must name earlier steps')
+    return StepSpec(
+        count=read_count(fields, 'count'),
+        size=Size(
+            read_count(fields, 'cpu', 0),
+            read_count(fields, 'mem_mb', 0),
+            read_count(fields, 'gpu', 0),
+        ),
+        estimate=read_number(fields, 'estimate_ms', 0) / _MS,
+        after=after,
+        checkpointing=read_flag(fields, 'checkpointing'),
+        gang=read_flag(fields, 'gang'),
+        same_rack=read_flag(fields, 'same_rack'),
+        requires=_read_name(fields, 'requires'),
+        affinity=_read_name(fields, 'affinity'),
+        anti_affinity=read_count(fields, 'anti_affinity', 0),
+        speculative=read_flag(fields, 'speculative'),
+        long_running=read_flag(fields, 'long_running'),
+        image=_read_name(fields, 'image'),
+        target=read_number(fields, 'target_ms', 0) / _MS,
+        fills=read_flag(fields, 'fills'),
+        may_miss=read_count(fields, 'may_miss', 0),
+    )
+
+
+def _is_index(found: Any) -> bool:
+    return isinstance(found, int) and not isinstance(found, bool) and found >= 0
+
+
+def _read_name(fields: Fields, name: str) -> str:
+    text = read_text(fields, name, '')
+    if len(text) > MAX_NAME:
+        raise FieldError(name, f'must have at most {MAX_NAME} characters')
+    return text
+
+
+def _check_tasks(spec: JobSpec) -> None:
+    tasks = sum(step.count for step in spec.steps)
+    if not 0 < tasks * max(1, spec.repetitions) <= MAX_TASKS:
+        raise FieldError('steps', f'must have 1 to {MAX_TASKS} tasks')
+
+
+def _encode(fields: dict[str, Any]) -> bytes:
+    return json.dumps(fields, separators=(',', ':')).encode()
--- /dev/null
+++ b/verbenapost/platform/workers.py
@@ -0,0 +1,206 @@
+"""Client of the workers."""
+
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from verbenapost.platform import names
+from verbenapost.platform.fields import (
+    FieldError,
+    Fields,
+    read_count,
+    read_rows,
+)
+from verbenapost.platform.http import Answer, Call, HttpClient
+from verbenapost.platform.submissions import decode_task, encode_task
+from verbenapost.protocol.orders import (
+    CallFault,
+    EndKind,
+    Fault,
+    RunEnd,
+    RunningTask,
+    RunStart,
+    WorkerReport,
+)
+from verbenapost.state.workloads import TaskKey, WorkerEntry
+
+#: Seconds that an order may take before its outcome counts as unknown.
+ORDER_TIMEOUT: Final = 1.0
+
+_MS = 1000
+_CONFLICT = 409
+_OTHER_LIFE = 421
+_UNHEALTHY: Final = frozenset((429, 503))
+_REASONS: Final = {
+    'fence': Fault.FENCED,
+    'old': Fault.OLD_RUN,
+    'late': Fault.LATE,
+    'room': Fault.NO_ROOM,
+    'ticket': Fault.NO_TICKET,
+}
+
+
+class WorkerClient:
+    """Calls of a worker, one method for each.
+
+    :param http: keeps the connections.
+    """
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def start(
+        self,
+        worker: WorkerEntry,
+        order: RunStart,
+    ) -> Result[int, CallFault]:
+        """Start a run and return the worker's clock in milliseconds."""
+        body: dict[str, Any] = {
+            'task': encode_task(order.task),
+            'run': order.run,
+            'spec': order.payload,
+            'deadline_ms': order.deadline,
+            'fencing_token': order.token,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        if order.ticket:
+            body['ticket'] = order.ticket
+        answer = await self._order(worker, names.START_PATH, body)
+        return answer.and_then(_read_clock)
+
+    async def stop(
+        self,
+        worker: WorkerEntry,
+        task: TaskKey,
+        run: int,
+        token: int,
+    ) -> Result[int, CallFault]:
+        """Stop a run and bar it from starting late."""
+        body = {'task': encode_task(task), 'run': run, 'fencing_token': token}
+        answer = await self._order(worker, names.STOP_PATH, body)
+        return answer.and_then(_read_clock)
+
+    async def pace(
+        self,
+        worker: WorkerEntry,
+        running: RunningTask,
+        percent: int,
+        token: int,
+    ) -> Result[int, CallFault]:
+        """Let a run work at a share of its speed."""
+        body = {
+            'task': encode_task(running.task),
+            'run': running.run,
+            'percent': percent,
+            'fencing_token': token,
+        }
+        answer = await self._order(worker, names.PACE_PATH, body)
+        return answer.and_then(_read_clock)
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        token: int,
+        acknowledged: int,
+        deadline: int | None,
+        wait: float,
+    ) -> Result[WorkerReport, CallFault]:
+        """Extend the leases of all that runs and return the lists.
+
+        :param acknowledged: number of the last end that is stored.
+        :param deadline: time on the worker's clock in milliseconds.
+        :param wait: seconds that the worker may wait for an end.
+        """
+        body: dict[str, Any] = {
+            'fencing_token': token,
+            'last_seen': acknowledged,
+            'wait_ms': round(wait * _MS),
+        }
+        if deadline is not None:
+            body['deadline_ms'] = deadline
+        answer = await self._order(worker, names.HOLD_PATH, body, wait)
+        return answer.and_then(_read_report)
+
+    async def _order(
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: Fields,
+        wait: float = 0,
+    ) -> Result[Answer, CallFault]:
+        call = Call(
+            'POST',
+            worker.address,
+            path,
+            body,
+            {names.EXPECT_LIFE_HEADER: worker.worker},
+            ORDER_TIMEOUT + wait,
+        )
+        answer = await self._http.exchange(call)
+        return answer.and_then(_judge)
+
+
+def _judge(answer: Answer) -> Result[Answer, CallFault]:
+    status = answer.status
+    if answer.ok:
+        return Ok(answer)
+    clock = answer.fields.get('clock_ms')
+    known = clock if isinstance(clock, int) else None
+    if status == _CONFLICT:
+        reason = answer.fields.get('reason')
+        fault = _REASONS.get(str(reason), Fault.REFUSED)
+        return Err(CallFault(fault, str(reason), known))
+    if status == _OTHER_LIFE:
+        return Err(CallFault(Fault.OTHER_LIFE, 'another life answers'))
+    if status in _UNHEALTHY:
+        return Err(CallFault(Fault.NOT_DONE, f'status {status}', known))
+    return Err(CallFault(Fault.REFUSED, f'status {status}', known))
+
+
+def _read_clock(answer: Answer) -> Result[int, CallFault]:
+    clock = answer.fields.get('clock_ms')
+    if isinstance(clock, int):
+        return Ok(clock)
+    return Err(CallFault(Fault.UNKNOWN, 'the answer has no clock'))
+
+
+def _read_report(answer: Answer) -> Result[WorkerReport, CallFault]:
+    fields = answer.fields
+    try:
+        return Ok(
+            WorkerReport(
+                clock=read_count(fields, 'clock_ms'),
+                running=[
+                    _read_running(row) for row in read_rows(fields, 'running')
+                ],
+                ends=[
+                    _read_end(row) for row in read_rows(fields, 'ended_runs')
+                ],
+                born=read_count(fields, 'born') if 'born' in fields else None,
+            ),
+        )
+    except (FieldError, IndexError, TypeError, ValueError) as fault:
+        return Err(CallFault(Fault.UNKNOWN, f'broken lists: {fault}'))
+
+
+def _read_running(row: Any) -> RunningTask:
+    fields = dict(enumerate(row))
+    return RunningTask(
+        task=decode_task(fields[0]),
+        run=int(fields[1]),
+        checkpoint=str(fields.get(2) or ''),
+        percent=int(fields.get(3, 100)),
+        load=float(fields.get(4) or 0),
+    )
+
+
+def _read_end(row: Any) -> RunEnd:
+    fields = dict(enumerate(row))
+    return RunEnd(
+        number=int(fields[0]),
+        task=decode_task(fields[1]),
+        run=int(fields[2]),
+        kind=EndKind(fields[3]),
+        checkpoint=str(fields.get(4) or ''),
+    )
--- /dev/null
+++ b/verbenapost/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on the platform: entries, leader and what connects them."""
--- /dev/null
+++ b/verbenapost/scheduler/__main__.py
@@ -0,0 +1,50 @@
+"""Entry point of the daemon on the platform."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Final
+
+from result import Err
+
+from verbenapost.daemon.logs import configure_logs
+from verbenapost.daemon.settings import LogSettings
+from verbenapost.platform.names import SETTINGS_VARIABLE
+from verbenapost.scheduler.node import Node
+from verbenapost.scheduler.settings import SchedulerSettings, load_settings
+
+#: Exit status for settings that can not be used.
+EXIT_SETTINGS: Final = 2
+
+
+async def serve(settings: SchedulerSettings) -> None:
+    """Run a daemon until SIGTERM or SIGINT."""
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    node = Node(settings)
+    await node.start()
+    gc.collect()
+    gc.freeze()
+    await ended.wait()
+    await node.stop()
+
+
+def main() -> None:
+    """Run the daemon with the settings that the platform names."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    loaded = load_settings(Path(path))
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value}\n')
+        sys.exit(EXIT_SETTINGS)
+    configure_logs(LogSettings(), sys.stdout)
+    asyncio.run(serve(loaded.ok_value))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/verbenapost/scheduler/calls.py
@@ -0,0 +1,136 @@
+"""ASGI applications for callers and for the platform's probes."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any, Final
+
+from result import Err
+
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.names import CALLER_TIMEOUT_HEADER, READY_PATH
+from verbenapost.scheduler.entry import (
+    CallerRequest,
+    Entry,
+    EntryAnswer,
+    Status,
+    refuse,
+)
+from verbenapost.transport.bodies import BodyReader, ByteBudget, Receive
+
+#: Bytes of one body.
+MAX_BODY_BYTES: Final = 262_144
+
+#: Bytes that all bodies may hold at a time.
+BODY_BUDGET_BYTES: Final = 33_554_432
+
+#: Seconds that a caller waits when it doesn't say.
+DEFAULT_TIMEOUT: Final = 3.0
+
+_MILLI: Final = 1000
+_HTTP: Final = 'http'
+
+Scope = MutableMapping[str, Any]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+
+class CallerApp:
+    """Reads a request, has it served, and writes the whole answer.
+
+    :param entry: serves the requests.
+    """
+
+    def __init__(self, entry: Entry) -> None:
+        self.running = 0
+        self.closing = False
+        self._entry = entry
+        self._budget = ByteBudget(BODY_BUDGET_BYTES)
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != _HTTP:
+            return
+        self.running += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.running -= 1
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        began = read_clock()
+        headers = dict(scope['headers'])
+        reader = BodyReader(self._budget, MAX_BODY_BYTES)
+        try:
+            body = await reader.read(receive)
+            if isinstance(body, Err):
+                answer = refuse(Status.TOO_LARGE, 'the body is too large')
+            else:
+                request = CallerRequest(
+                    scope['method'],
+                    _read_host(headers),
+                    scope['path'],
+                    body.ok_value,
+                    began + _read_timeout(headers),
+                )
+                answer = await self._entry.serve(request)
+        finally:
+            reader.release()
+        await self._write(answer, send)
+
+    async def _write(self, answer: EntryAnswer, send: Send) -> None:
+        headers = [
+            (b'content-type', b'application/json'),
+            (b'content-length', str(len(answer.body)).encode()),
+        ]
+        if answer.retry_after is not None:
+            seconds = f'{answer.retry_after:.2f}'.encode()
+            headers.append((b'retry-after', seconds))
+        if self.closing:
+            headers.append((b'connection', b'close'))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': int(answer.status),
+                'headers': headers,
+            },
+        )
+        await send({'type': 'http.response.body', 'body': answer.body})
+
+
+class ProbeApp:
+    """Answers the platform's readiness probes.
+
+    :param is_ready: returns whether new connections are welcome.
+    """
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def __call__(
+        self, scope: Scope, _receive: Receive, send: Send
+    ) -> None:
+        """Answer one probe."""
+        if scope['type'] != _HTTP:
+            return
+        status = Status.NO_ROUTE
+        if scope['path'] == READY_PATH:
+            ready = self._is_ready()
+            status = Status.OK if ready else Status.UNAVAILABLE
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': int(status),
+                'headers': [(b'content-length', b'0')],
+            },
+        )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+def _read_host(headers: dict[bytes, bytes]) -> str:
+    host = headers.get(b'host', b'').decode('latin-1')
+    return host.rpartition(':')[0] if ':' in host else host
+
+
+def _read_timeout(headers: dict[bytes, bytes]) -> float:
+    text = headers.get(CALLER_TIMEOUT_HEADER.encode(), b'')
+    return int(text) / _MILLI if text.isdigit() else DEFAULT_TIMEOUT
--- /dev/null
+++ b/verbenapost/scheduler/configuration.py
@@ -0,0 +1,84 @@
+"""The operators' configuration in a daemon."""
+
+import asyncio
+from collections.abc import Callable, Collection
+from typing import Any
+
+from result import Err
+
+from verbenapost.platform.manifest import decode_configuration, decode_wave
+from verbenapost.platform.names import CONFIGURATION_KEY, WAVE_PREFIX
+from verbenapost.protocol.orders import Change
+from verbenapost.state.workloads import (
+    FleetConfiguration,
+    MaintenanceWave,
+    Route,
+)
+
+
+class ConfigurationFollower:
+    """Keeps the highest version that was seen and never goes back.
+
+    :param log: log of this part.
+    """
+
+    def __init__(self, log: Any) -> None:
+        self.current: FleetConfiguration | None = None
+        self.waves: dict[int, MaintenanceWave] = {}
+        self.known = asyncio.Event()
+        self.changed: list[Callable[[], None]] = []
+        self._log = log
+        self._routes: dict[str, Route] = {}
+
+    def take_change(self, change: Change) -> None:
+        """Take a change of a key of the operators."""
+        if change.key == CONFIGURATION_KEY and change.value is not None:
+            self._take_configuration(change.value)
+        elif change.key.startswith(WAVE_PREFIX):
+            self._take_wave(change)
+
+    def find_route(self, name: str) -> Route | None:
+        """Return a route, also one that was removed since."""
+        return self._routes.get(name)
+
+    def services(self) -> Collection[str]:
+        """Return the names of the services in force."""
+        return () if self.current is None else self.current.services
+
+    def _take_configuration(self, packed: bytes) -> None:
+        decoded = decode_configuration(packed)
+        if isinstance(decoded, Err):
+            self._log.error('configuration ignored', fault=decoded.err_value)
+            return
+        found = decoded.ok_value
+        current = self.current
+        if current is not None and found.version <= current.version:
+            return
+        self.current = found
+        self._routes.update(found.routes)
+        self._log.info(
+            'configuration adopted',
+            version=found.version,
+            routes=len(found.routes),
+            services=len(found.services),
+        )
+        self.known.set()
+        for notify in self.changed:
+            notify()
+
+    def _take_wave(self, change: Change) -> None:
+        if change.value is None:
+            return
+        decoded = decode_wave(change.value)
+        if isinstance(decoded, Err):
+            self._log.error(
+                'wave ignored', key=change.key, fault=decoded.err_value
+            )
+            return
+        wave = decoded.ok_value
+        self.waves[wave.number] = wave
+        self._log.info(
+            'wave known', wave=wave.number, vms=len(wave.vms), cap=wave.cap
+        )
+        for notify in self.changed:
+            notify()
--- /dev/null
+++ b/verbenapost/scheduler/election.py
@@ -0,0 +1,245 @@
+"""Which daemon leads, by a leased key of the store."""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+from typing import Any, Final, final
+
+import msgpack
+from result import Err, Ok
+
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.store import PlatformStore
+from verbenapost.protocol.orders import (
+    Change,
+    Expectation,
+    Fault,
+    Transaction,
+    Write,
+)
+from verbenapost.scheduler.keys import LEADER_KEY, TERM_KEY
+from verbenapost.scheduler.settings import SchedulerSettings
+
+#: Share of the lease after which it is renewed.
+RENEW_SHARE: Final = 0.3
+
+#: Seconds before the lease's end from which no order is sent: an order that
+#: was judged just before may take this long to leave the process.
+LEASE_MARGIN: Final = 0.4
+
+#: Longest random wait before a campaign, in seconds, so that one candidate
+#: has written before the others have read.
+CAMPAIGN_JITTER: Final = 0.15
+
+#: Seconds between two looks while another leads.
+LOOK_SECONDS: Final = 0.1
+
+#: Seconds between two tries to renew.
+RETRY_SECONDS: Final = 0.15
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leadership:
+    """Who leads.
+
+    :param token: fencing token; rises with each leader.
+    :param daemon: name of the daemon.
+    :param start: random text of the process.
+    :param address: internal ``IP:port`` of the daemon.
+    """
+
+    token: int
+    daemon: str
+    start: str
+    address: str
+
+    def pack(self) -> bytes:
+        """Return the bytes that the key holds."""
+        packed: bytes = msgpack.packb(dataclasses.astuple(self))
+        return packed
+
+
+def unpack_leadership(packed: bytes) -> Leadership:
+    """Return who leads by the bytes of the key.
+
+    :raises ValueError: when they can't be read.
+    """
+    try:
+        return Leadership(*msgpack.unpackb(packed))
+    except TypeError as fault:
+        raise ValueError(str(fault)) from fault
+
+
+class Election:
+    """Campaigns while nobody leads and keeps the lease while it leads.
+
+    :param store: the store.
+    :param settings: settings of the daemon.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        settings: SchedulerSettings,
+        log: Any,
+    ) -> None:
+        self.current: Leadership | None = None
+        self.won = asyncio.Event()
+        self.lost = asyncio.Event()
+        self.revision = 0
+        self.resigned = False
+        self._store = store
+        self._settings = settings
+        self._log = log
+        self._start = secrets.token_hex(8)
+        self._mine: Leadership | None = None
+        self._lease = 0
+        self._valid_until: float = 0
+
+    @property
+    def token(self) -> int:
+        """Fencing token of this daemon's leadership; 0 without one."""
+        return 0 if self._mine is None else self._mine.token
+
+    def holds(self) -> bool:
+        """Return whether orders may be sent at this very moment."""
+        return (
+            self._mine is not None
+            and read_clock() < self._valid_until - LEASE_MARGIN
+        )
+
+    def take_change(self, change: Change) -> None:
+        """Take a change of the leader's key from the follower."""
+        if change.key != LEADER_KEY:
+            return
+        self.current = None
+        if change.value is not None:
+            self.current = self._read(change.value)
+        mine = self._mine
+        if mine is not None and change.revision > self.revision:
+            self.lose('the key was taken away or over')
+
+    def lose(self, reason: str) -> None:
+        """Stop to lead; the daemon starts over as an entry."""
+        if self._mine is None:
+            return
+        self._log.warning(
+            'leadership lost', token=self._mine.token, reason=reason
+        )
+        self._mine = None
+        self._valid_until = 0
+        self.won.clear()
+        self.lost.set()
+
+    async def run(self) -> None:
+        """Campaign and renew until the task is cancelled."""
+        while True:
+            vacant = self.current is None and not self.resigned
+            if self._mine:
+                await self._renew()
+            elif vacant:
+                await self._campaign()
+            else:
+                await asyncio.sleep(LOOK_SECONDS)
+
+    async def resign(self) -> None:
+        """Give the leadership up, so that another need not wait for it."""
+        self.resigned = True
+        lease = self._lease
+        if self._mine is None:
+            return
+        self.lose('the daemon stops')
+        ended = await self._store.revoke_lease(lease)
+        if isinstance(ended, Err):
+            self._log.warning('lease not ended', fault=ended.err_value.fault)
+
+    async def _campaign(self) -> None:
+        await asyncio.sleep(random.random() * CAMPAIGN_JITTER)  # noqa: S311
+        if self.current is not None:
+            return
+        term = await self._store.read_key(TERM_KEY)
+        if isinstance(term, Err):
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        last = term.ok_value
+        token = 1 if last is None else int(last.value) + 1
+        await self._write(token, 0 if last is None else last.revision)
+
+    async def _write(self, token: int, term_revision: int) -> None:
+        asked = read_clock()
+        ttl = self._settings.bounds.lease_seconds
+        lease = await self._store.grant_lease(ttl)
+        if isinstance(lease, Err):
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        claim = Leadership(
+            token,
+            self._settings.daemon,
+            self._start,
+            self._settings.internal_address,
+        )
+        transaction = Transaction(
+            expected=(
+                Expectation(LEADER_KEY, 0),
+                Expectation(TERM_KEY, term_revision),
+            ),
+            writes=(
+                Write(TERM_KEY, str(token).encode()),
+                Write(LEADER_KEY, claim.pack(), lease.ok_value),
+            ),
+        )
+        revision = await self._settle(transaction, claim)
+        if revision is None:
+            await asyncio.sleep(LOOK_SECONDS)
+            return
+        self._mine = claim
+        self._lease = lease.ok_value
+        self.revision = revision
+        self._valid_until = asked + ttl
+        self.current = claim
+        self._log.info('leadership won', token=token, revision=revision)
+        self.lost.clear()
+        self.won.set()
+
+    async def _settle(
+        self,
+        transaction: Transaction,
+        claim: Leadership,
+    ) -> int | None:
+        """Return the revision of the key when this claim has won."""
+        answer = await self._store.commit(transaction)
+        if isinstance(answer, Ok):
+            return answer.ok_value
+        found = await self._store.read_key(LEADER_KEY)
+        if isinstance(found, Err) or found.ok_value is None:
+            return None
+        if found.ok_value.value != claim.pack():
+            return None
+        return found.ok_value.revision
+
+    async def _renew(self) -> None:
+        ttl = self._settings.bounds.lease_seconds
+        asked = read_clock()
+        answer = await self._store.renew_lease(self._lease)
+        if self._mine is None:
+            return
+        if not isinstance(answer, Err):
+            self._valid_until = max(self._valid_until, asked + ttl)
+            await asyncio.sleep(ttl * RENEW_SHARE)
+            return
+        if answer.err_value.fault is Fault.NOT_FOUND:
+            self.lose('the lease has ended')
+        elif read_clock() >= self._valid_until:
+            self.lose('the lease could not be renewed')
+        else:
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _read(self, packed: bytes) -> Leadership | None:
+        try:
+            return unpack_leadership(packed)
+        except ValueError as fault:
+            self._log.warning('leader can not be read', fault=str(fault))
+            return None
--- /dev/null
+++ b/verbenapost/scheduler/fleet.py
@@ -0,0 +1,94 @@
+"""The workers of the leader, as they register themselves in the store."""
+
+from collections import Counter
+from typing import Any
+
+from result import Err
+
+from verbenapost.platform.manifest import decode_worker
+from verbenapost.platform.names import WORKER_PREFIX
+from verbenapost.protocol.orders import Change
+from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.link import LinkPorts, WorkerLink
+from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.state.workloads import WorkerEntry
+
+
+class WorkerFleet:
+    """Keeps a link to each life of a worker.
+
+    :param boards: the boards.
+    :param configuration: the operators' configuration.
+    :param ports: what a link needs.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        boards: BoardSet,
+        configuration: ConfigurationFollower,
+        ports: LinkPorts,
+        log: Any,
+    ) -> None:
+        self.links: dict[str, WorkerLink] = {}
+        self.tasks = TaskSet()
+        self._boards = boards
+        self._configuration = configuration
+        self._ports = ports
+        self._log = log
+        self._faulty: Counter[str] = Counter()
+
+    def take_change(self, change: Change) -> None:
+        """Take a change of a worker's entry."""
+        name = change.key.removeprefix(WORKER_PREFIX)
+        if change.value is None:
+            self._unlist(name)
+            return
+        entry = decode_worker(name, change.value)
+        if isinstance(entry, Err):
+            self._unlist(name)
+            self._note_faulty(name, entry.err_value)
+        elif entry.ok_value.service in self._configuration.services():
+            self._take_entry(entry.ok_value)
+        else:
+            self._unlist(name)
+            self._note_faulty(name, f'no service {entry.ok_value.service}')
+
+    def find_by_vm(self, vm: str) -> WorkerLink | None:
+        """Return the link to the worker of a VM."""
+        for link in self.links.values():
+            if not link.over and link.worker.entry.vm == vm:
+                return link
+        return None
+
+    def _take_entry(self, entry: WorkerEntry) -> None:
+        link = self.links.get(entry.worker)
+        if link is not None and not link.is_same_life(entry):
+            link.end_life('its entry shows another life')
+        if link is not None and not link.over:
+            link.update(entry)
+            self._ports.wake()
+            return
+        board = self._boards.find(entry.service)
+        link = WorkerLink(board.set_worker(entry), board, self._ports)
+        self.links[entry.worker] = link
+        self.tasks.add(link.run())
+        self._log.info(
+            'worker known',
+            worker=entry.worker,
+            vm=entry.vm,
+            pool=entry.service,
+            born=entry.born,
+            draining=entry.draining,
+        )
+
+    def _unlist(self, name: str) -> None:
+        link = self.links.get(name)
+        if link is not None:
+            link.unlist()
+
+    def _note_faulty(self, name: str, fault: str) -> None:
+        self._faulty[name] += 1
+        if self._faulty[name] == 1:
+            self._log.warning('worker entry ignored', worker=name, fault=fault)
--- /dev/null
+++ b/verbenapost/scheduler/following.py
@@ -0,0 +1,148 @@
+"""Following the keys under a prefix."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from result import Err
+
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.store import PlatformStore
+from verbenapost.protocol.orders import CallFault, Change, Fault
+
+#: Seconds that a watch waits; a connection that has gone silent shows soon.
+WATCH_SECONDS: Final = 1.0
+
+#: Seconds between two tries while the store is away.
+RETRY_SECONDS: Final = 0.3
+
+#: Revisions of removed keys that are remembered, against stale watches.
+MAX_REMOVED: Final = 20_000
+
+Notify = Callable[[Change], None]
+
+
+@final
+@dataclasses.dataclass(slots=True)
+class _Position:
+    revision: int = 0
+    listed: bool = False
+
+
+class PrefixFollower:
+    """Knows the highest revision of each key under a prefix.
+
+    Explanation
+    ===========
+
+    Answers of the store may overtake each other and a listing is no snapshot.
+    So a change counts only when its revision is above what is known of the
+    key, and a key that a listing lacks is removed only when it was known from
+    before the listing.
+
+    :param store: the store.
+    :param prefix: start of the keys.
+    :param notify: takes each change, in order of revision.
+    :param log: takes lines when the store is lost and regained.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        prefix: str,
+        notify: Notify,
+        log: Any,
+    ) -> None:
+        self.fresh_at: float = 0
+        self.values: dict[str, bytes] = {}
+        self.listed = asyncio.Event()
+        self._store = store
+        self._prefix = prefix
+        self._notify = notify
+        self._log = log
+        self._revisions: dict[str, int] = {}
+        self._position = _Position()
+        self._lost = False
+
+    async def run(self) -> None:
+        """Follow until the task is cancelled."""
+        while True:
+            read = self._watch if self._position.listed else self._list
+            fault = await read()
+            if fault is not None:
+                self._note_lost(fault)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _list(self) -> CallFault | None:
+        asked = read_clock()
+        page = await self._store.read_range(self._prefix)
+        if isinstance(page, Err):
+            return page.err_value
+        found = {item.key: item for item in page.ok_value.items}
+        revision = page.ok_value.revision
+        absent = [key for key in self.values if key not in found]
+        for key in absent:
+            if self._revisions[key] <= revision:
+                self._apply(Change(key, None, revision))
+        for item in found.values():
+            self._apply(Change(item.key, item.value, item.revision))
+        self._position.revision = revision
+        self._position.listed = True
+        self._note_fresh(asked)
+        self.listed.set()
+        return None
+
+    async def _watch(self) -> CallFault | None:
+        asked = read_clock()
+        batch = await self._store.watch(
+            self._prefix, self._position.revision, WATCH_SECONDS
+        )
+        if isinstance(batch, Err):
+            if batch.err_value.fault is Fault.NOT_FOUND:
+                self._position.listed = False
+                self._log.info(
+                    'history is gone, list again',
+                    prefix=self._prefix,
+                    after=self._position.revision,
+                )
+                return None
+            return batch.err_value
+        for change in batch.ok_value.changes:
+            self._apply(change)
+        revision = max(self._position.revision, batch.ok_value.revision)
+        self._position.revision = revision
+        self._note_fresh(asked)
+        return None
+
+    def _apply(self, change: Change) -> None:
+        if change.revision <= self._revisions.get(change.key, 0):
+            return
+        self._revisions[change.key] = change.revision
+        if change.value is None:
+            self.values.pop(change.key, None)
+            self._forget_removed()
+        else:
+            self.values[change.key] = change.value
+        self._notify(change)
+
+    def _forget_removed(self) -> None:
+        if len(self._revisions) < len(self.values) + MAX_REMOVED:
+            return
+        self._revisions = {key: self._revisions[key] for key in self.values}
+
+    def _note_fresh(self, asked: float) -> None:
+        self.fresh_at = asked
+        if self._lost:
+            self._lost = False
+            self._log.info('store regained', prefix=self._prefix)
+
+    def _note_lost(self, fault: CallFault) -> None:
+        if not self._lost:
+            self._lost = True
+            self._log.warning(
+                'store lost',
+                prefix=self._prefix,
+                fault=fault.fault.value,
+                detail=fault.detail,
+            )
--- /dev/null
+++ b/verbenapost/scheduler/intake.py
@@ -0,0 +1,114 @@
+"""The jobs of the leader, as they come by the store."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.commands import Command
+from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol.orders import Change, Item
+from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.keys import make_progress_key, parse_submitted
+from verbenapost.state.submissions import unpack_job
+from verbenapost.state.workloads import JobSpec, JobState, Route
+
+Send = Callable[[Board, list[Command]], None]
+
+
+class JobIntake:
+    """Puts each submitted job on the board of its service.
+
+    :param boards: the boards.
+    :param configuration: the operators' configuration.
+    :param send: carries commands out.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        boards: BoardSet,
+        configuration: ConfigurationFollower,
+        send: Send,
+        log: Any,
+    ) -> None:
+        #: Whether jobs that come now may have run under a former leader.
+        self.inheriting = True
+        self._boards = boards
+        self._configuration = configuration
+        self._send = send
+        self._log = log
+        self._owners: dict[str, Board] = {}
+        self._progress: dict[str, Item] = {}
+        self._cancelled: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of known jobs."""
+        return len(self._owners)
+
+    def __contains__(self, name: str) -> bool:
+        """Return whether a job is known."""
+        return name in self._owners
+
+    def keep_progress(self, stored: Mapping[str, Item]) -> None:
+        """Take what the store holds of jobs that are yet to be read."""
+        self._progress = dict(stored)
+
+    def find_job(self, name: str) -> Job | None:
+        """Return a job by its identity."""
+        board = self._owners.get(name)
+        return None if board is None else board.jobs.get(name)
+
+    def read_state(self, name: str) -> JobState | None:
+        """Return the state of a job; an end only once it is stored."""
+        job = self.find_job(name)
+        if job is None:
+            return None
+        if job.state.ended and not job.stored_state.ended:
+            return JobState.RUNNING
+        return job.state
+
+    def take_change(self, change: Change) -> None:
+        """Take a change of a key of submissions."""
+        if change.value is None:
+            return
+        key = parse_submitted(change.key)
+        if key.cancel:
+            self._cancel(key.job)
+        elif key.job not in self._owners:
+            self._take_job(key.job, change.value)
+
+    def _take_job(self, name: str, packed: bytes) -> None:
+        try:
+            self._add(unpack_job(packed))
+        except ValueError as fault:
+            self._log.error('job not readable', job=name, fault=str(fault))
+
+    def _add(self, spec: JobSpec) -> None:
+        job = Job(spec, read_clock(), inherited=self.inheriting)
+        progress = self._progress.pop(make_progress_key(spec.job), None)
+        if progress is not None:
+            job.restore(progress.value, progress.revision)
+        route = self._configuration.find_route(spec.route)
+        board = self._boards.find(spec.service)
+        board.add_job(job, route or Route(spec.route, '', '', spec.service))
+        self._owners[spec.job] = board
+        self._log.info(
+            'job taken',
+            job=spec.job,
+            route=spec.route,
+            tasks=sum(step.count for step in spec.steps),
+            steps=len(spec.steps),
+            state=job.state.value,
+        )
+        if spec.job in self._cancelled:
+            self._cancel(spec.job)
+
+    def _cancel(self, name: str) -> None:
+        self._cancelled.add(name)
+        board = self._owners.get(name)
+        if board is None:
+            return
+        self._log.info('job cancelled', job=name)
+        self._send(board, board.cancel_job(name))
--- /dev/null
+++ b/verbenapost/scheduler/keys.py
@@ -0,0 +1,50 @@
+"""Keys of the scheduler in the store."""
+
+import dataclasses
+from typing import Final, final
+
+TERM_KEY: Final = 'vp/term'
+LEADER_KEY: Final = 'vp/leader'
+SUBMITTED_PREFIX: Final = 'vp/in/'
+PROGRESS_PREFIX: Final = 'vp/at/'
+
+_SPEC: Final = 's'
+_CANCEL: Final = 'c'
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmittedKey:
+    """What a key under the prefix of submissions stands for.
+
+    :param job: identity of the job.
+    :param cancel: whether it is the mark of a cancel.
+    """
+
+    job: str
+    cancel: bool
+
+
+def make_spec_key(job: str) -> str:
+    """Return the key of a job as submitted."""
+    return f'{SUBMITTED_PREFIX}{job}/{_SPEC}'
+
+
+def make_cancel_key(job: str) -> str:
+    """Return the key of the mark that a job is cancelled."""
+    return f'{SUBMITTED_PREFIX}{job}/{_CANCEL}'
+
+
+def make_progress_key(job: str) -> str:
+    """Return the key of a job's progress."""
+    return f'{PROGRESS_PREFIX}{job}'
+
+
+def parse_submitted(key: str) -> SubmittedKey:
+    """Return what a key stands for.
+
+    >>> parse_submitted('vp/in/5c0e7a21d94b36f8/c')
+    SubmittedKey(job='5c0e7a21d94b36f8', cancel=True)
+    """
+    job, _, kind = key.removeprefix(SUBMITTED_PREFIX).partition('/')
+    return SubmittedKey(job, cancel=kind == _CANCEL)
--- /dev/null
+++ b/verbenapost/scheduler/leader.py
@@ -0,0 +1,216 @@
+"""The part of a daemon that leads."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Sequence
+from typing import Any, Final
+
+from result import Err
+
+from verbenapost.coordination.scheduling.admission import (
+    Demand,
+    judge_demand,
+)
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.commands import Command, StartTask
+from verbenapost.coordination.scheduling.planning import Moment, Planner
+from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.names import WORKER_PREFIX
+from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.fleet import WorkerFleet
+from verbenapost.scheduler.following import PrefixFollower
+from verbenapost.scheduler.intake import JobIntake
+from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
+from verbenapost.scheduler.link import LinkPorts
+from verbenapost.scheduler.messages import AskRoom, Room
+from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.recorder import Recorder
+from verbenapost.scheduler.tasks import TaskSet
+
+#: Seconds between two rounds of planning when nothing happens.
+ROUND_SECONDS: Final = 0.1
+
+#: Shortest time between two rounds in seconds, so that many ends make one.
+ROUND_GAP: Final = 0.01
+
+#: How many times the longest lease a worker that doesn't answer is waited
+#: for after a takeover: its clock may be slow, and orders take their time.
+SETTLE_FACTOR: Final = 1.05
+
+#: Seconds between two tries to read the store at takeover.
+RETRY_SECONDS: Final = 0.2
+
+
+class Leader:
+    """Lives from a takeover to the loss of the leadership.
+
+    :param ports: what it needs.
+    """
+
+    def __init__(self, ports: LeaderPorts) -> None:
+        self.ready = False
+        self._ports = ports
+        self._log = make_logger('leader')
+        self._boards = BoardSet(ports.election.token)
+        self._began = read_clock()
+        self._wake = asyncio.Event()
+        self._tasks = TaskSet()
+        self.jobs = JobIntake(
+            self._boards, ports.configuration, self.send, make_logger('jobs')
+        )
+        self._recorder = Recorder(
+            ports.store,
+            ports.election,
+            self.jobs.find_job,
+            make_logger('recorder'),
+        )
+        self._fleet = WorkerFleet(
+            self._boards,
+            ports.configuration,
+            LinkPorts(
+                ports.workers,
+                ports.election,
+                self._recorder,
+                ports.settings.bounds.hold_seconds,
+                self._wake.set,
+                self.send,
+                make_logger('worker'),
+            ),
+            make_logger('fleet'),
+        )
+
+    async def run(self) -> None:
+        """Take over and lead until the leadership is lost."""
+        try:
+            await self._take_over()
+            while self._ports.election.holds():
+                self._run_round()
+                await self._pause()
+        finally:
+            await self.close()
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        self.ready = False
+        await self._fleet.tasks.close()
+        await self._tasks.close()
+
+    async def hand_over(self) -> None:
+        """Write what is not written yet, before the leadership is given up."""
+        await self._recorder.drain()
+
+    def count_pending(self, route: str) -> int:
+        """Return the jobs of a route of which nothing has started."""
+        return self._boards.count_pending(route)
+
+    def judge(self, ask: AskRoom) -> Room:
+        """Return whether a job may be accepted now."""
+        if ask.job in self.jobs:
+            return Room(accepted=True, known=True)
+        route = self._ports.configuration.find_route(ask.route)
+        if route is None:
+            return Room(accepted=True)
+        board = self._boards.find(ask.service)
+        verdict = judge_demand(
+            board, Demand(ask.core_seconds, route), read_clock()
+        )
+        self._log.info(
+            'job admitted' if verdict.accepted else 'job refused',
+            job=ask.job,
+            route=ask.route,
+            wait=round(verdict.wait, 3),
+            limit=round(verdict.limit, 3),
+            retry_after=round(verdict.retry_after, 2),
+        )
+        return Room(
+            verdict.accepted,
+            retry_after=verdict.retry_after,
+            wait=verdict.wait,
+        )
+
+    def send(self, board: Board, commands: Sequence[Command]) -> None:
+        """Carry commands out."""
+        for command in commands:
+            self._send_one(board, command)
+
+    def _send_one(self, board: Board, command: Command) -> None:
+        link = self._fleet.links.get(command.worker)
+        if link is None:
+            return
+        self._log.info(
+            'order',
+            kind=type(command).__name__,
+            job=command.task.key.job,
+            task=dataclasses.astuple(command.task.key)[1:],
+            run=command.run,
+            worker=command.worker,
+            pool=board.service,
+        )
+        if isinstance(command, StartTask):
+            self._tasks.add(link.start(command))
+        else:
+            self._tasks.add(link.stop(command))
+
+    async def _take_over(self) -> None:
+        token = self._ports.election.token
+        self._log.info('takeover begins', token=token)
+        await self._ports.configuration.known.wait()
+        await self._read_progress()
+        self.jobs.inheriting = token > 1
+        self._tasks.add(self._recorder.run())
+        await self._follow(SUBMITTED_PREFIX, self.jobs.take_change)
+        await self._follow(WORKER_PREFIX, self._fleet.take_change)
+        self.jobs.inheriting = False
+        self.ready = True
+        self._log.info(
+            'takeover read',
+            jobs=len(self.jobs),
+            workers=len(self._fleet.links),
+            seconds=round(read_clock() - self._began, 3),
+        )
+
+    async def _read_progress(self) -> None:
+        while self._ports.election.holds():
+            page = await self._ports.store.read_range(PROGRESS_PREFIX)
+            if not isinstance(page, Err):
+                stored = page.ok_value.items
+                self.jobs.keep_progress({item.key: item for item in stored})
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow(self, prefix: str, take: Any) -> None:
+        def notify(change: Any) -> None:
+            take(change)
+            self._wake.set()
+
+        follower = PrefixFollower(self._ports.store, prefix, notify, self._log)
+        self._tasks.add(follower.run())
+        await follower.listed.wait()
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(ROUND_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(ROUND_GAP)
+
+    def _run_round(self) -> None:
+        self._wake.clear()
+        moment = Moment(read_clock(), time.time())
+        for board in self._boards:
+            self._settle(board, moment.now)
+            self.send(board, Planner(board, moment).plan())
+            self._recorder.mark(board.take_dirty())
+
+    def _settle(self, board: Board, now: float) -> None:
+        """End the pause for jobs that a former leader may have started."""
+        if not board.unsettled:
+            return
+        asked = all(worker.adopted for worker in board.workers.values())
+        longest = self._ports.settings.bounds.hold_seconds * SETTLE_FACTOR
+        if asked or now - self._began > longest:
+            board.unsettled = False
+            self._log.info('pool settled', pool=board.service, asked=asked)
--- /dev/null
+++ b/verbenapost/scheduler/link.py
@@ -0,0 +1,279 @@
+"""Orders to one worker and its lists."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import Any, Final, final
+
+from result import Err
+
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.commands import (
+    Command,
+    StartTask,
+    StopTask,
+)
+from verbenapost.coordination.scheduling.leases import LeaseClock
+from verbenapost.coordination.scheduling.reports import ReportReader
+from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.workers import WorkerClient
+from verbenapost.protocol.orders import (
+    CallFault,
+    Fault,
+    RunEnd,
+    RunStart,
+    WorkerReport,
+)
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.recorder import Recorder
+from verbenapost.state.workloads import WorkerEntry
+
+#: Seconds that a worker may wait for an end before it answers. Leases are
+#: renewed as often, and have to outlast a change of the leader.
+HOLD_WAIT: Final = 1.5
+
+#: Seconds between two tries to reach a worker.
+RETRY_SECONDS: Final = 0.25
+
+#: Seconds within which a worker has to get a start; later it refuses it.
+START_SECONDS: Final = 1.5
+
+#: Seconds between two tries to stop a run.
+STOP_RETRY_SECONDS: Final = 0.3
+
+#: Tries to stop a run before the worker's next list decides.
+STOP_TRIES: Final = 5
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkPorts:
+    """What a link to a worker needs.
+
+    :param client: calls of workers.
+    :param election: whether orders may be sent.
+    :param recorder: writes ends into the store.
+    :param hold_seconds: longest lease of a run.
+    :param wake: has the boards plan again.
+    :param send: carries commands out.
+    :param log: log of this part.
+    """
+
+    client: WorkerClient
+    election: Election
+    recorder: Recorder
+    hold_seconds: float
+    wake: Callable[[], None]
+    send: Callable[[Board, Sequence[Command]], None]
+    log: Any
+
+
+class WorkerLink:
+    """Keeps the leases of one life of a worker and reads its lists.
+
+    :param worker: the worker, on its board.
+    :param board: the board of its pool.
+    :param ports: what it needs.
+    """
+
+    def __init__(self, worker: Worker, board: Board, ports: LinkPorts) -> None:
+        self.over = False
+        self.clock = LeaseClock()
+        self.worker = worker
+        self._born = worker.entry.born
+        self._board = board
+        self._ports = ports
+        self._acknowledged = 0
+        # The leader before may have sent leases until it was replaced.
+        self.clock.note_unknown_lease(read_clock(), ports.hold_seconds)
+
+    @property
+    def name(self) -> str:
+        """Identity of the worker."""
+        return self.worker.entry.worker
+
+    async def run(self) -> None:
+        """Hold the worker until its life is over or the leadership is."""
+        while not self.over and self._ports.election.holds():
+            if not await self._hold():
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def start(self, command: StartTask) -> None:
+        """Send a start and note its outcome."""
+        task = command.task
+        if not self.clock.known or not self._ports.election.holds():
+            self._fail_start(command, CallFault(Fault.NOT_DONE, 'not sent'))
+            return
+        deadline = self.clock.make_deadline(read_clock(), START_SECONDS)
+        self.clock.note_lease(deadline)
+        order = RunStart(
+            task.key,
+            command.run,
+            command.payload,
+            deadline,
+            self._ports.election.token,
+            task.checkpoint,
+            command.ticket,
+        )
+        sent = read_clock()
+        answer = await self._ports.client.start(self.worker.entry, order)
+        if isinstance(answer, Err):
+            self._fail_start(command, answer.err_value)
+            return
+        now = read_clock()
+        self.clock.observe(answer.ok_value, sent, now)
+        self._board.note_started(task, command.run, now)
+
+    async def stop(self, command: StopTask) -> None:
+        """Send a stop until it is acknowledged or has become pointless."""
+        for _ in range(STOP_TRIES):
+            if self.over or not self._ports.election.holds():
+                return
+            answer = await self._ports.client.stop(
+                self.worker.entry,
+                command.task.key,
+                command.run,
+                self._ports.election.token,
+            )
+            if not isinstance(answer, Err):
+                self._board.note_stopped(
+                    command.task, command.run, read_clock()
+                )
+                return
+            if self._is_final(answer.err_value):
+                return
+            await asyncio.sleep(STOP_RETRY_SECONDS)
+
+    def is_same_life(self, entry: WorkerEntry) -> bool:
+        """Return whether an entry is of the life that this link holds."""
+        known = self.worker.entry
+        return (entry.born, entry.service) == (known.born, known.service)
+
+    def update(self, entry: WorkerEntry) -> None:
+        """Take a newer entry of the same life."""
+        known = self.worker.entry
+        self.worker.entry = entry
+        self.worker.listed = True
+        if entry.draining != known.draining:
+            self._ports.log.info(
+                'worker drains', worker=self.name, draining=entry.draining
+            )
+
+    def unlist(self) -> None:
+        """Note that the entry is gone; what runs there goes on."""
+        if self.worker.listed:
+            self.worker.listed = False
+            self._ports.log.info('worker entry gone', worker=self.name)
+
+    def end_life(self, reason: str) -> None:
+        """Free the tasks of the worker, whose life is over."""
+        if self.over:
+            return
+        self.over = True
+        lost = self._board.lose_worker(self.name)
+        self._ports.log.warning(
+            'worker lost', worker=self.name, reason=reason, tasks=len(lost)
+        )
+        self._ports.wake()
+
+    def _fail_start(self, command: StartTask, fault: CallFault) -> None:
+        self._ports.log.info(
+            'start not confirmed',
+            job=command.task.key.job,
+            task=dataclasses.astuple(command.task.key)[1:],
+            run=command.run,
+            worker=self.name,
+            fault=fault.fault.value,
+            detail=fault.detail,
+        )
+        self._board.note_start_failed(
+            command.task, command.run, fault.fault, read_clock()
+        )
+        self._is_final(fault)
+        self._ports.wake()
+
+    def _is_final(self, fault: CallFault) -> bool:
+        """Act on a fault that ends the leadership or the worker's life."""
+        if fault.fault is Fault.FENCED:
+            self._ports.election.lose('a worker has seen a higher token')
+            return True
+        if fault.fault is Fault.OTHER_LIFE:
+            self.end_life('another life answers')
+            return True
+        return False
+
+    async def _hold(self) -> bool:
+        sent = read_clock()
+        deadline = None
+        if self.clock.known:
+            deadline = self.clock.make_deadline(
+                sent, self._ports.hold_seconds, latest=True
+            )
+            self.clock.note_lease(deadline)
+        wait = HOLD_WAIT if self.worker.adopted else 0
+        answer = await self._ports.client.hold(
+            self.worker.entry,
+            self._ports.election.token,
+            self._acknowledged,
+            deadline,
+            wait,
+        )
+        if isinstance(answer, Err):
+            self._note_unreachable(answer.err_value)
+            return False
+        await self._take_report(answer.ok_value, sent)
+        return True
+
+    async def _take_report(self, report: WorkerReport, sent: float) -> None:
+        now = read_clock()
+        self.clock.observe(report.clock, now, now)
+        if report.born not in {None, self._born}:
+            self.end_life('it was born again')
+            return
+        worker = self.worker
+        if not worker.reachable:
+            self._ports.log.info('worker reached', worker=self.name)
+        worker.reachable = True
+        ends = [end for end in report.ends if end.number > self._acknowledged]
+        reader = ReportReader(self._board, worker, now)
+        commands = reader.apply(report, ends, sent)
+        worker.adopted = True
+        self._ports.send(self._board, commands)
+        self._ports.wake()
+        await self._store_ends(ends)
+
+    async def _store_ends(self, ends: list[RunEnd]) -> None:
+        """Acknowledge ends only after the store has what they change."""
+        written = self._ports.recorder.mark(self._board.take_dirty())
+        if not ends:
+            return
+        await asyncio.gather(*written)
+        self._acknowledged = max(end.number for end in ends)
+
+    def _note_unreachable(self, fault: CallFault) -> None:
+        if self._is_final(fault):
+            return
+        worker = self.worker
+        if worker.reachable:
+            self._ports.log.warning(
+                'worker not reached',
+                worker=self.name,
+                fault=fault.fault.value,
+                detail=fault.detail,
+            )
+        worker.reachable = False
+        if not self.clock.is_lapsed(read_clock()):
+            return
+        if worker.listed:
+            self._free_lapsed()
+        else:
+            self.end_life('its leases have lapsed and its entry is gone')
+
+    def _free_lapsed(self) -> None:
+        lost = self._board.free_tasks(self.worker)
+        if lost:
+            self._ports.log.warning(
+                'leases lapsed', worker=self.name, tasks=len(lost)
+            )
+            self._ports.wake()
--- /dev/null
+++ b/verbenapost/scheduler/ports.py
@@ -0,0 +1,32 @@
+"""What the leader needs from its daemon."""
+
+import dataclasses
+from typing import final
+
+from verbenapost.platform.cloud import CloudClient
+from verbenapost.platform.store import PlatformStore
+from verbenapost.platform.workers import WorkerClient
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.settings import SchedulerSettings
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaderPorts:
+    """What the leader needs.
+
+    :param settings: settings of the daemon.
+    :param store: the store.
+    :param workers: calls of workers.
+    :param cloud: calls of the cloud, where there is one.
+    :param election: who leads.
+    :param configuration: the operators' configuration.
+    """
+
+    settings: SchedulerSettings
+    store: PlatformStore
+    workers: WorkerClient
+    cloud: CloudClient | None
+    election: Election
+    configuration: ConfigurationFollower
--- /dev/null
+++ b/verbenapost/scheduler/recorder.py
@@ -0,0 +1,179 @@
+"""Writes what the boards have changed into the store."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Final, final
+
+from result import Err
+
+from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.platform.store import PlatformStore
+from verbenapost.protocol.orders import (
+    CallFault,
+    Conflict,
+    Expectation,
+    Transaction,
+    Write,
+)
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.keys import LEADER_KEY, make_progress_key
+from verbenapost.state.workloads import JobState
+
+#: Jobs of one transaction: two of the store's 32 entries each, and one for
+#: the leader's key.
+BATCH_JOBS: Final = 15
+
+#: Seconds that changes gather before a transaction; a store answer takes 4 ms
+#: and each call is paid for.
+GATHER_SECONDS: Final = 0.02
+
+#: Seconds between two tries of a transaction.
+RETRY_SECONDS: Final = 0.1
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    job: Job
+    packed: bytes
+    state: JobState
+
+
+class Recorder:
+    """Keeps one transaction in flight; the next gathers meanwhile.
+
+    Explanation
+    ===========
+
+    A transaction expects the leader's key and each job's progress as this
+    leader knows them. So a former leader can't write, and a late copy of an
+    earlier transaction finds another revision and does nothing.
+
+    :param store: the store.
+    :param election: who leads.
+    :param find: returns a job by its identity.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        election: Election,
+        find: Callable[[str], Job | None],
+        log: Any,
+    ) -> None:
+        self._store = store
+        self._election = election
+        self._find = find
+        self._log = log
+        self._dirty: dict[str, list[asyncio.Future[None]]] = {}
+        self._wake = asyncio.Event()
+
+    def mark(self, jobs: Iterable[str]) -> list[asyncio.Future[None]]:
+        """Have jobs written; the futures end when they are."""
+        futures = []
+        loop = asyncio.get_running_loop()
+        for job in jobs:
+            future: asyncio.Future[None] = loop.create_future()
+            self._dirty.setdefault(job, []).append(future)
+            futures.append(future)
+        if futures:
+            self._wake.set()
+        return futures
+
+    async def run(self) -> None:
+        """Write until the task is cancelled or the leadership is lost."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(GATHER_SECONDS)
+            batch = self._take()
+            if not batch:
+                self._wake.clear()
+                continue
+            entries = [
+                _Entry(job, job.pack(), job.state)
+                for job in map(self._find, batch)
+                if job is not None
+            ]
+            await self._write(entries)
+            for futures in batch.values():
+                _resolve(futures)
+
+    async def drain(self) -> None:
+        """Wait until all that is dirty now is written."""
+        await asyncio.gather(*self.mark(list(self._dirty)))
+
+    def _take(self) -> dict[str, list[asyncio.Future[None]]]:
+        chosen = list(self._dirty)[:BATCH_JOBS]
+        return {job: self._dirty.pop(job) for job in chosen}
+
+    async def _write(self, entries: Sequence[_Entry]) -> None:
+        while entries:
+            answer = await self._store.commit(self._make(entries))
+            if not isinstance(answer, Err):
+                self._note_written(entries, answer.ok_value)
+                return
+            fault = answer.err_value
+            if isinstance(fault, CallFault):
+                self._log.warning(
+                    'write not confirmed',
+                    jobs=len(entries),
+                    fault=fault.fault.value,
+                    detail=fault.detail,
+                )
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            entries = self._compare(entries, fault)
+
+    def _make(self, entries: Sequence[_Entry]) -> Transaction:
+        expected = [
+            Expectation(make_progress_key(row.job.spec.job), row.job.revision)
+            for row in entries
+        ]
+        return Transaction(
+            (Expectation(LEADER_KEY, self._election.revision), *expected),
+            [
+                Write(make_progress_key(row.job.spec.job), row.packed)
+                for row in entries
+            ],
+        )
+
+    def _note_written(self, entries: Sequence[_Entry], revision: int) -> None:
+        for row in entries:
+            row.job.revision = revision
+            row.job.stored_state = row.state
+            if row.state.ended:
+                self._log.info(
+                    'end stored',
+                    job=row.job.spec.job,
+                    state=row.state.value,
+                    revision=revision,
+                )
+
+    def _compare(
+        self,
+        entries: Sequence[_Entry],
+        conflict: Conflict,
+    ) -> list[_Entry]:
+        """Return the entries that an earlier try has not written."""
+        found = {item.key: item for item in conflict.items}
+        leader = found.get(LEADER_KEY)
+        if leader is None or leader.revision != self._election.revision:
+            self._election.lose('a write found another leader')
+            return []
+        left = []
+        for row in entries:
+            item = found.get(make_progress_key(row.job.spec.job))
+            if item is not None and item.value == row.packed:
+                self._note_written([row], item.revision)
+                continue
+            row.job.revision = 0 if item is None else item.revision
+            left.append(row)
+        return left
+
+
+def _resolve(futures: Sequence[asyncio.Future[None]]) -> None:
+    for future in futures:
+        if not future.done():
+            future.set_result(None)
--- /dev/null
+++ b/verbenapost/scheduler/settings.py
@@ -0,0 +1,139 @@
+"""Settings of a daemon on the platform, checked as a whole."""
+
+import json
+from pathlib import Path
+from typing import Any, Final, final
+
+import pydantic
+from result import Err, Ok, Result
+
+_MS: Final = 1000
+
+
+@final
+class Listen(pydantic.BaseModel):
+    """Where the daemon listens.
+
+    :param callers: ``IP:port`` for callers.
+    :param probes: ``IP:port`` for the platform's readiness probes.
+    :param internal_ports: first and last port for daemons.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+    callers: str
+    probes: str
+    internal_ports: tuple[int, int]
+
+
+@final
+class StoreAddress(pydantic.BaseModel):
+    """The platform's store and the rates that all daemons share."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+    address: str
+    writes_per_second: float = 400
+    reads_per_second: float = 2000
+
+
+@final
+class CloudAddress(pydantic.BaseModel):
+    """The interface that moves and maintains VMs."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+    address: str
+    orders_per_second: float = 64
+
+
+@final
+class Bounds(pydantic.BaseModel):
+    """Times that the platform keeps to and expects, in its own units.
+
+    Unknown ones are ignored, since a later version of the platform may bring
+    more.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='ignore')
+
+    drain_ms: float = 2000
+    grace_s: float = 6
+    config_apply_ms: float = 2000
+    max_hold_ms: float = 6000
+    stop_timeout_ms: float = 200
+    gang_timeout_ms: float = 3000
+    cancel_ms: float = 3000
+    early_ms: float = 250
+    status_s: float = 120
+    spread_factor: float = 2
+    notice_ms: float = 4500
+    move_s: float = 1.5
+    maintenance_s: float = 2
+    lease_ms: float = 3000
+    harm_ms: float = 4000
+    ack_ms: float = 4000
+
+    @property
+    def lease_seconds(self) -> float:
+        """Seconds of the leader's lease."""
+        return self.lease_ms / _MS
+
+    @property
+    def hold_seconds(self) -> float:
+        """Longest lease of a run in seconds."""
+        return self.max_hold_ms / _MS
+
+
+@final
+class SchedulerSettings(pydantic.BaseModel):
+    """All settings of a daemon.
+
+    :param daemon: unique name of the VM that it runs on.
+    :param data_centre: where it runs.
+    :param address: IP number of the VM.
+    :param advice_address: ``IP:port`` of the policy's service, if any.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+    daemon: str
+    data_centre: str
+    address: str
+    listen: Listen
+    store: StoreAddress
+    cloud: CloudAddress | None = None
+    advice_address: str | None = None
+    bounds: Bounds = Bounds()
+
+    @property
+    def internal_port(self) -> int:
+        """Port at which the daemon answers other daemons."""
+        return self.listen.internal_ports[0]
+
+    @property
+    def metrics_port(self) -> int:
+        """Port at which the daemon shows its metrics."""
+        return self.internal_port + 10
+
+    @property
+    def internal_address(self) -> str:
+        """Address at which the daemon answers other daemons."""
+        return f'{self.address}:{self.internal_port}'
+
+
+def load_settings(path: Path) -> Result[SchedulerSettings, str]:
+    """Return the settings in a file, or every fault in it, one a line."""
+    try:
+        fields: Any = json.loads(path.read_text())
+    except (OSError, ValueError) as fault:
+        return Err(f'{path}: {fault}')
+    try:
+        return Ok(SchedulerSettings.model_validate(fields))
+    except pydantic.ValidationError as refusal:
+        return Err('\n'.join(map(_describe, refusal.errors())))
+
+
+def _describe(row: Any) -> str:
+    place = '.'.join(map(str, row['loc']))
+    return f'{place}: {row["msg"]}'
--- /dev/null
+++ b/verbenapost/scheduler/tasks.py
@@ -0,0 +1,37 @@
+"""Asyncio tasks that live as long as their owner."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from verbenapost.daemon.logs import make_logger
+
+
+class TaskSet:
+    """Starts tasks, logs what breaks in one, and ends them together."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._log = make_logger('tasks')
+
+    def add(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a task."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._drop)
+        return task
+
+    async def close(self) -> None:
+        """Cancel all tasks and wait for their ends."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _drop(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        fault = task.exception()
+        if fault is not None:
+            self._log.error('task broke', task=repr(task), exc_info=fault)
--- /dev/null
+++ b/verbenapost/state/submissions.py
@@ -0,0 +1,38 @@
+"""Submitted jobs as they lie in the store."""
+
+import dataclasses
+from typing import Any
+
+import msgpack
+
+from verbenapost.state.workloads import JobSpec, Size, StepSpec
+
+
+def pack_job(spec: JobSpec) -> bytes:
+    """Return the bytes of a job.
+
+    >>> spec = JobSpec('5c0e7a21d94b36f8', 'plan', 'x', (StepSpec(2),))
+    >>> unpack_job(pack_job(spec)) == spec
+    True
+    """
+    packed: bytes = msgpack.packb(dataclasses.asdict(spec))
+    return packed
+
+
+def unpack_job(packed: bytes) -> JobSpec:
+    """Return the job of some bytes.
+
+    :raises ValueError: when they can't be read.
+    """
+    fields: Any = msgpack.unpackb(packed)
+    try:
+        steps = tuple(_read_step(row) for row in fields.pop('steps'))
+        return JobSpec(steps=steps, **fields)
+    except (AttributeError, KeyError, TypeError) as fault:
+        raise ValueError(f'the job can not be read: {fault}') from fault
+
+
+def _read_step(row: dict[str, Any]) -> StepSpec:
+    size = Size(**row.pop('size'))
+    after = tuple(row.pop('after'))
+    return StepSpec(size=size, after=after, **row)
