Move VMs with the demand, maintain waves, keep a suspended leader

Change: demand meter, capacity planner, evacuation within may_miss, wave planner, keeper; a worker that does not answer gets no further lease; a leader that can not reach the store is suspended and not deposed. Ruled out: counting VMs that are being emptied as capacity.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -27,12 +27,14 @@
 class Demand:
     """A job that asks for room.
 
-    :param core_seconds: work that it declares.
     :param route: route that it came by.
+    :param steps: steps of its longest chain.
+    :param incoming: cores on their way into the pool.
     """
 
-    core_seconds: float
     route: Route
+    steps: int = 1
+    incoming: float = 0
 
 
 @final
@@ -59,9 +61,9 @@
     :param demand: the job.
     :param now: local seconds.
     """
-    wait = estimate_wait(board, now)
+    wait = estimate_wait(board, demand.incoming, now)
     route = demand.route
-    chain = board.run_times.estimate(route.name)
+    chain = demand.steps * board.run_times.estimate(route.name)
     limit = PATIENCE * ((route.slack_factor - 1) * chain + route.target_latency)
     if wait <= limit:
         return Verdict(accepted=True, wait=wait, limit=limit)
@@ -71,13 +73,18 @@
     )
 
 
-def estimate_wait(board: Board, now: float) -> float:
-    """Return the seconds until the work that waits now has started."""
-    cores = sum(
+def estimate_wait(board: Board, incoming: float, now: float) -> float:
+    """Return the seconds until the work that waits now has started.
+
+    :param incoming: cores on their way into the pool.
+    :param now: local seconds.
+    """
+    cores: float = sum(
         worker.entry.room.cpu
         for worker in board.workers.values()
         if worker.can_take(now) or not worker.adopted
     )
+    cores += incoming * _MILLI
     waiting = sum(
         task.step.size.cpu * board.run_times.estimate(job.spec.route)
         for job in board.open_jobs()
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Iterator
 from typing import Any, Final
 
@@ -50,6 +51,7 @@
     :param percent: share of its speed that it is allowed.
     :param load: last figure of its worker for it.
     :param seen_at: local seconds at which its worker last answered for it.
+    :param stop_asked_at: local seconds at which its stop was last ordered.
     :param stop_sent: whether a stop of this run was acknowledged.
     """
 
@@ -64,6 +66,7 @@
     percent: int = 100
     load: float = 0
     seen_at: float = 0
+    stop_asked_at: float = -math.inf
     stop_sent: bool = False
 
 
--- a/verbenapost/coordination/scheduling/placing.py
+++ b/verbenapost/coordination/scheduling/placing.py
@@ -10,10 +10,18 @@
     measure_task,
 )
 
-Rank = tuple[bool, bool, int, str]
+Rank = tuple[int, int, str]
 Tickets = Mapping[str, str]
 
+#: Tasks of a step that lasts which share a worker while another has room.
+LASTING_TOGETHER: Final = 2
+
 _ANY_NUMBER: Final = 0
+# Each weighs more than all that follow together.
+_FAR: Final = 8
+_HARMFUL: Final = 4
+_CROWDED: Final = 2
+_APART: Final = 1
 
 
 def choose_worker(
@@ -26,9 +34,10 @@
     Explanation
     ===========
 
-    Tasks that last are spread, so that the loss of a worker takes few of
-    them; others are packed, so that workers fall empty and can leave. The
-    rack of the data goes first, since any other makes the task slow.
+    Tasks are packed, so that workers fall empty and can leave; those that
+    last keep to workers that have such tasks already, but no more than two of
+    a step to each, so that the loss of a worker takes few of them. The rack of
+    the data goes first, since any other makes the task slow.
 
     :param step: step of the task.
     :param workers: those that may take new tasks.
@@ -92,9 +101,18 @@
 
 
 def _rank(step: StepRun, worker: Worker) -> Rank:
+    free = worker.entry.room.cpu - worker.used.cpu
+    order = -free if step.spec.fills else free
+    return _weigh(step, worker), order, worker.entry.worker
+
+
+def _weigh(step: StepRun, worker: Worker) -> int:
+    """Return the weight of what speaks against a worker."""
     spec = step.spec
     far = bool(spec.affinity) and spec.affinity not in worker.entry.labels
     harmful = spec.fills and worker.serves()
-    free = worker.entry.room.cpu - worker.used.cpu
-    spread = spec.long_running or spec.fills
-    return far, harmful, -free if spread else free, worker.entry.worker
+    weight = far * _FAR + harmful * _HARMFUL
+    if spec.long_running and not spec.fills:
+        crowded = worker.count_step(step) >= LASTING_TOGETHER
+        weight += crowded * _CROWDED + (not worker.has_lasting()) * _APART
+    return weight
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -1,6 +1,7 @@
 """Which waiting tasks start now, and where."""
 
 import dataclasses
+import math
 from collections.abc import Iterator
 from typing import final
 
@@ -130,6 +131,7 @@
         task.run = max(task.run + 1, self._board.first_run)
         task.started_at = self._moment.now
         task.stop_sent = False
+        task.stop_asked_at = -math.inf
         task.percent = 100
         worker.book(task)
         ticket = '' if tickets is None else tickets.get(name, '')
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -15,6 +15,9 @@
 )
 from verbenapost.state.workloads import JobState, StepSpec
 
+#: Seconds after which a stop that had no answer is ordered again.
+STOP_AGAIN_SECONDS: Final = 1.0
+
 _RUNS: Final = frozenset((TaskState.RUNNING, TaskState.STOPPING))
 
 
@@ -99,7 +102,7 @@
             task.seen_at = self._now
             task.state = TaskState.STOPPING
             self._worker.book(task)
-            return [StopTask(task.worker, task, task.run)]
+            return self._stop(task)
         if task.state is not TaskState.STOPPING:
             self._worker.book(task)
             self._board.note_running(task, self._now)
@@ -111,11 +114,20 @@
         A stop also bars a start that is still on its way.
         """
         return [
-            StopTask(task.worker, task, task.run)
+            command
             for task in self._worker.tasks.values()
-            if task.state is TaskState.UNSURE and not task.stop_sent
+            if task.state is TaskState.UNSURE
+            for command in self._stop(task)
         ]
 
+    def _stop(self, task: Task) -> list[Command]:
+        """Return a stop, unless one is acknowledged or on its way."""
+        waited = self._now - task.stop_asked_at
+        if task.stop_sent or waited < STOP_AGAIN_SECONDS:
+            return []
+        task.stop_asked_at = self._now
+        return [StopTask(task.worker, task, task.run)]
+
     def _finish(self, task: Task, *, current: bool) -> list[Command]:
         board = self._board
         job = board.jobs[task.key.job]
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -85,6 +85,10 @@
         if self.tasks.pop(task.key, None) is not None:
             self.used = self.used.minus(measure_task(task.step))
 
+    def has_lasting(self) -> bool:
+        """Return whether a task runs there that lasts until cancelled."""
+        return any(task.step.long_running for task in self.tasks.values())
+
     def serves(self) -> bool:
         """Return whether a task runs there that has users of its own."""
         return any(task.step.target for task in self.tasks.values())
--- a/verbenapost/scheduler/configuration.py
+++ b/verbenapost/scheduler/configuration.py
@@ -1,7 +1,7 @@
 """The operators' configuration in a daemon."""
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Any
 
 from result import Err
@@ -13,6 +13,7 @@
     FleetConfiguration,
     MaintenanceWave,
     Route,
+    Service,
 )
 
 
@@ -41,6 +42,10 @@
         """Return a route, also one that was removed since."""
         return self._routes.get(name)
 
+    def find_services(self) -> Mapping[str, Service]:
+        """Return the services in force by name."""
+        return {} if self.current is None else self.current.services
+
     def services(self) -> Collection[str]:
         """Return the names of the services in force."""
         return () if self.current is None else self.current.services
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -104,6 +104,11 @@
         """Fencing token of this daemon's leadership; 0 without one."""
         return 0 if self._mine is None else self._mine.token
 
+    @property
+    def leads(self) -> bool:
+        """Whether the leadership is not lost, though it may be in doubt."""
+        return self._mine is not None
+
     def holds(self) -> bool:
         """Return whether orders may be sent at this very moment."""
         return (
@@ -232,9 +237,9 @@
             return
         if answer.err_value.fault is Fault.NOT_FOUND:
             self.lose('the lease has ended')
-        elif read_clock() >= self._valid_until:
-            self.lose('the lease could not be renewed')
         else:
+            # The lease may live on while the store is away; until it is
+            # renewed or known to have ended, no order is sent.
             await asyncio.sleep(RETRY_SECONDS)
 
     def _read(self, packed: bytes) -> Leadership | None:
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -171,7 +171,13 @@
         except FieldError as refusal:
             return refuse(Status.INVALID, str(refusal))
         room = await self._leader.ask(
-            AskRoom(name, route.name, route.service, _measure_work(spec)),
+            AskRoom(
+                name,
+                route.name,
+                route.service,
+                _count_cores(spec),
+                _count_steps(spec),
+            ),
         )
         if isinstance(room, Err):
             self._log.info('leader not asked', job=name, reason=room.err_value)
@@ -334,9 +340,19 @@
     return refuse(Status.TIMEOUT, 'not known whether it was stored')
 
 
-def _measure_work(spec: JobSpec) -> float:
-    """Return the core-seconds that a job declares."""
+def _count_cores(spec: JobSpec) -> float:
+    """Return the cores of all tasks together, but for what lasts."""
     return sum(
-        step.count * step.size.cpu / _MILLI * step.estimate
+        step.count * step.size.cpu / _MILLI
         for step in spec.steps
+        if not step.long_running
     )
+
+
+def _count_steps(spec: JobSpec) -> int:
+    """Return the number of steps in the longest chain."""
+    depths: list[int] = []
+    for step in spec.steps:
+        before = (depths[number] for number in step.after)
+        depths.append(1 + max(before, default=0))
+    return max(depths)
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -1,10 +1,14 @@
 """The workers of the leader, as they register themselves in the store."""
 
+import dataclasses
 from collections import Counter
+from collections.abc import Sequence
 from typing import Any
 
 from result import Err
 
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.commands import Command, StartTask
 from verbenapost.platform.manifest import decode_worker
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.protocol.orders import Change
@@ -55,6 +59,26 @@
             self._unlist(name)
             self._note_faulty(name, f'no service {entry.ok_value.service}')
 
+    def send(self, board: Board, commands: Sequence[Command]) -> None:
+        """Carry commands out."""
+        for command in commands:
+            link = self.links.get(command.worker)
+            if link is None:
+                continue
+            self._log.info(
+                'order',
+                kind=type(command).__name__,
+                job=command.task.key.job,
+                task=dataclasses.astuple(command.task.key)[1:],
+                run=command.run,
+                worker=command.worker,
+                pool=board.service,
+            )
+            if isinstance(command, StartTask):
+                self.tasks.add(link.start(command))
+            else:
+                self.tasks.add(link.stop(command))
+
     def find_by_vm(self, vm: str) -> WorkerLink | None:
         """Return the link to the worker of a VM."""
         for link in self.links.values():
--- /dev/null
+++ b/verbenapost/scheduler/keeper.py
@@ -0,0 +1,368 @@
+"""Moves and maintenance of VMs."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Any, Final, final
+
+from result import Err, Result
+
+from verbenapost.coordination.scheduling.capacity import (
+    CapacityPlanner,
+    MoveVm,
+    PoolDemand,
+    VmView,
+)
+from verbenapost.coordination.scheduling.demand import (
+    CLEAR_SECONDS,
+    DemandMeter,
+    measure_load,
+)
+from verbenapost.coordination.scheduling.evacuation import evacuate
+from verbenapost.coordination.scheduling.waves import (
+    MaintainVm,
+    WavePlanner,
+    WaveProgress,
+)
+from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.http import Answer
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.fleet import WorkerFleet
+from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.scheduler.wavestatus import WaveStatus
+from verbenapost.state.workloads import FleetVm, VmState
+
+#: Seconds between two rounds; a turn of demand lasts some seconds.
+ROUND_SECONDS: Final = 0.25
+
+#: Seconds between two readings of the VM list without orders.
+LIST_SECONDS: Final = 1.0
+
+#: Seconds for which a VM stays put after an order without an answer, since
+#: a copy of the order may still be carried out.
+DOUBT_SECONDS: Final = 13.0
+
+#: Seconds between two tries of an order without an answer.
+RETRY_SECONDS: Final = 0.5
+
+#: Tries of an order without an answer.
+ORDER_TRIES: Final = 12
+
+#: Seconds beyond the platform's own figure until a moved VM is at work.
+JOIN_SECONDS: Final = 1.0
+
+#: Seconds between two lines on a pool's demand.
+NOTE_SECONDS: Final = 1.0
+
+_MILLI: Final = 1000
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Joining:
+    """A VM on its way into a pool."""
+
+    pool: str
+    cores: float
+    until: float
+
+
+class FleetKeeper:
+    """Orders moves and maintenance while its daemon leads.
+
+    :param ports: what the leader has.
+    :param boards: the boards.
+    :param fleet: the links to the workers.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        ports: LeaderPorts,
+        boards: BoardSet,
+        fleet: WorkerFleet,
+        log: Any,
+    ) -> None:
+        self.meters: dict[str, DemandMeter] = {}
+        self._ports = ports
+        self._boards = boards
+        self._fleet = fleet
+        self._log = log
+        self._vms: dict[str, FleetVm] = {}
+        self._capacity = CapacityPlanner(None)
+        self._waves = WavePlanner(ports.settings.bounds.maintenance_s)
+        self._progress: dict[int, WaveProgress] = {}
+        self._status = WaveStatus(ports.store, ports.election, log)
+        self._busy: set[str] = set()
+        self._doubtful: dict[str, float] = {}
+        self._joining: dict[str, _Joining] = {}
+        self._listed_at: float = 0
+        self._noted_at: dict[str, float] = {}
+        self._stale = True
+        self._tasks = TaskSet()
+
+    async def run(self) -> None:
+        """Work in rounds until the task is cancelled."""
+        await self._wait_for_turn()
+        try:
+            while True:
+                await self._run_round()
+                await asyncio.sleep(ROUND_SECONDS)
+        finally:
+            await self._tasks.close()
+
+    def find_meter(self, service: str) -> DemandMeter:
+        """Return the meter of a service's demand."""
+        return self.meters.setdefault(service, DemandMeter())
+
+    def count_incoming(self, service: str) -> float:
+        """Return the cores on their way into a pool."""
+        return sum(
+            row.cores for row in self._joining.values() if row.pool == service
+        )
+
+    async def _wait_for_turn(self) -> None:
+        """Let orders of a leader before this one run out."""
+        if self._ports.election.token > 1:
+            await asyncio.sleep(self._ports.settings.bounds.lease_seconds)
+
+    async def _run_round(self) -> None:
+        now = read_clock()
+        if not self._ports.election.holds():
+            return
+        if self._stale or now - self._listed_at > LIST_SECONDS:
+            await self._read_list()
+        now = read_clock()
+        self._drop_joined(now)
+        self._evacuate(now)
+        if not self._vms or not self._ports.election.holds():
+            return
+        views = self._make_views(now)
+        await self._run_waves(views, now)
+        self._run_moves(views, now)
+
+    async def _read_list(self) -> None:
+        cloud = self._ports.cloud
+        if cloud is None:
+            return
+        listed = await cloud.list_vms()
+        if isinstance(listed, Err):
+            self._log.warning(
+                'VM list not read',
+                fault=listed.err_value.fault.value,
+                detail=listed.err_value.detail,
+            )
+            return
+        self._listed_at = read_clock()
+        self._stale = False
+        found = {vm.vm: vm for vm in listed.ok_value}
+        for name, vm in found.items():
+            known = self._vms.get(name)
+            if known is None or (known.pool, known.state) != (
+                vm.pool,
+                vm.state,
+            ):
+                self._log.info(
+                    'VM seen', vm=name, pool=vm.pool, state=vm.state.value
+                )
+        self._vms = found
+
+    def _make_views(self, now: float) -> list[VmView]:
+        """Return the VMs that no order is out for."""
+        self._doubtful = {
+            vm: until for vm, until in self._doubtful.items() if now < until
+        }
+        return [
+            VmView(vm, self._find_worker(vm))
+            for name, vm in self._vms.items()
+            if name not in self._busy and name not in self._joining
+        ]
+
+    def _find_worker(self, vm: FleetVm) -> Worker | None:
+        link = self._fleet.find_by_vm(vm.vm)
+        if link is None or link.worker.entry.service != vm.pool:
+            return None
+        return link.worker
+
+    def _drop_joined(self, now: float) -> None:
+        for name, row in list(self._joining.items()):
+            link = self._fleet.find_by_vm(name)
+            arrived = (
+                link is not None
+                and link.worker.adopted
+                and link.worker.entry.service == row.pool
+            )
+            if arrived or now > row.until:
+                self._joining.pop(name)
+                self._stale = True
+
+    def _evacuate(self, now: float) -> None:
+        for board in self._boards:
+            leaving = [
+                worker
+                for worker in board.workers.values()
+                if worker.leaving or worker.entry.draining
+            ]
+            commands = evacuate(board, leaving, now)
+            if commands:
+                self._fleet.send(board, commands)
+
+    # Waves
+
+    async def _run_waves(self, views: list[VmView], now: float) -> None:
+        for number, wave in self._ports.configuration.waves.items():
+            progress = self._progress.get(number)
+            if progress is None:
+                progress = WaveProgress(wave, now)
+                progress.begun.update(await self._status.begin(number))
+                self._progress[number] = progress
+            if self._status.is_complete(number):
+                continue
+            orders = self._waves.plan(progress, views, now)
+            for order in orders:
+                self._waves.note_ordered(progress, order.vm, now)
+                self._begin(order.vm, self._maintain(order, progress))
+            if progress.is_complete(views) and not progress.down:
+                await self._status.complete(number)
+
+    async def _maintain(
+        self,
+        order: MaintainVm,
+        progress: WaveProgress,
+    ) -> None:
+        cloud = self._ports.cloud
+        if cloud is None:
+            return
+        token = self._ports.election.token
+        answer = await self._insist(
+            order.vm, lambda: cloud.maintain(order.vm, order.wave, token)
+        )
+        self._note_order('maintenance', order.vm, str(order.wave), answer)
+        if isinstance(answer, Err):
+            if answer.err_value.fault is not Fault.UNKNOWN:
+                progress.down.pop(order.vm, None)
+            return
+        self._waves.note_begun(progress, order.vm, read_clock())
+        self._end_life(order.vm, 'its VM is maintained')
+        await self._status.note_begun(order.wave, progress.begun)
+
+    # Moves
+
+    def _run_moves(self, views: list[VmView], now: float) -> None:
+        services = self._ports.configuration.find_services()
+        standby = [row.name for row in services.values() if row.standby]
+        self._capacity.standby = standby[0] if standby else None
+        demands = [
+            self._measure_demand(name, now)
+            for name, row in services.items()
+            if not row.standby
+        ]
+        if not any(meter.seen for meter in self.meters.values()):
+            return
+        free = [view for view in views if view.vm.vm not in self._doubtful]
+        incoming = {
+            demand.service: self.count_incoming(demand.service)
+            for demand in demands
+        }
+        for move in self._capacity.plan(demands, free, incoming, now):
+            self._begin(move.vm, self._move(move))
+
+    def _measure_demand(self, service: str, now: float) -> PoolDemand:
+        load = measure_load(self._boards.find(service), time.time())
+        rate = self.find_meter(service).read_rate(now)
+        busy = rate + load.waiting / CLEAR_SECONDS
+        if now - self._noted_at.get(service, 0) >= NOTE_SECONDS:
+            self._noted_at[service] = now
+            self._log.info(
+                'demand',
+                pool=service,
+                rate=round(rate, 1),
+                lasting=load.lasting,
+                running=load.running,
+                waiting=load.waiting,
+            )
+        return PoolDemand(service, load.lasting + busy)
+
+    async def _move(self, move: MoveVm) -> None:
+        cloud = self._ports.cloud
+        if cloud is None:
+            return
+        token = self._ports.election.token
+        vm = self._vms[move.vm]
+        join = self._ports.settings.bounds.move_s + JOIN_SECONDS
+        if move.pool != self._capacity.standby:
+            self._joining[move.vm] = _Joining(
+                move.pool, vm.room.cpu / _MILLI, read_clock() + join
+            )
+        answer = await self._insist(
+            move.vm, lambda: cloud.move(move.vm, move.pool, token)
+        )
+        self._note_order('move', move.vm, move.pool, answer)
+        if isinstance(answer, Err):
+            self._joining.pop(move.vm, None)
+            link = self._fleet.find_by_vm(move.vm)
+            if link is not None and answer.err_value.fault is not Fault.UNKNOWN:
+                link.worker.leaving = False
+            return
+        self._end_life(move.vm, 'its VM has moved')
+        self._vms[move.vm] = dataclasses.replace(
+            vm, pool=move.pool, state=VmState.MOVING, worker=''
+        )
+
+    # Orders
+
+    def _begin(self, vm: str, order: Any) -> None:
+        self._busy.add(vm)
+        task = self._tasks.add(order)
+        task.add_done_callback(lambda _task: self._finish(vm))
+
+    def _finish(self, vm: str) -> None:
+        self._busy.discard(vm)
+        self._stale = True
+
+    async def _insist(
+        self,
+        vm: str,
+        order: Callable[[], Any],
+    ) -> Result[Answer, CallFault]:
+        """Repeat an order until its outcome is known."""
+        answer: Result[Answer, CallFault] = Err(CallFault(Fault.NOT_DONE))
+        for _ in range(ORDER_TRIES):
+            if not self._ports.election.holds():
+                return answer
+            answer = await order()
+            if not isinstance(answer, Err):
+                return answer
+            fault = answer.err_value.fault
+            if fault is Fault.FENCED:
+                self._ports.election.lose('the cloud has seen a higher token')
+                return answer
+            if fault is Fault.UNKNOWN:
+                self._doubtful[vm] = read_clock() + DOUBT_SECONDS
+            elif fault not in {Fault.LIMITED, Fault.NOT_DONE}:
+                return answer
+            await asyncio.sleep(RETRY_SECONDS)
+        return answer
+
+    def _end_life(self, vm: str, reason: str) -> None:
+        link = self._fleet.find_by_vm(vm)
+        if link is not None:
+            link.end_life(reason)
+
+    def _note_order(
+        self,
+        kind: str,
+        vm: str,
+        target: str,
+        answer: Result[Answer, CallFault],
+    ) -> None:
+        outcome = 'ok'
+        if isinstance(answer, Err):
+            outcome = f'{answer.err_value.fault}: {answer.err_value.detail}'
+        self._log.info(
+            'VM ordered', kind=kind, vm=vm, target=target, outcome=outcome
+        )
--- a/verbenapost/scheduler/keys.py
+++ b/verbenapost/scheduler/keys.py
@@ -5,6 +5,7 @@
 
 TERM_KEY: Final = 'vp/term'
 LEADER_KEY: Final = 'vp/leader'
+WAVE_PREFIX: Final = 'vp/wave/'
 SUBMITTED_PREFIX: Final = 'vp/in/'
 PROGRESS_PREFIX: Final = 'vp/at/'
 
@@ -40,6 +41,11 @@
     return f'{PROGRESS_PREFIX}{job}'
 
 
+def make_wave_key(wave: int) -> str:
+    """Return the key of the VMs of a wave that had their turn."""
+    return f'{WAVE_PREFIX}{wave}'
+
+
 def parse_submitted(key: str) -> SubmittedKey:
     """Return what a key stands for.
 
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -1,7 +1,6 @@
 """The part of a daemon that leads."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Sequence
 from typing import Any, Final
@@ -13,7 +12,7 @@
     judge_demand,
 )
 from verbenapost.coordination.scheduling.board import Board
-from verbenapost.coordination.scheduling.commands import Command, StartTask
+from verbenapost.coordination.scheduling.commands import Command
 from verbenapost.coordination.scheduling.planning import Moment, Planner
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
@@ -22,6 +21,7 @@
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.following import PrefixFollower
 from verbenapost.scheduler.intake import JobIntake
+from verbenapost.scheduler.keeper import FleetKeeper
 from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
 from verbenapost.scheduler.link import LinkPorts
 from verbenapost.scheduler.messages import AskRoom, Room
@@ -58,7 +58,7 @@
         self._wake = asyncio.Event()
         self._tasks = TaskSet()
         self.jobs = JobIntake(
-            self._boards, ports.configuration, self.send, make_logger('jobs')
+            self._boards, ports.configuration, self._send, make_logger('jobs')
         )
         self._recorder = Recorder(
             ports.store,
@@ -75,18 +75,22 @@
                 self._recorder,
                 ports.settings.bounds.hold_seconds,
                 self._wake.set,
-                self.send,
+                self._send,
                 make_logger('worker'),
             ),
             make_logger('fleet'),
         )
+        self._keeper = FleetKeeper(
+            ports, self._boards, self._fleet, make_logger('keeper')
+        )
 
     async def run(self) -> None:
         """Take over and lead until the leadership is lost."""
         try:
             await self._take_over()
-            while self._ports.election.holds():
-                self._run_round()
+            while self._ports.election.leads:
+                if self._ports.election.holds():
+                    self._run_round()
                 await self._pause()
         finally:
             await self.close()
@@ -113,9 +117,13 @@
         if route is None:
             return Room(accepted=True)
         board = self._boards.find(ask.service)
-        verdict = judge_demand(
-            board, Demand(ask.core_seconds, route), read_clock()
+        now = read_clock()
+        work = ask.task_cores * board.run_times.estimate(route.name)
+        self._keeper.find_meter(ask.service).note(ask.job, work, now)
+        demand = Demand(
+            route, ask.steps, self._keeper.count_incoming(ask.service)
         )
+        verdict = judge_demand(board, demand, now)
         self._log.info(
             'job admitted' if verdict.accepted else 'job refused',
             job=ask.job,
@@ -130,28 +138,8 @@
             wait=verdict.wait,
         )
 
-    def send(self, board: Board, commands: Sequence[Command]) -> None:
-        """Carry commands out."""
-        for command in commands:
-            self._send_one(board, command)
-
-    def _send_one(self, board: Board, command: Command) -> None:
-        link = self._fleet.links.get(command.worker)
-        if link is None:
-            return
-        self._log.info(
-            'order',
-            kind=type(command).__name__,
-            job=command.task.key.job,
-            task=dataclasses.astuple(command.task.key)[1:],
-            run=command.run,
-            worker=command.worker,
-            pool=board.service,
-        )
-        if isinstance(command, StartTask):
-            self._tasks.add(link.start(command))
-        else:
-            self._tasks.add(link.stop(command))
+    def _send(self, board: Board, commands: Sequence[Command]) -> None:
+        self._fleet.send(board, commands)
 
     async def _take_over(self) -> None:
         token = self._ports.election.token
@@ -164,6 +152,7 @@
         await self._follow(WORKER_PREFIX, self._fleet.take_change)
         self.jobs.inheriting = False
         self.ready = True
+        self._tasks.add(self._keeper.run())
         self._log.info(
             'takeover read',
             jobs=len(self.jobs),
@@ -172,7 +161,7 @@
         )
 
     async def _read_progress(self) -> None:
-        while self._ports.election.holds():
+        while self._ports.election.leads:
             page = await self._ports.store.read_range(PROGRESS_PREFIX)
             if not isinstance(page, Err):
                 stored = page.ok_value.items
@@ -202,7 +191,7 @@
         moment = Moment(read_clock(), time.time())
         for board in self._boards:
             self._settle(board, moment.now)
-            self.send(board, Planner(board, moment).plan())
+            self._send(board, Planner(board, moment).plan())
             self._recorder.mark(board.take_dirty())
 
     def _settle(self, board: Board, now: float) -> None:
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -85,6 +85,9 @@
         self._board = board
         self._ports = ports
         self._acknowledged = 0
+        # A worker that doesn't answer gets no further lease: what it was
+        # given before has to lapse before its tasks may start elsewhere.
+        self._answered = True
         # The leader before may have sent leases until it was replaced.
         self.clock.note_unknown_lease(read_clock(), ports.hold_seconds)
 
@@ -95,8 +98,9 @@
 
     async def run(self) -> None:
         """Hold the worker until its life is over or the leadership is."""
-        while not self.over and self._ports.election.holds():
-            if not await self._hold():
+        while not self.over:
+            held = self._ports.election.holds() and await self._hold()
+            if not held:
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def start(self, command: StartTask) -> None:
@@ -206,7 +210,7 @@
     async def _hold(self) -> bool:
         sent = read_clock()
         deadline = None
-        if self.clock.known:
+        if self.clock.known and self._answered:
             deadline = self.clock.make_deadline(
                 sent, self._ports.hold_seconds, latest=True
             )
@@ -219,6 +223,7 @@
             deadline,
             wait,
         )
+        self._answered = not isinstance(answer, Err)
         if isinstance(answer, Err):
             self._note_unreachable(answer.err_value)
             return False
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -22,13 +22,15 @@
     :param job: identity of the job.
     :param route: name of its route.
     :param service: service that runs it.
-    :param core_seconds: work that it declares.
+    :param task_cores: cores of all its tasks together.
+    :param steps: steps of its longest chain.
     """
 
     job: str
     route: str
     service: str
-    core_seconds: float
+    task_cores: float
+    steps: int
 
 
 @final
--- /dev/null
+++ b/verbenapost/scheduler/wavestatus.py
@@ -0,0 +1,81 @@
+"""What the store holds of maintenance waves."""
+
+import json
+from typing import Any
+
+from result import Err
+
+from verbenapost.platform.manifest import encode_wave_status
+from verbenapost.platform.names import WAVE_STATUS_PREFIX
+from verbenapost.platform.store import PlatformStore
+from verbenapost.protocol.orders import Expectation, Transaction, Write
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.keys import LEADER_KEY, make_wave_key
+
+
+class WaveStatus:
+    """Writes each wave's state for its operators and its VMs for successors.
+
+    :param store: the store.
+    :param election: who leads.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        election: Election,
+        log: Any,
+    ) -> None:
+        self._store = store
+        self._election = election
+        self._log = log
+        self._complete: set[int] = set()
+        self._begun: dict[int, frozenset[str]] = {}
+
+    def is_complete(self, wave: int) -> bool:
+        """Return whether a wave is over."""
+        return wave in self._complete
+
+    async def begin(self, wave: int) -> frozenset[str]:
+        """Say that a wave runs and return the VMs that had their turn."""
+        found = await self._store.read_key(make_wave_key(wave))
+        begun: frozenset[str] = frozenset()
+        if not isinstance(found, Err) and found.ok_value is not None:
+            begun = frozenset(json.loads(found.ok_value.value))
+        self._begun[wave] = begun
+        await self._write(wave, completed=False)
+        return begun
+
+    async def note_begun(self, wave: int, begun: set[str]) -> None:
+        """Keep the VMs that have had their turn, for a successor."""
+        self._begun[wave] = frozenset(begun)
+        await self._write(wave, completed=False)
+
+    async def complete(self, wave: int) -> None:
+        """Say that a wave is over."""
+        if await self._write(wave, completed=True):
+            self._complete.add(wave)
+            self._log.info('wave completed', wave=wave)
+
+    async def _write(self, wave: int, *, completed: bool) -> bool:
+        begun = json.dumps(sorted(self._begun.get(wave, ()))).encode()
+        transaction = Transaction(
+            (Expectation(LEADER_KEY, self._election.revision),),
+            (
+                Write(make_wave_key(wave), begun),
+                Write(
+                    f'{WAVE_STATUS_PREFIX}{wave}',
+                    encode_wave_status(completed=completed),
+                ),
+            ),
+        )
+        answer = await self._store.commit(transaction)
+        if isinstance(answer, Err):
+            self._log.warning(
+                'wave status not written',
+                wave=wave,
+                completed=completed,
+                fault=str(answer.err_value),
+            )
+        return not isinstance(answer, Err)
