Count tasks out of reach as away; pace, advise, bound the log

Change: a task counts as at work only on a worker in reach, at full speed. With it, as decisions and calls: pacing of tasks that fill, tickets of policies, a log stream that drops and counts lines instead of blocking. Test: test_tasks_out_of_reach_count_as_away failed before.

--- a/verbenapost/coordination/scheduling/evacuation.py
+++ b/verbenapost/coordination/scheduling/evacuation.py
@@ -5,13 +5,16 @@
 
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.commands import Command, StopTask
-from verbenapost.coordination.scheduling.jobs import StepRun, Task, TaskState
+from verbenapost.coordination.scheduling.jobs import Task, TaskState
 from verbenapost.coordination.scheduling.workers import Worker
 
 #: Seconds after its start from which a task that lasts counts as at work;
 #: workers don't report the end of its startup.
 STARTUP_SECONDS: Final = 2.0
 
+#: Percent of its speed at which a task counts as at work.
+FULL_PERCENT: Final = 100
+
 
 def evacuate(
     board: Board,
@@ -33,44 +36,39 @@
     """
     commands: list[Command] = []
     for worker in leaving:
-        for task in list(worker.tasks.values()):
-            if not _is_movable(task):
-                continue
-            step = board.jobs[task.key.job].find_step(task.key)
-            allowed = worker.entry.draining or _has_slack(step, task, now)
-            if allowed:
+        movable = [task for task in worker.tasks.values() if _is_movable(task)]
+        for task in movable:
+            if worker.entry.draining or has_slack(board, task, now):
                 task.state = TaskState.STOPPING
+                task.stop_asked_at = now
                 commands.append(StopTask(task.worker, task, task.run))
     return commands
 
 
-def may_disturb(board: Board, worker: Worker, now: float) -> bool:
-    """Return whether stopping all of a worker breaks no step's allowance."""
-    return all(
-        _has_slack(board.jobs[task.key.job].find_step(task.key), task, now)
-        for task in worker.tasks.values()
-        if task.step.long_running
+def has_slack(board: Board, task: Task, now: float) -> bool:
+    """Return whether so few others of a step are away that one may be."""
+    step = board.jobs[task.key.job].find_step(task.key)
+    if step is None or not step.spec.may_miss:
+        return True
+    away = sum(
+        1
+        for other in step.tasks
+        if other is not task and not is_at_work(board, other, now)
     )
+    return away < step.spec.may_miss
 
 
-def is_at_work(task: Task, now: float) -> bool:
-    """Return whether a task has finished its startup."""
+def is_at_work(board: Board, task: Task, now: float) -> bool:
+    """Return whether a task has finished its startup and is in reach."""
+    worker = board.workers.get(task.worker)
+    if worker is None or not worker.reachable:
+        return False
     return (
         task.state is TaskState.RUNNING
+        and task.percent == FULL_PERCENT
         and now - task.started_at >= STARTUP_SECONDS
     )
 
 
 def _is_movable(task: Task) -> bool:
     return task.step.long_running and task.state is TaskState.RUNNING
-
-
-def _has_slack(step: StepRun | None, task: Task, now: float) -> bool:
-    if step is None or not step.spec.may_miss:
-        return True
-    away = sum(
-        1
-        for other in step.tasks
-        if other is not task and not is_at_work(other, now)
-    )
-    return away < step.spec.may_miss
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -0,0 +1,219 @@
+"""Moves, evacuation and waves."""
+
+import dataclasses
+
+import pytest
+
+from verbenapost.coordination.scheduling.capacity import (
+    SPARE_SECONDS,
+    CapacityPlanner,
+    MoveVm,
+    PoolDemand,
+    VmView,
+)
+from verbenapost.coordination.scheduling.demand import measure_load
+from verbenapost.coordination.scheduling.evacuation import (
+    STARTUP_SECONDS,
+    evacuate,
+)
+from verbenapost.coordination.scheduling.tests.sample import (
+    ROOM,
+    SMALL,
+    add_job,
+    end_run,
+    make_board,
+    make_entry,
+    plan,
+    start_all,
+)
+from verbenapost.coordination.scheduling.waves import (
+    WavePlanner,
+    WaveProgress,
+)
+from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.protocol.orders import EndKind
+from verbenapost.state.workloads import (
+    FleetVm,
+    MaintenanceWave,
+    StepSpec,
+    VmState,
+)
+
+
+def make_view(name, pool='routing', state=VmState.UP, worker=None):
+    if worker is None and pool != 'spare':
+        worker = Worker(make_entry(name))
+    return VmView(FleetVm(name, pool, state, (), ROOM, ''), worker)
+
+
+def plan_moves(planner, demands, views, now=0.0, incoming=None):
+    wanted = [PoolDemand(name, cores) for name, cores in demands.items()]
+    return planner.plan(wanted, views, incoming or {}, now)
+
+
+class TestMoves:
+    def test_a_pool_whose_turn_comes_gets_the_vms_of_the_one_before(self):
+        planner = CapacityPlanner('spare')
+        views = [make_view(f'a{row}', 'ended') for row in range(5)]
+        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        moves = plan_moves(planner, {'ended': 0, 'begun': 14}, views)
+        assert moves == [MoveVm(f'a{row}', 'begun') for row in range(3)]
+
+    def test_vms_on_standby_go_before_busy_ones(self):
+        planner = CapacityPlanner('spare')
+        board = make_board(*(make_entry(f'a{row}') for row in range(5)))
+        add_job(board, StepSpec(5, ROOM))
+        start_all(board)
+        views = [
+            make_view(name, 'ended', worker=row)
+            for name, row in board.workers.items()
+        ]
+        views += [make_view('s0', 'spare')]
+        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        moves = plan_moves(planner, {'ended': 0, 'begun': 13}, views)
+        assert moves == [MoveVm('s0', 'begun')]
+        assert len(planner.intents) == 1
+
+    def test_a_busy_vm_is_emptied_and_then_moved(self):
+        planner = CapacityPlanner(None)
+        board = make_board(*(make_entry(f'a{row}') for row in range(3)))
+        add_job(board, StepSpec(3, ROOM))
+        starts = start_all(board)
+        views = [
+            make_view(name, 'ended', worker=row)
+            for name, row in board.workers.items()
+        ]
+        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        demands = {'ended': 0, 'begun': 10}
+        assert plan_moves(planner, demands, views) == []
+        (name,) = planner.intents
+        assert board.workers[name].leaving
+        (started,) = [row for row in starts if row.worker == name]
+        end_run(board, started)
+        assert plan_moves(planner, demands, views) == [MoveVm(name, 'begun')]
+
+    def test_needless_vms_go_to_standby_after_a_while(self):
+        planner = CapacityPlanner('spare')
+        views = [make_view(f'a{row}') for row in range(4)]
+        assert plan_moves(planner, {'routing': 1}, views, now=0) == []
+        moves = plan_moves(planner, {'routing': 1}, views, now=SPARE_SECONDS)
+        assert [move.pool for move in moves] == ['spare', 'spare']
+
+    def test_vms_that_are_about_to_leave_do_not_count(self):
+        planner = CapacityPlanner('spare')
+        views = [make_view(f'a{row}') for row in range(3)]
+        for view in views:
+            view.worker.leaving = True
+        views.append(make_view('s0', 'spare'))
+        moves = plan_moves(planner, {'routing': 1}, views)
+        assert moves == [MoveVm('s0', 'routing')]
+
+    def test_a_vm_with_tasks_that_last_is_not_taken(self):
+        planner = CapacityPlanner(None)
+        board = make_board(*(make_entry(f'a{row}') for row in range(4)))
+        add_job(board, StepSpec(4, ROOM, long_running=True))
+        start_all(board)
+        views = [
+            make_view(name, 'ended', worker=row)
+            for name, row in board.workers.items()
+        ]
+        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        assert plan_moves(planner, {'ended': 0, 'begun': 50}, views) == []
+        assert not planner.intents
+
+
+class TestEvacuation:
+    @pytest.mark.parametrize(('may_miss', 'stopped'), [(0, 4), (1, 1), (2, 2)])
+    def test_so_many_are_away_as_the_step_allows(self, may_miss, stopped):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        spec = StepSpec(4, SMALL, long_running=True, may_miss=may_miss)
+        add_job(board, spec)
+        start_all(board)
+        leaving = board.workers.values()
+        assert len(evacuate(board, leaving, STARTUP_SECONDS)) == stopped
+
+    def test_the_next_goes_when_the_one_before_is_at_work_again(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        spec = StepSpec(2, SMALL, long_running=True, may_miss=1)
+        add_job(board, spec)
+        starts = start_all(board)
+        leaving = board.workers[starts[0].worker]
+        leaving.leaving = True
+        (stop,) = evacuate(board, [leaving], now=9)
+        (first,) = [row for row in starts if row.task is stop.task]
+        end_run(board, first, EndKind.STOPPED, now=9)
+        (again,) = start_all(board, now=9)
+        assert again.worker != leaving.entry.worker
+        assert evacuate(board, [leaving], now=9.5) == []
+        assert len(evacuate(board, [leaving], now=9 + STARTUP_SECONDS)) == 1
+
+    def test_tasks_out_of_reach_count_as_away(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        spec = StepSpec(2, SMALL, long_running=True, may_miss=1)
+        spread = dataclasses.replace(spec, anti_affinity=1)
+        add_job(board, spread)
+        start_all(board)
+        board.workers['w1'].reachable = False
+        assert evacuate(board, [board.workers['w0']], now=9) == []
+
+    def test_a_draining_worker_is_emptied_at_once(self):
+        board = make_board(make_entry('w0'))
+        spec = StepSpec(3, SMALL, long_running=True, may_miss=1)
+        add_job(board, spec)
+        start_all(board)
+        board.set_worker(make_entry('w0', draining=True))
+        assert len(evacuate(board, board.workers.values(), now=0.1)) == 3
+
+
+class TestWaves:
+    def make(self, count, cap, duration=20):
+        names = tuple(f'w{row}' for row in range(count))
+        wave = MaintenanceWave(1, names, duration, cap)
+        return WavePlanner(maintenance=2), WaveProgress(wave, seen_at=0)
+
+    def test_never_more_than_the_cap_are_down(self):
+        planner, progress = self.make(5, cap=2)
+        views = [make_view(f'w{row}', 'spare') for row in range(5)]
+        orders = planner.plan(progress, views, now=0)
+        assert len(orders) == 2
+        for order in orders:
+            planner.note_ordered(progress, order.vm, now=0)
+        assert planner.plan(progress, views, now=1) == []
+        for order in orders:
+            planner.note_begun(progress, order.vm, now=1)
+        assert planner.plan(progress, views, now=2.5) == []
+        down = [
+            make_view(view.vm.vm, 'spare', VmState.MAINTENANCE)
+            for view in views[:2]
+        ]
+        assert planner.plan(progress, [*down, *views[2:]], now=4) == []
+        assert len(planner.plan(progress, views, now=5)) == 2
+
+    def test_it_is_complete_when_all_that_are_there_have_begun(self):
+        planner, progress = self.make(2, cap=2)
+        views = [make_view('w0', 'spare')]
+        assert not progress.is_complete(views)
+        planner.note_begun(progress, 'w0', now=0)
+        assert progress.is_complete(views)
+
+    def test_busy_vms_are_emptied_at_the_pace_that_the_time_needs(self):
+        planner, progress = self.make(8, cap=8)
+        board = make_board(*(make_entry(f'w{row}') for row in range(8)))
+        add_job(board, StepSpec(8, ROOM))
+        start_all(board)
+        views = [
+            make_view(name, worker=row) for name, row in board.workers.items()
+        ]
+        assert planner.plan(progress, views, now=0) == []
+        leaving = [row for row in board.workers.values() if row.leaving]
+        assert 0 < len(leaving) < 8
+
+
+class TestLoad:
+    def test_work_counts_by_kind(self):
+        board = make_board()
+        add_job(board, StepSpec(2, SMALL, long_running=True), job='1' * 16)
+        add_job(board, StepSpec(3, SMALL))
+        assert len(plan(board)) == 4
+        load = measure_load(board, wall=0)
+        assert (load.lasting, load.running, load.waiting) == (2, 2, 1)
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_pacing.py
@@ -0,0 +1,39 @@
+"""Shares of tasks that fill, from the tails of those that serve."""
+
+import pytest
+
+from verbenapost.coordination.scheduling.pacing import pace_worker
+from verbenapost.coordination.scheduling.tests.sample import (
+    SMALL,
+    add_job,
+    make_board,
+    start_all,
+)
+from verbenapost.state.workloads import StepSpec
+
+
+class TestPacing:
+    def make(self, load, percent=100):
+        board = make_board()
+        serving = StepSpec(1, SMALL, long_running=True, target=0.1)
+        filling = StepSpec(1, SMALL, fills=True)
+        add_job(board, serving, filling)
+        for start in start_all(board):
+            start.task.load = load
+            start.task.percent = percent
+        return board.workers['w0']
+
+    @pytest.mark.parametrize(
+        ('load', 'percent', 'wanted'),
+        [
+            (120, 100, [0]),
+            (90, 100, [50]),
+            (70, 50, []),
+            (30, 50, [70]),
+            (30, 100, []),
+        ],
+    )
+    def test_the_worst_tail_decides(self, load, percent, wanted):
+        orders = pace_worker(self.make(load, percent))
+        assert [order.percent for order in orders] == wanted
+        assert all(order.task.step.fills for order in orders)
--- a/verbenapost/daemon/logs.py
+++ b/verbenapost/daemon/logs.py
@@ -5,11 +5,12 @@
 import sys
 from collections.abc import MutableMapping
 from contextlib import AbstractContextManager
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
 from verbenapost.daemon.faults import MASK, is_secret_name
+from verbenapost.daemon.logstream import BoundedStream
 from verbenapost.daemon.settings import LogSettings
 
 _BEARER = re.compile(r'(?i)\bbearer\s+[^\s"\',]+')
@@ -17,7 +18,10 @@
 Event = MutableMapping[str, Any]
 
 
-def configure_logs(settings: LogSettings, stream: TextIO = sys.stderr) -> None:
+def configure_logs(
+    settings: LogSettings,
+    stream: TextIO | BoundedStream = sys.stderr,
+) -> None:
     """Set the form and level of the log of this process.
 
     :param settings: form and level.
@@ -38,7 +42,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=stream),
+        logger_factory=structlog.PrintLoggerFactory(file=cast(TextIO, stream)),
         cache_logger_on_first_use=False,
     )
 
--- a/verbenapost/platform/workers.py
+++ b/verbenapost/platform/workers.py
@@ -84,14 +84,15 @@
     async def pace(
         self,
         worker: WorkerEntry,
-        running: RunningTask,
+        task: TaskKey,
+        run: int,
         percent: int,
         token: int,
     ) -> Result[int, CallFault]:
         """Let a run work at a share of its speed."""
         body = {
-            'task': encode_task(running.task),
-            'run': running.run,
+            'task': encode_task(task),
+            'run': run,
             'percent': percent,
             'fencing_token': token,
         }
--- a/verbenapost/scheduler/__main__.py
+++ b/verbenapost/scheduler/__main__.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from verbenapost.daemon.logs import configure_logs
+from verbenapost.daemon.logstream import BoundedStream
 from verbenapost.daemon.settings import LogSettings
 from verbenapost.platform.names import SETTINGS_VARIABLE
 from verbenapost.scheduler.node import Node
@@ -42,7 +43,8 @@
     if isinstance(loaded, Err):
         sys.stderr.write(f'{loaded.err_value}\n')
         sys.exit(EXIT_SETTINGS)
-    configure_logs(LogSettings(), sys.stdout)
+    stream = BoundedStream(sys.stdout.fileno())
+    configure_logs(LogSettings(), stream)
     asyncio.run(serve(loaded.ok_value))
 
 
--- /dev/null
+++ b/verbenapost/scheduler/advising.py
@@ -0,0 +1,128 @@
+"""Asking the policy's service where steps may run."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+from result import Err
+
+from verbenapost.coordination.scheduling.board import Board
+from verbenapost.coordination.scheduling.jobs import StepRun
+from verbenapost.coordination.scheduling.planning import Moment, Planner
+from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.advice import MAX_WORKERS, AdviceClient
+from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.election import Election
+
+#: Seconds between two looks for steps that wait for advice.
+LOOK_SECONDS: Final = 0.05
+
+#: Seconds after a refused question before the next.
+RETRY_SECONDS: Final = 0.5
+
+#: Workers that one question names for each task of the step: each costs time,
+#: and the policy may allow few.
+WORKERS_PER_TASK: Final = 3
+
+#: Share of a ticket's time in which it is used, so that a start that is on
+#: its way arrives with a valid one.
+TICKET_SHARE: Final = 0.8
+
+#: Jobs of which is remembered which workers were asked about.
+MAX_REMEMBERED: Final = 1000
+
+
+class Advisor:
+    """Asks one question at a time, for the most urgent step.
+
+    :param client: calls of the service.
+    :param boards: the boards.
+    :param election: whether this daemon leads.
+    :param wake: has the boards plan again.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        client: AdviceClient,
+        boards: BoardSet,
+        election: Election,
+        wake: Callable[[], None],
+        log: Any,
+    ) -> None:
+        self._client = client
+        self._boards = boards
+        self._election = election
+        self._wake = wake
+        self._log = log
+        self._asked: dict[str, set[str]] = {}
+
+    async def run(self) -> None:
+        """Ask until the task is cancelled."""
+        while True:
+            asked = False
+            for board in self._boards:
+                asked = await self._ask_first(board) or asked
+            if not asked:
+                await asyncio.sleep(LOOK_SECONDS)
+
+    async def _ask_first(self, board: Board) -> bool:
+        if not self._election.holds():
+            return False
+        moment = Moment(read_clock(), time.time())
+        waiting = Planner(board, moment).find_unadvised()
+        if not waiting:
+            return False
+        step = waiting[0]
+        workers = self._choose_workers(board, step, moment.now)
+        terms = board.find_route(step.job).advice
+        if not workers or terms is None:
+            return False
+        expected = terms.decide + terms.per_worker * len(workers)
+        answer = await self._client.ask(step.tasks[0].key, workers, expected)
+        if isinstance(answer, Err):
+            self._log.warning(
+                'advice not given',
+                job=step.job.spec.job,
+                fault=answer.err_value.fault.value,
+                detail=answer.err_value.detail,
+            )
+            await asyncio.sleep(RETRY_SECONDS)
+            return True
+        advice = answer.ok_value
+        until = moment.now + (advice.valid or terms.valid) * TICKET_SHARE
+        board.tickets.put(step.tasks[0].key, advice.tickets, until)
+        self._log.info(
+            'advice given',
+            job=step.job.spec.job,
+            step=step.number,
+            asked=len(workers),
+            allowed=len(advice.tickets),
+        )
+        self._note_asked(step, workers)
+        self._wake()
+        return True
+
+    def _choose_workers(
+        self,
+        board: Board,
+        step: StepRun,
+        now: float,
+    ) -> list[str]:
+        """Return workers with the most room, those not asked about first."""
+        known = self._asked.get(step.job.spec.job, set())
+        ready = [row for row in board.workers.values() if row.can_take(now)]
+        ready.sort(key=lambda row: (row.entry.worker in known, _rank(row)))
+        most = min(MAX_WORKERS, WORKERS_PER_TASK * len(step.tasks))
+        return [row.entry.worker for row in ready[:most]]
+
+    def _note_asked(self, step: StepRun, workers: list[str]) -> None:
+        if len(self._asked) > MAX_REMEMBERED:
+            self._asked.clear()
+        self._asked.setdefault(step.job.spec.job, set()).update(workers)
+
+
+def _rank(worker: Worker) -> int:
+    return worker.used.cpu - worker.entry.room.cpu
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -132,7 +132,7 @@
         if self._mine is None:
             return
         self._log.warning(
-            'leadership lost', token=self._mine.token, reason=reason
+            'leadership lost', term=self._mine.token, reason=reason
         )
         self._mine = None
         self._valid_until = 0
@@ -205,7 +205,7 @@
         self.revision = revision
         self._valid_until = asked + ttl
         self.current = claim
-        self._log.info('leadership won', token=token, revision=revision)
+        self._log.info('leadership won', term=token, revision=revision)
         self.lost.clear()
         self.won.set()
 
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -17,6 +17,7 @@
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
+from verbenapost.scheduler.advising import Advisor
 from verbenapost.scheduler.boards import BoardSet
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.following import PrefixFollower
@@ -143,7 +144,7 @@
 
     async def _take_over(self) -> None:
         token = self._ports.election.token
-        self._log.info('takeover begins', token=token)
+        self._log.info('takeover begins', term=token)
         await self._ports.configuration.known.wait()
         await self._read_progress()
         self.jobs.inheriting = token > 1
@@ -153,6 +154,7 @@
         self.jobs.inheriting = False
         self.ready = True
         self._tasks.add(self._keeper.run())
+        self._start_advisor()
         self._log.info(
             'takeover read',
             jobs=len(self.jobs),
@@ -160,6 +162,18 @@
             seconds=round(read_clock() - self._began, 3),
         )
 
+    def _start_advisor(self) -> None:
+        if self._ports.advice is None:
+            return
+        advisor = Advisor(
+            self._ports.advice,
+            self._boards,
+            self._ports.election,
+            self._wake.set,
+            make_logger('advice'),
+        )
+        self._tasks.add(advisor.run())
+
     async def _read_progress(self) -> None:
         while self._ports.election.leads:
             page = await self._ports.store.read_range(PROGRESS_PREFIX)
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -14,6 +14,7 @@
     StopTask,
 )
 from verbenapost.coordination.scheduling.leases import LeaseClock
+from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.reports import ReportReader
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
@@ -33,6 +34,10 @@
 #: renewed as often, and have to outlast a change of the leader.
 HOLD_WAIT: Final = 1.5
 
+#: The same while tasks run there whose response times have a target; the
+#: worker renews its figures every half second.
+WATCHED_WAIT: Final = 0.5
+
 #: Seconds between two tries to reach a worker.
 RETRY_SECONDS: Final = 0.25
 
@@ -99,10 +104,34 @@
     async def run(self) -> None:
         """Hold the worker until its life is over or the leadership is."""
         while not self.over:
-            held = self._ports.election.holds() and await self._hold()
+            held = self._ports.election.holds() and await self.hold_once()
             if not held:
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def hold_once(self) -> bool:
+        """Extend the leases, read the lists, and return whether it answered."""
+        sent = read_clock()
+        deadline = None
+        if self.clock.known and self._answered:
+            deadline = self.clock.make_deadline(
+                sent, self._ports.hold_seconds, latest=True
+            )
+            self.clock.note_lease(deadline)
+        wait = self._choose_wait()
+        answer = await self._ports.client.hold(
+            self.worker.entry,
+            self._ports.election.token,
+            self._acknowledged,
+            deadline,
+            wait,
+        )
+        self._answered = not isinstance(answer, Err)
+        if isinstance(answer, Err):
+            self._note_unreachable(answer.err_value)
+            return False
+        await self._take_report(answer.ok_value, sent)
+        return True
+
     async def start(self, command: StartTask) -> None:
         """Send a start and note its outcome."""
         task = command.task
@@ -207,28 +236,11 @@
             return True
         return False
 
-    async def _hold(self) -> bool:
-        sent = read_clock()
-        deadline = None
-        if self.clock.known and self._answered:
-            deadline = self.clock.make_deadline(
-                sent, self._ports.hold_seconds, latest=True
-            )
-            self.clock.note_lease(deadline)
-        wait = HOLD_WAIT if self.worker.adopted else 0
-        answer = await self._ports.client.hold(
-            self.worker.entry,
-            self._ports.election.token,
-            self._acknowledged,
-            deadline,
-            wait,
-        )
-        self._answered = not isinstance(answer, Err)
-        if isinstance(answer, Err):
-            self._note_unreachable(answer.err_value)
-            return False
-        await self._take_report(answer.ok_value, sent)
-        return True
+    def _choose_wait(self) -> float:
+        worker = self.worker
+        if not worker.adopted:
+            return 0
+        return WATCHED_WAIT if worker.serves() else HOLD_WAIT
 
     async def _take_report(self, report: WorkerReport, sent: float) -> None:
         now = read_clock()
@@ -246,8 +258,30 @@
         worker.adopted = True
         self._ports.send(self._board, commands)
         self._ports.wake()
+        await self._pace()
         await self._store_ends(ends)
 
+    async def _pace(self) -> None:
+        for order in pace_worker(self.worker):
+            answer = await self._ports.client.pace(
+                self.worker.entry,
+                order.task.key,
+                order.run,
+                order.percent,
+                self._ports.election.token,
+            )
+            self._ports.log.info(
+                'task paced',
+                job=order.task.key.job,
+                worker=self.name,
+                percent=order.percent,
+                outcome=str(answer.err()),
+            )
+            if isinstance(answer, Err):
+                self._is_final(answer.err_value)
+            else:
+                order.task.percent = order.percent
+
     async def _store_ends(self, ends: list[RunEnd]) -> None:
         """Acknowledge ends only after the store has what they change."""
         written = self._ports.recorder.mark(self._board.take_dirty())
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -6,6 +6,7 @@
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.daemon.web import WebAddress, WebServer
+from verbenapost.platform.advice import AdviceClient
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.platform.http import HttpClient
 from verbenapost.platform.names import OPERATOR_PREFIX
@@ -147,6 +148,7 @@
                     self._store,
                     WorkerClient(self._http),
                     self._make_cloud(),
+                    self._make_advice(),
                     self._election,
                     self._configuration,
                 )
@@ -163,6 +165,10 @@
             return None
         return CloudClient(self._http, cloud.address, self._settings.daemon)
 
+    def _make_advice(self) -> AdviceClient | None:
+        address = self._settings.advice_address
+        return AdviceClient(self._http, address) if address else None
+
     async def _hand_over(self, leader: Leader) -> None:
         try:
             async with asyncio.timeout(1):
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -3,6 +3,7 @@
 import dataclasses
 from typing import final
 
+from verbenapost.platform.advice import AdviceClient
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.workers import WorkerClient
@@ -20,6 +21,7 @@
     :param store: the store.
     :param workers: calls of workers.
     :param cloud: calls of the cloud, where there is one.
+    :param advice: calls of the policy's service, where there is one.
     :param election: who leads.
     :param configuration: the operators' configuration.
     """
@@ -28,5 +30,6 @@
     store: PlatformStore
     workers: WorkerClient
     cloud: CloudClient | None
+    advice: AdviceClient | None
     election: Election
     configuration: ConfigurationFollower
