Ignore answers to holds of a life that has ended; stand-ins and histories

Change: tasks are taken off a lost worker; a link whose life is over ignores what comes. A leader that stops says so in its term, so that its successor's VM orders need not wait; daemons that have just started campaign first.

--- a/verbenapost/coordination/scheduling/board.py
+++ b/verbenapost/coordination/scheduling/board.py
@@ -77,6 +77,7 @@
         """Free the tasks of a worker on which every lease has lapsed."""
         lost = list(worker.tasks.values())
         for task in lost:
+            worker.release(task)
             self.free(task)
         return lost
 
--- a/verbenapost/coordination/scheduling/tests/test_board.py
+++ b/verbenapost/coordination/scheduling/tests/test_board.py
@@ -128,6 +128,18 @@
         assert start.task.state is TaskState.WAITING
 
 
+class TestLostWorker:
+    def test_its_tasks_are_freed_once(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        add_job(board, StepSpec(1, SMALL))
+        (start,) = start_all(board)
+        lost = board.workers[start.worker]
+        assert board.lose_worker(start.worker) == [start.task]
+        (again,) = start_all(board)
+        assert board.free_tasks(lost) == []
+        assert again.task.state is TaskState.RUNNING
+
+
 class TestEnds:
     def test_a_failure_counts_once(self):
         board = make_board()
--- /dev/null
+++ b/verbenapost/scheduler/core.py
@@ -0,0 +1,110 @@
+"""What a daemon believes and decides, apart from its HTTP servers."""
+
+import asyncio
+from typing import Any, Final
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.platform.names import OPERATOR_PREFIX
+from verbenapost.scheduler.election import Election, Leadership
+from verbenapost.scheduler.following import PrefixFollower
+from verbenapost.scheduler.keys import LEADER_KEY
+from verbenapost.scheduler.leader import Leader
+from verbenapost.scheduler.messages import (
+    AskPending,
+    AskRoom,
+    AskState,
+    PendingAnswer,
+    StateAnswer,
+)
+from verbenapost.scheduler.peers import Answerer
+from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.tasks import TaskSet
+
+#: Seconds that a handover may take for records that are not written yet.
+HANDOVER_SECONDS: Final = 1.0
+
+
+class Core:
+    """Follows the configuration, campaigns, and leads while it is elected.
+
+    :param ports: what a leader needs.
+    """
+
+    def __init__(self, ports: LeaderPorts) -> None:
+        self._ports = ports
+        self._log = make_logger('core')
+        self._leader: Leader | None = None
+        self._tasks = TaskSet()
+        self._operator = PrefixFollower(
+            ports.store,
+            OPERATOR_PREFIX,
+            ports.configuration.take_change,
+            make_logger('configuration'),
+        )
+        self._leadership = PrefixFollower(
+            ports.store,
+            LEADER_KEY,
+            ports.election.take_change,
+            make_logger('election'),
+        )
+
+    def start(self) -> None:
+        """Begin to follow the store and to campaign."""
+        self._tasks.add(self._operator.run())
+        self._tasks.add(self._leadership.run())
+        self._tasks.add(self._campaign())
+        self._tasks.add(self._lead())
+
+    async def resign(self) -> None:
+        """Hand the leadership over, if there is one."""
+        leader = self._leader
+        if leader is not None and self._ports.election.holds():
+            try:
+                async with asyncio.timeout(HANDOVER_SECONDS):
+                    await leader.hand_over()
+            except TimeoutError:
+                self._log.warning('records not written before the handover')
+        await self._ports.election.resign()
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        await self._tasks.close()
+
+    def find_leader(self) -> Leadership | None:
+        """Return who leads."""
+        return self._ports.election.current
+
+    def find_local(self) -> Answerer | None:
+        """Return what answers entries while this daemon leads."""
+        leader = self._leader
+        if leader is None or not leader.ready:
+            return None
+        return self._answer if self._ports.election.holds() else None
+
+    async def _campaign(self) -> None:
+        await self._leadership.listed.wait()
+        await self._ports.election.run()
+
+    async def _lead(self) -> None:
+        election: Election = self._ports.election
+        while True:
+            await election.won.wait()
+            self._leader = Leader(self._ports)
+            try:
+                await self._leader.run()
+            finally:
+                self._leader = None
+            election.lose('leading has ended')
+
+    def _answer(self, message: Any) -> Any:
+        leader = self._leader
+        if leader is None:
+            raise ValueError('this daemon does not lead')
+        if isinstance(message, AskRoom):
+            return leader.judge(message)
+        if isinstance(message, AskState):
+            state = leader.jobs.read_state(message.job)
+            return StateAnswer('' if state is None else state.value)
+        if isinstance(message, AskPending):
+            return PendingAnswer(leader.count_pending(message.route))
+        raise ValueError(f'{type(message).__name__} has no answer')
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -32,6 +32,10 @@
 #: has written before the others have read.
 CAMPAIGN_JITTER: Final = 0.15
 
+#: Seconds for which a process counts as just started; a round of restarts
+#: takes about as long.
+YOUNG_SECONDS: Final = 20.0
+
 #: Seconds between two looks while another leads.
 LOOK_SECONDS: Final = 0.1
 
@@ -72,6 +76,33 @@
         raise ValueError(str(fault)) from fault
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Term:
+    """The last fencing token that was used.
+
+    :param token: the token.
+    :param resigned: whether its holder has stopped in an orderly way.
+    """
+
+    token: int
+    resigned: bool = False
+
+    def pack(self) -> bytes:
+        """Return the bytes that the key holds."""
+        packed: bytes = msgpack.packb(dataclasses.astuple(self))
+        return packed
+
+
+def unpack_term(packed: bytes) -> Term:
+    """Return the term in the bytes of the key.
+
+    >>> unpack_term(Term(3, resigned=True).pack())
+    Term(token=3, resigned=True)
+    """
+    return Term(*msgpack.unpackb(packed))
+
+
 class Election:
     """Campaigns while nobody leads and keeps the lease while it leads.
 
@@ -91,6 +122,9 @@
         self.lost = asyncio.Event()
         self.revision = 0
         self.resigned = False
+        #: Whether the leader before this one has stopped in an orderly way.
+        self.succeeds_resigned = False
+        self._started_at = read_clock()
         self._store = store
         self._settings = settings
         self._log = log
@@ -154,15 +188,28 @@
         """Give the leadership up, so that another need not wait for it."""
         self.resigned = True
         lease = self._lease
-        if self._mine is None:
+        mine = self._mine
+        if mine is None:
             return
         self.lose('the daemon stops')
+        await self._note_resigned(mine)
         ended = await self._store.revoke_lease(lease)
         if isinstance(ended, Err):
             self._log.warning('lease not ended', fault=ended.err_value.fault)
 
+    async def _note_resigned(self, mine: Leadership) -> None:
+        """Tell the successor that no order of this leader is on its way."""
+        noted = await self._store.commit(
+            Transaction(
+                (Expectation(LEADER_KEY, self.revision),),
+                (Write(TERM_KEY, Term(mine.token, resigned=True).pack()),),
+            )
+        )
+        if isinstance(noted, Err):
+            self._log.warning('resignation not noted', fault=noted.err_value)
+
     async def _campaign(self) -> None:
-        await asyncio.sleep(random.random() * CAMPAIGN_JITTER)  # noqa: S311
+        await asyncio.sleep(self._choose_delay())
         if self.current is not None:
             return
         term = await self._store.read_key(TERM_KEY)
@@ -170,8 +217,21 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         last = term.ok_value
-        token = 1 if last is None else int(last.value) + 1
-        await self._write(token, 0 if last is None else last.revision)
+        before = Term(0) if last is None else unpack_term(last.value)
+        self.succeeds_resigned = before.resigned
+        revision = 0 if last is None else last.revision
+        await self._write(before.token + 1, revision)
+
+    def _choose_delay(self) -> float:
+        """Return the seconds to wait before a campaign.
+
+        While the daemons are restarted in turn, one that has started lately
+        will not be stopped soon.
+        """
+        delay = random.random() * CAMPAIGN_JITTER  # noqa: S311
+        if read_clock() - self._started_at > YOUNG_SECONDS:
+            delay += CAMPAIGN_JITTER
+        return delay
 
     async def _write(self, token: int, term_revision: int) -> None:
         asked = read_clock()
@@ -192,7 +252,7 @@
                 Expectation(TERM_KEY, term_revision),
             ),
             writes=(
-                Write(TERM_KEY, str(token).encode()),
+                Write(TERM_KEY, Term(token).pack()),
                 Write(LEADER_KEY, claim.pack(), lease.ok_value),
             ),
         )
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import time
 from typing import Any, Final, final
 
 from result import Err, Ok, Result
@@ -168,6 +169,7 @@
     ) -> EntryAnswer:
         try:
             spec = decode_job(name, route, request.body)
+            spec = dataclasses.replace(spec, submitted_at=time.time())
         except FieldError as refusal:
             return refuse(Status.INVALID, str(refusal))
         room = await self._leader.ask(
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -1,5 +1,6 @@
 """The jobs of the leader, as they come by the store."""
 
+import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -86,7 +87,8 @@
             self._log.error('job not readable', job=name, fault=str(fault))
 
     def _add(self, spec: JobSpec) -> None:
-        job = Job(spec, read_clock(), inherited=self.inheriting)
+        age = max(0, time.time() - spec.submitted_at)
+        job = Job(spec, read_clock() - age, inherited=self.inheriting)
         progress = self._progress.pop(make_progress_key(spec.job), None)
         if progress is not None:
             job.restore(progress.value, progress.revision)
--- a/verbenapost/scheduler/keeper.py
+++ b/verbenapost/scheduler/keeper.py
@@ -30,6 +30,7 @@
 from verbenapost.platform.http import Answer
 from verbenapost.protocol.orders import CallFault, Fault
 from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.election import RENEW_SHARE
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.tasks import TaskSet
@@ -55,6 +56,9 @@
 #: Seconds beyond the platform's own figure until a moved VM is at work.
 JOIN_SECONDS: Final = 1.0
 
+#: Seconds added to the wait for the orders of a leader before.
+TURN_MARGIN: Final = 0.3
+
 #: Seconds between two lines on a pool's demand.
 NOTE_SECONDS: Final = 1.0
 
@@ -126,9 +130,15 @@
         )
 
     async def _wait_for_turn(self) -> None:
-        """Let orders of a leader before this one run out."""
-        if self._ports.election.token > 1:
-            await asyncio.sleep(self._ports.settings.bounds.lease_seconds)
+        """Let the time pass in which a leader before this one gave orders.
+
+        Its lease had to end first, and it was renewed a share of the lease
+        before its last order at the most.
+        """
+        election = self._ports.election
+        if election.token > 1 and not election.succeeds_resigned:
+            lease = self._ports.settings.bounds.lease_seconds
+            await asyncio.sleep(lease * RENEW_SHARE + TURN_MARGIN)
 
     async def _run_round(self) -> None:
         now = read_clock()
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -125,6 +125,9 @@
             deadline,
             wait,
         )
+        if self.over:
+            # The life has ended meanwhile; its tasks are another's concern.
+            return True
         self._answered = not isinstance(answer, Err)
         if isinstance(answer, Err):
             self._note_unreachable(answer.err_value)
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -0,0 +1,307 @@
+"""Daemons, store and workers in virtual time, under faults."""
+
+import asyncio
+import random
+
+import pytest
+
+from standins.fleet.rules import find_violations
+from standins.fleet.world import World
+from standins.virtual import run_virtual
+from verbenapost.daemon import timers
+
+STEPS = [
+    {'count': 3, 'cpu': 1000, 'mem_mb': 100},
+    {'count': 2, 'cpu': 500, 'mem_mb': 100, 'after': [0]},
+]
+
+
+@pytest.fixture
+def play(monkeypatch):
+    """Return a function that runs a scenario with all clocks virtual."""
+
+    def run(scenario, **options):
+        async def start(now):
+            monkeypatch.setattr(timers, '_CLOCK_ID', 0)
+            monkeypatch.setattr(
+                timers.time, 'clock_gettime', lambda _clock: now() + 1000
+            )
+            monkeypatch.setattr(timers.time, 'time', lambda: now() + 5000)
+            random.seed(options.get('seed', 0))
+            world = World(now, **options)
+            try:
+                return await scenario(world)
+            finally:
+                await world.close()
+
+        return run_virtual(start)
+
+    return run
+
+
+def name_job(number):
+    return f'{number:016x}'
+
+
+async def wait_for_leader(world, seconds=20):
+    for _ in range(seconds * 20):
+        leader = world.find_leader()
+        if leader is not None:
+            return leader
+        await asyncio.sleep(0.05)
+    raise AssertionError('nobody leads')
+
+
+async def read_states(world, daemon='d0'):
+    states = {}
+    for job in world.accepted:
+        answer = await world.call('GET', job, daemon=daemon)
+        states[job] = answer.body.decode()
+    return states
+
+
+def judge(world):
+    rooms = {name: row.room.cpu for name, row in world.workers.items()}
+    return find_violations(world.history, world.accepted, rooms)
+
+
+COMPLETED = '{"state":"completed"}'
+
+
+class TestCalmDay:
+    def test_jobs_are_done_once_and_shown(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            for number in range(20):
+                answer = await world.submit(name_job(number), STEPS)
+                assert answer.status == 200
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(10)
+            return judge(world), set((await read_states(world)).values())
+
+        assert play(scenario) == ([], {COMPLETED})
+
+    def test_a_repeat_at_another_daemon_is_the_same_job(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            for daemon in ('d0', 'd1', 'd2', 'd1'):
+                answer = await world.submit(name_job(1), STEPS, daemon)
+                assert answer.status == 200
+                await asyncio.sleep(4)
+            return judge(world), len(world.history)
+
+        assert play(scenario) == ([], 10)
+
+    def test_a_cancelled_job_stops_and_stays_cancelled(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            lasting = [{'count': 4, 'cpu': 1000, 'long_running': True}]
+            job = '1a57000000000000'
+            await world.submit(job, lasting)
+            await asyncio.sleep(3)
+            running = sum(len(row.runs) for row in world.workers.values())
+            answer = await world.call('DELETE', job, daemon='d2')
+            await asyncio.sleep(2)
+            left = sum(len(row.runs) for row in world.workers.values())
+            states = await read_states(world)
+            return running, answer.status, left, states[job]
+
+        assert play(scenario) == (4, 200, 0, '{"state":"cancelled"}')
+
+    def test_what_was_never_submitted_is_gone(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            shown = await world.call('GET', name_job(7))
+            dropped = await world.call('DELETE', name_job(7))
+            return shown.status, dropped.status
+
+        assert play(scenario) == (410, 410)
+
+    def test_a_job_that_can_not_be_done_fails(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            for worker in world.workers.values():
+                worker.faults.fail = 1
+            await world.submit(name_job(1), STEPS)
+            await asyncio.sleep(20)
+            states = await read_states(world)
+            return judge(world), set(states.values())
+
+        assert play(scenario) == ([], {'{"state":"failed"}'})
+
+
+class TestTakeover:
+    def test_a_killed_leader_is_replaced_and_nothing_runs_twice(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            for number in range(12):
+                await world.submit(name_job(number), STEPS, 'd1')
+            await asyncio.sleep(0.4)
+            await leader.kill()
+            began = world.now()
+            await wait_for_leader(world)
+            taken = world.now() - began
+            await asyncio.sleep(15)
+            other = next(row for row in world.daemons.values() if row.alive)
+            states = await read_states(world, other.name)
+            return judge(world), set(states.values()), taken < 4
+
+        assert play(scenario) == ([], {COMPLETED}, True)
+
+    def test_an_orderly_stop_hands_over_at_once(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            await world.submit(name_job(1), STEPS, 'd1')
+            began = world.now()
+            await leader.stop()
+            await wait_for_leader(world)
+            return world.now() - began < 1
+
+        assert play(scenario)
+
+    def test_a_leader_cut_from_the_store_gives_no_more_orders(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            for number in range(10):
+                await world.submit(name_job(number), STEPS, 'd1')
+            leader.store.faults.silent = True
+            await asyncio.sleep(4)
+            assert leader.core.find_local() is None
+            await asyncio.sleep(16)
+            leader.store.faults.silent = False
+            await asyncio.sleep(10)
+            states = await read_states(world, leader.name)
+            return judge(world), set(states.values())
+
+        assert play(scenario) == ([], {COMPLETED})
+
+
+class TestWorkerLoss:
+    def test_tasks_of_a_dead_worker_run_elsewhere(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            for number in range(10):
+                await world.submit(name_job(number), STEPS)
+            await asyncio.sleep(0.5)
+            world.workers['w0'].crash()
+            world.store.remove('servers/w0')
+            await asyncio.sleep(20)
+            return judge(world), set((await read_states(world)).values())
+
+        assert play(scenario) == ([], {COMPLETED})
+
+    def test_a_worker_that_is_cut_off_is_waited_for(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            lasting = [{'count': 4, 'cpu': 4000, 'long_running': True}]
+            await world.submit('1a57000000000000', lasting)
+            await asyncio.sleep(2)
+            world.workers['w0'].faults.cut = True
+            await asyncio.sleep(20)
+            world.workers['w0'].faults.cut = False
+            await asyncio.sleep(5)
+            running = sum(len(row.runs) for row in world.workers.values())
+            return judge(world), running
+
+        assert play(scenario) == ([], 4)
+
+    def test_a_reborn_worker_knows_nothing(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            lasting = [{'count': 4, 'cpu': 4000, 'long_running': True}]
+            await world.submit('1a57000000000000', lasting)
+            await asyncio.sleep(2)
+            world.workers['w0'].crash()
+            await asyncio.sleep(0.5)
+            world.workers['w0'].restart()
+            await asyncio.sleep(4)
+            running = sum(len(row.runs) for row in world.workers.values())
+            return judge(world), running
+
+        assert play(scenario) == ([], 4)
+
+
+class TestStoreAway:
+    def test_submissions_are_refused_truthfully_and_work_goes_on(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_job(1), STEPS)
+            world.store.faults.down = True
+            answer = await world.submit(name_job(2), STEPS)
+            await asyncio.sleep(2.5)
+            world.store.faults.down = False
+            await asyncio.sleep(8)
+            assert answer.status == 503
+            assert answer.retry_after
+            return judge(world), set((await read_states(world)).values())
+
+        assert play(scenario) == ([], {COMPLETED})
+
+
+class TestRandomHistories:
+    async def disturb(self, world, chance):
+        """Bring one fault about and end it again."""
+        kind = chance.choice(
+            ('kill', 'stop', 'cut', 'lose', 'late', 'down', 'crash', 'compact'),
+        )
+        pause = chance.uniform(1, 5)
+        worker = chance.choice(list(world.workers.values()))
+        daemon = world.find_leader() or world.daemons['d0']
+        if kind == 'kill':
+            await daemon.kill()
+            await asyncio.sleep(pause)
+            world.add_daemon(daemon.name)
+        elif kind == 'stop':
+            await daemon.stop()
+            world.add_daemon(daemon.name)
+        elif kind == 'cut':
+            daemon.store.faults.silent = chance.random() < 0.5
+            daemon.workers.cut = {worker.name}
+            await asyncio.sleep(pause)
+            daemon.store.faults.silent = False
+            daemon.workers.cut = set()
+        elif kind == 'lose':
+            world.store.faults.lose = 0.3
+            await asyncio.sleep(pause)
+            world.store.faults.lose = 0
+        elif kind == 'late':
+            world.store.faults.late = 0.2
+            worker.faults.late = 0.3
+            await asyncio.sleep(pause)
+            world.store.faults.late = 0
+            worker.faults.late = 0
+        elif kind == 'down':
+            world.store.faults.down = True
+            await asyncio.sleep(pause)
+            world.store.faults.down = False
+        elif kind == 'crash':
+            worker.crash()
+            await asyncio.sleep(pause)
+            worker.restart()
+        else:
+            world.store.compact()
+
+    async def play_seed(self, world, seed):
+        chance = random.Random(seed)
+        await wait_for_leader(world)
+        number = 0
+        for _ in range(4):
+            for _ in range(4):
+                number += 1
+                daemon = chance.choice(list(world.daemons))
+                await world.submit(name_job(number), STEPS, daemon)
+                await asyncio.sleep(chance.uniform(0, 0.5))
+            await self.disturb(world, chance)
+        await asyncio.sleep(30)
+        states = await read_states(world)
+        left = {
+            job: state for job, state in states.items() if state != COMPLETED
+        }
+        return judge(world), left
+
+    @pytest.mark.parametrize('seed', range(30))
+    def test_no_rule_is_broken(self, play, seed):
+        async def scenario(world):
+            return await self.play_seed(world, seed)
+
+        assert play(scenario, seed=seed) == ([], {})
--- a/verbenapost/state/workloads.py
+++ b/verbenapost/state/workloads.py
@@ -99,6 +99,7 @@
     :param service: service that ran the route when the job was accepted.
     :param payload: text that each of its tasks is started with.
     :param steps: the steps, in the caller's order.
+    :param submitted_at: Unix time at which an entry took it, in seconds.
     :param repetitions: how often the steps run at set times; 0 for once,
         now.
     :param start_at: Unix time of the first occurrence in seconds.
@@ -110,6 +111,7 @@
     payload: str
     steps: tuple[StepSpec, ...]
     service: str = ''
+    submitted_at: float = 0
     repetitions: int = 0
     start_at: float = 0
     interval: float = 0
