Take over sooner; know the demand after a takeover

Change: the leader's lease is 2 s, renewed twice a second; jobs that are read at a takeover count as demand at the time of their submission; VMs go to standby only once the demand is known; before any work but what lasts is seen, all VMs stay.

--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -108,6 +108,8 @@
 
     def __init__(self, standby: str | None) -> None:
         self.standby = standby
+        #: Whether the demand is known for long enough to send VMs away.
+        self.may_spare = True
         #: Pool that each VM which is being emptied will go to.
         self.intents: dict[str, str] = {}
         self._needless_since: dict[str, float] = {}
@@ -258,7 +260,7 @@
         now: float,
     ) -> list[MoveVm]:
         """Send VMs that nobody has needed for some time to standby."""
-        if self.standby is None:
+        if self.standby is None or not self.may_spare:
             return []
         moves: list[MoveVm] = []
         for pool in pools.values():
--- a/verbenapost/coordination/scheduling/demand.py
+++ b/verbenapost/coordination/scheduling/demand.py
@@ -66,7 +66,7 @@
         :param core_seconds: work that it is expected to take.
         :param now: local seconds.
         """
-        if job in self._asked:
+        if job in self._asked or not core_seconds:
             return
         self._asked[job] = None
         self.seen = True
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -34,6 +34,9 @@
 #: Seconds that a call may take; the store answers in 4 ms when it is well.
 CALL_TIMEOUT: Final = 1.0
 
+#: Seconds that a renewal may take, so that there is time for another try.
+RENEW_TIMEOUT: Final = 0.6
+
 #: Seconds that an answer to a watch may take beyond the watch's own wait.
 WATCH_MARGIN: Final = 0.7
 
@@ -159,7 +162,9 @@
 
     async def renew_lease(self, lease: int) -> Result[None, CallFault]:
         """Renew a lease; ``NOT_FOUND`` once it has ended."""
-        answer = await self._call('POST', f'{names.RENEW_PATH}/{lease}')
+        answer = await self._call(
+            'POST', f'{names.RENEW_PATH}/{lease}', timeout=RENEW_TIMEOUT
+        )
         return answer.map(_drop)
 
     async def revoke_lease(self, lease: int) -> Result[None, CallFault]:
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -21,12 +21,16 @@
 from verbenapost.scheduler.keys import LEADER_KEY, TERM_KEY
 from verbenapost.scheduler.settings import SchedulerSettings
 
-#: Share of the lease after which it is renewed.
-RENEW_SHARE: Final = 0.3
+#: Seconds of the leader's lease: a successor has to wait for its end, and a
+#: store that answers in a quarter of a second must not end it.
+LEASE_SECONDS: Final = 2.0
+
+#: Seconds between two renewals.
+RENEW_SECONDS: Final = 0.5
 
 #: Seconds before the lease's end from which no order is sent: an order that
 #: was judged just before may take this long to leave the process.
-LEASE_MARGIN: Final = 0.4
+LEASE_MARGIN: Final = 0.3
 
 #: Longest random wait before a campaign, in seconds, so that one candidate
 #: has written before the others have read.
@@ -235,8 +239,7 @@
 
     async def _write(self, token: int, term_revision: int) -> None:
         asked = read_clock()
-        ttl = self._settings.bounds.lease_seconds
-        lease = await self._store.grant_lease(ttl)
+        lease = await self._store.grant_lease(LEASE_SECONDS)
         if isinstance(lease, Err):
             await asyncio.sleep(RETRY_SECONDS)
             return
@@ -263,7 +266,7 @@
         self._mine = claim
         self._lease = lease.ok_value
         self.revision = revision
-        self._valid_until = asked + ttl
+        self._valid_until = asked + LEASE_SECONDS
         self.current = claim
         self._log.info('leadership won', term=token, revision=revision)
         self.lost.clear()
@@ -286,14 +289,13 @@
         return found.ok_value.revision
 
     async def _renew(self) -> None:
-        ttl = self._settings.bounds.lease_seconds
         asked = read_clock()
         answer = await self._store.renew_lease(self._lease)
         if self._mine is None:
             return
         if not isinstance(answer, Err):
-            self._valid_until = max(self._valid_until, asked + ttl)
-            await asyncio.sleep(ttl * RENEW_SHARE)
+            self._valid_until = max(self._valid_until, asked + LEASE_SECONDS)
+            await asyncio.sleep(RENEW_SECONDS)
             return
         if answer.err_value.fault is Fault.NOT_FOUND:
             self.lose('the lease has ended')
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -40,6 +40,8 @@
         self._configuration = configuration
         self._send = send
         self._log = log
+        #: Takes each job that comes in and has not ended.
+        self.notify: Callable[[Board, Job], None] | None = None
         self._owners: dict[str, Board] = {}
         self._progress: dict[str, Item] = {}
         self._cancelled: set[str] = set()
@@ -104,6 +106,8 @@
             steps=len(spec.steps),
             state=job.state.value,
         )
+        if self.notify is not None and not job.state.ended:
+            self.notify(board, job)
         if spec.job in self._cancelled:
             self._cancel(spec.job)
 
--- a/verbenapost/scheduler/keeper.py
+++ b/verbenapost/scheduler/keeper.py
@@ -8,6 +8,7 @@
 
 from result import Err, Result
 
+from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.capacity import (
     CapacityPlanner,
     MoveVm,
@@ -16,10 +17,12 @@
 )
 from verbenapost.coordination.scheduling.demand import (
     CLEAR_SECONDS,
+    WINDOW_SECONDS,
     DemandMeter,
     measure_load,
 )
 from verbenapost.coordination.scheduling.evacuation import evacuate
+from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.waves import (
     MaintainVm,
     WavePlanner,
@@ -30,7 +33,7 @@
 from verbenapost.platform.http import Answer
 from verbenapost.protocol.orders import CallFault, Fault
 from verbenapost.scheduler.boards import BoardSet
-from verbenapost.scheduler.election import RENEW_SHARE
+from verbenapost.scheduler.election import LEASE_SECONDS, RENEW_SECONDS
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.tasks import TaskSet
@@ -107,6 +110,7 @@
         self._listed_at: float = 0
         self._noted_at: dict[str, float] = {}
         self._stale = True
+        self._began = read_clock()
         self._tasks = TaskSet()
 
     async def run(self) -> None:
@@ -123,6 +127,17 @@
         """Return the meter of a service's demand."""
         return self.meters.setdefault(service, DemandMeter())
 
+    def note_job(self, board: Board, job: Job) -> None:
+        """Count a job that came in, also under a leader before this one."""
+        seconds = board.run_times.estimate(job.spec.route)
+        cores = sum(
+            step.count * step.size.cpu / _MILLI
+            for step in job.spec.steps
+            if not step.long_running
+        )
+        meter = self.find_meter(board.service)
+        meter.note(job.spec.job, cores * seconds, job.arrived)
+
     def count_incoming(self, service: str) -> float:
         """Return the cores on their way into a pool."""
         return sum(
@@ -132,13 +147,14 @@
     async def _wait_for_turn(self) -> None:
         """Let the time pass in which a leader before this one gave orders.
 
-        Its lease had to end first, and it was renewed a share of the lease
-        before its last order at the most.
+        Its lease had to end first; its last order may have been sent just
+        after its last renewal but one.
         """
         election = self._ports.election
         if election.token > 1 and not election.succeeds_resigned:
-            lease = self._ports.settings.bounds.lease_seconds
-            await asyncio.sleep(lease * RENEW_SHARE + TURN_MARGIN)
+            bound = self._ports.settings.bounds.lease_seconds
+            passed = LEASE_SECONDS - RENEW_SECONDS
+            await asyncio.sleep(max(0, bound - passed) + TURN_MARGIN)
 
     async def _run_round(self) -> None:
         now = read_clock()
@@ -278,6 +294,7 @@
             demand.service: self.count_incoming(demand.service)
             for demand in demands
         }
+        self._capacity.may_spare = now - self._began > WINDOW_SECONDS
         for move in self._capacity.plan(demands, free, incoming, now):
             self._begin(move.vm, self._move(move))
 
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -148,6 +148,7 @@
         await self._ports.configuration.known.wait()
         await self._read_progress()
         self.jobs.inheriting = token > 1
+        self.jobs.notify = self._keeper.note_job
         self._tasks.add(self._recorder.run())
         await self._follow(SUBMITTED_PREFIX, self.jobs.take_change)
         await self._follow(WORKER_PREFIX, self._fleet.take_change)
