Stand-in workers: ends and late orders end with a life

Change: late orders are dropped with their life; an end whose lease lapsed before its acknowledgement no longer counts.

--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -57,7 +57,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Forgotten:
-    """An end that nobody had acknowledged was lost with its worker."""
+    """An end does not count: nobody had acknowledged it when its worker was
+    lost, or when the worker's lease lapsed.
+    """
 
     task: object
     run: int
@@ -110,9 +112,7 @@
         """Lose everything that runs."""
         for task in list(self.runs):
             self._end(task, EndKind.LAPSED, listed=False)
-        self.world.history.extend(
-            Forgotten(end.task, end.run, end.kind) for end in self.ends
-        )
+        self._forget_ends()
         self.up = False
 
     def restart(self):
@@ -128,7 +128,8 @@
     def advance(self):
         """End what is over by now."""
         now = self.world.now()
-        if self.runs and self.read_clock() > self.deadline:
+        if self.read_clock() > self.deadline:
+            self._forget_ends()
             for task in list(self.runs):
                 self._end(task, EndKind.LAPSED)
         for task, row in list(self.runs.items()):
@@ -191,6 +192,14 @@
             self.read_clock(), running, list(self.ends), self.born
         )
 
+    def _forget_ends(self):
+        self.world.history.extend(
+            Forgotten(end.task, end.run, end.kind)
+            for end in self.ends
+            if end.number > self._forgotten
+        )
+        self._forgotten = self._count
+
     def _reset(self):
         self.born += 1
         self.runs = {}
@@ -198,6 +207,7 @@
         self.token = 0
         self.deadline = 0
         self._count = 0
+        self._forgotten = 0
         self._barred = {}
         self._began = self.world.now()
 
@@ -260,12 +270,14 @@
         if self.world.chance.random() < row.faults.late:
             delay = self.world.chance.uniform(1, 8)
             loop = asyncio.get_running_loop()
-            loop.call_later(delay, self._carry_out_late, row, carry_out)
+            life = row.born
+            loop.call_later(delay, self._carry_out_late, row, life, carry_out)
             return await self._time_out()
         return carry_out(row)
 
-    def _carry_out_late(self, row, carry_out):
-        if row.up:
+    def _carry_out_late(self, row, life, carry_out):
+        # What a worker has left undone ends with its life.
+        if row.up and row.born == life:
             carry_out(row)
 
     def _is_cut(self, row):
