Count the room of runs that are being stopped for nobody

Change: runs in a worker's list that are not booked count by their task's size until a list is free of them; a run of an unknown job bars the worker. Test: TestForeignRuns, failing before.

--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -6,14 +6,17 @@
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.commands import Command, StopTask
 from verbenapost.coordination.scheduling.jobs import Task, TaskState
-from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.coordination.scheduling.workers import (
+    Worker,
+    measure_task,
+)
 from verbenapost.protocol.orders import (
     EndKind,
     RunEnd,
     RunningTask,
     WorkerReport,
 )
-from verbenapost.state.workloads import JobState, StepSpec
+from verbenapost.state.workloads import JobState, Size, StepSpec
 
 #: Seconds after which a stop that had no answer is ordered again.
 STOP_AGAIN_SECONDS: Final = 1.0
@@ -47,6 +50,8 @@
         :param sent: local seconds at which the lists were asked for.
         """
         commands: list[Command] = []
+        self._worker.foreign = Size()
+        self._worker.crowded = False
         for row in report.running:
             commands.extend(self.adopt(row))
         for end in ends:
@@ -64,10 +69,12 @@
         """Compare a row of the list with what is believed."""
         name = self._worker.entry.worker
         task = self._board.find_task(row.task)
-        if task is None or task.state is TaskState.DONE:
-            orphan = task or Task(row.task, StepSpec(1), run=row.run)
-            return [StopTask(name, orphan, row.run)]
-        if task.worker == name and task.run == row.run:
+        if task is None:
+            # It takes room, nobody knows how much.
+            self._worker.crowded = True
+            return [StopTask(name, Task(row.task, StepSpec(1)), row.run)]
+        ours = task.worker == name and task.run == row.run
+        if ours and task.state is not TaskState.DONE:
             return self._confirm(task, row)
         if task.state is TaskState.WAITING and not self._is_ended(task):
             task.worker = name
@@ -75,6 +82,8 @@
             task.started_at = self._now
             self._worker.book(task)
             return self._confirm(task, row)
+        size = measure_task(task.step)
+        self._worker.foreign = self._worker.foreign.plus(size)
         return [StopTask(name, task, row.run)]
 
     def take_end(self, end: RunEnd) -> list[Command]:
--- a/verbenapost/coordination/scheduling/tests/test_board.py
+++ b/verbenapost/coordination/scheduling/tests/test_board.py
@@ -1,5 +1,7 @@
 """What starts, ends and starts again."""
 
+import dataclasses
+
 from verbenapost.coordination.scheduling.commands import StopTask
 from verbenapost.coordination.scheduling.jobs import Job, TaskState
 from verbenapost.coordination.scheduling.tests import sample
@@ -199,6 +201,35 @@
         assert plan(board) == []
 
 
+class TestForeignRuns:
+    def test_what_is_being_stopped_still_takes_room(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        job = add_job(board, StepSpec(3, SMALL))
+        for start in start_all(board):
+            assert start.worker == 'w0'
+        former = [
+            dataclasses.replace(make_row(start), run=start.run)
+            for start in [StopTask('w1', row, row.run) for row in job.tasks()]
+        ]
+        stops = report(board, 'w1', former)
+        assert len(stops) == 3
+        add_job(board, StepSpec(4, SMALL), job='0' * 16)
+        assert [row.worker for row in plan(board)] == ['w0', 'w1']
+        report(board, 'w1', [], sent=5)
+        assert [row.worker for row in plan(board)] == ['w1', 'w1']
+
+    def test_a_run_of_unknown_size_bars_its_worker(self):
+        other = make_board()
+        add_job(other)
+        rows = [make_row(start) for start in start_all(other)]
+        board = make_board()
+        report(board, 'w0', rows)
+        add_job(board, job='0' * 16)
+        assert plan(board) == []
+        report(board, 'w0', [], sent=5)
+        assert len(plan(board)) == 2
+
+
 class TestTakeover:
     def test_inherited_jobs_wait_until_all_workers_were_asked(self):
         board = make_board(token=2)
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -29,6 +29,8 @@
     :param leaving: whether it will be moved or maintained.
     :param avoid_until: local seconds until which nothing new goes there.
     :param used: room that is booked.
+    :param foreign: room of runs in its list that are not booked here.
+    :param crowded: whether there are such runs of unknown size.
     :param tasks: tasks that are booked.
     """
 
@@ -39,6 +41,8 @@
     leaving: bool = False
     avoid_until: float = 0
     used: Size = dataclasses.field(default_factory=Size)
+    foreign: Size = dataclasses.field(default_factory=Size)
+    crowded: bool = False
     tasks: dict[TaskKey, Task] = dataclasses.field(default_factory=dict)
 
     @property
@@ -57,12 +61,13 @@
             self.staying
             and self.adopted
             and self.reachable
+            and not self.crowded
             and now >= self.avoid_until
         )
 
     def has_room(self, size: Size) -> bool:
         """Return whether a task of a size fits beside what is booked."""
-        return self.used.plus(size).fits(self.entry.room)
+        return self.used.plus(self.foreign).plus(size).fits(self.entry.room)
 
     def count_step(self, step: StepRun) -> int:
         """Return how many tasks of a step are booked."""
