--- a/verbenapost/coordination/directory.py
+++ b/verbenapost/coordination/directory.py
@@ -17,8 +17,9 @@
     unpack_vm,
 )
 
-#: Seconds that one watch waits for changes.
-WATCH_WAIT = 20.0
+#: Seconds that one watch waits for changes. A watch whose answer is lost
+#: shows only after its wait, and a VM that leaves gets work until then.
+WATCH_WAIT = 1.0
 
 Subscriber = Callable[[], None]
 
