Settle unanswered starts at once; succeed one's own dead process

Change: orders time out after 0.5 s; a worker with tasks that end soon is held for 0.5 s at a time; a start without an answer is barred and looked for at once; reports that overtake each other are told apart by the worker's clock. A restarted process takes over from the process before it on its VM.

--- a/verbenapost/platform/workers.py
+++ b/verbenapost/platform/workers.py
@@ -25,7 +25,7 @@
 from verbenapost.state.workloads import TaskKey, WorkerEntry
 
 #: Seconds that an order may take before its outcome counts as unknown.
-ORDER_TIMEOUT: Final = 1.0
+ORDER_TIMEOUT: Final = 0.5
 
 _MS = 1000
 _CONFLICT = 409
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -136,6 +136,7 @@
         self._mine: Leadership | None = None
         self._lease = 0
         self._valid_until: float = 0
+        self._seen_revision = 0
 
     @property
     def token(self) -> int:
@@ -158,6 +159,7 @@
         """Take a change of the leader's key from the follower."""
         if change.key != LEADER_KEY:
             return
+        self._seen_revision = change.revision
         self.current = None
         if change.value is not None:
             self.current = self._read(change.value)
@@ -180,7 +182,7 @@
     async def run(self) -> None:
         """Campaign and renew until the task is cancelled."""
         while True:
-            vacant = self.current is None and not self.resigned
+            vacant = self._is_vacant() and not self.resigned
             if self._mine:
                 await self._renew()
             elif vacant:
@@ -214,17 +216,31 @@
 
     async def _campaign(self) -> None:
         await asyncio.sleep(self._choose_delay())
-        if self.current is not None:
+        if not self._is_vacant():
             return
+        replaced = 0 if self.current is None else self._seen_revision
         term = await self._store.read_key(TERM_KEY)
         if isinstance(term, Err):
             await asyncio.sleep(RETRY_SECONDS)
             return
         last = term.ok_value
         before = Term(0) if last is None else unpack_term(last.value)
-        self.succeeds_resigned = before.resigned
+        # The process before this one on the same VM is dead as well.
+        self.succeeds_resigned = before.resigned or replaced > 0
         revision = 0 if last is None else last.revision
-        await self._write(before.token + 1, revision)
+        await self._write(
+            before.token + 1,
+            Expectation(TERM_KEY, revision),
+            Expectation(LEADER_KEY, replaced),
+        )
+
+    def _is_vacant(self) -> bool:
+        """Return whether nobody leads, or only a dead process of this VM."""
+        current = self.current
+        if current is None:
+            return True
+        same = current.daemon == self._settings.daemon
+        return same and current.start != self._start
 
     def _choose_delay(self) -> float:
         """Return the seconds to wait before a campaign.
@@ -237,7 +253,7 @@
             delay += CAMPAIGN_JITTER
         return delay
 
-    async def _write(self, token: int, term_revision: int) -> None:
+    async def _write(self, token: int, *expected: Expectation) -> None:
         asked = read_clock()
         lease = await self._store.grant_lease(LEASE_SECONDS)
         if isinstance(lease, Err):
@@ -250,10 +266,7 @@
             self._settings.internal_address,
         )
         transaction = Transaction(
-            expected=(
-                Expectation(LEADER_KEY, 0),
-                Expectation(TERM_KEY, term_revision),
-            ),
+            expected=expected,
             writes=(
                 Write(TERM_KEY, Term(token).pack()),
                 Write(LEADER_KEY, claim.pack(), lease.ok_value),
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -34,9 +34,10 @@
 #: renewed as often, and have to outlast a change of the leader.
 HOLD_WAIT: Final = 1.5
 
-#: The same while tasks run there whose response times have a target; the
-#: worker renews its figures every half second.
-WATCHED_WAIT: Final = 0.5
+#: The same while tasks run there that end soon or whose response times have a
+#: target: an answer that is lost hides their ends, and the worker renews its
+#: figures every half second.
+BUSY_WAIT: Final = 0.5
 
 #: Seconds between two tries to reach a worker.
 RETRY_SECONDS: Final = 0.25
@@ -90,6 +91,8 @@
         self._board = board
         self._ports = ports
         self._acknowledged = 0
+        self._taken = 0
+        self._last_clock = 0
         # A worker that doesn't answer gets no further lease: what it was
         # given before has to lapse before its tasks may start elsewhere.
         self._answered = True
@@ -104,12 +107,17 @@
     async def run(self) -> None:
         """Hold the worker until its life is over or the leadership is."""
         while not self.over:
-            held = self._ports.election.holds() and await self.hold_once()
+            held = self._ports.election.holds() and await self.hold_once(
+                self._choose_wait()
+            )
             if not held:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def hold_once(self) -> bool:
-        """Extend the leases, read the lists, and return whether it answered."""
+    async def hold_once(self, wait: float) -> bool:
+        """Extend the leases, read the lists, and return whether it answered.
+
+        :param wait: seconds that the worker may wait for an end.
+        """
         sent = read_clock()
         deadline = None
         if self.clock.known and self._answered:
@@ -117,7 +125,6 @@
                 sent, self._ports.hold_seconds, latest=True
             )
             self.clock.note_lease(deadline)
-        wait = self._choose_wait()
         answer = await self._ports.client.hold(
             self.worker.entry,
             self._ports.election.token,
@@ -156,6 +163,8 @@
         answer = await self._ports.client.start(self.worker.entry, order)
         if isinstance(answer, Err):
             self._fail_start(command, answer.err_value)
+            if answer.err_value.fault is Fault.UNKNOWN:
+                await self._settle_start(command)
             return
         now = read_clock()
         self.clock.observe(answer.ok_value, sent, now)
@@ -213,6 +222,14 @@
         )
         self._ports.wake()
 
+    async def _settle_start(self, command: StartTask) -> None:
+        """Bar a start without an answer and look whether it runs."""
+        task = command.task
+        task.stop_asked_at = read_clock()
+        await self.stop(StopTask(self.name, task, command.run))
+        if task.stop_sent and not self.over and self._ports.election.holds():
+            await self.hold_once(0)
+
     def _fail_start(self, command: StartTask, fault: CallFault) -> None:
         self._ports.log.info(
             'start not confirmed',
@@ -243,10 +260,15 @@
         worker = self.worker
         if not worker.adopted:
             return 0
-        return WATCHED_WAIT if worker.serves() else HOLD_WAIT
+        short = any(not row.step.long_running for row in worker.tasks.values())
+        return BUSY_WAIT if short or worker.serves() else HOLD_WAIT
 
     async def _take_report(self, report: WorkerReport, sent: float) -> None:
         now = read_clock()
+        if report.clock < self._last_clock:
+            # A newer answer on another connection has overtaken this one.
+            return
+        self._last_clock = report.clock
         self.clock.observe(report.clock, now, now)
         if report.born not in {None, self._born}:
             self.end_life('it was born again')
@@ -255,7 +277,8 @@
         if not worker.reachable:
             self._ports.log.info('worker reached', worker=self.name)
         worker.reachable = True
-        ends = [end for end in report.ends if end.number > self._acknowledged]
+        ends = [end for end in report.ends if end.number > self._taken]
+        self._taken = max([self._taken, *(end.number for end in ends)])
         reader = ReportReader(self._board, worker, now)
         commands = reader.apply(report, ends, sent)
         worker.adopted = True
@@ -291,7 +314,8 @@
         if not ends:
             return
         await asyncio.gather(*written)
-        self._acknowledged = max(end.number for end in ends)
+        newest = max(end.number for end in ends)
+        self._acknowledged = max(self._acknowledged, newest)
 
     def _note_unreachable(self, fault: CallFault) -> None:
         if self._is_final(fault):
--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -148,6 +148,18 @@
 
         assert play(scenario) == ([], {COMPLETED}, True)
 
+    def test_a_restarted_process_succeeds_the_one_before_it(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            await world.submit(name_job(1), STEPS, 'd1')
+            await leader.kill()
+            began = world.now()
+            world.add_daemon(leader.name)
+            successor = await wait_for_leader(world)
+            return successor.name == leader.name, world.now() - began < 1
+
+        assert play(scenario) == (True, True)
+
     def test_an_orderly_stop_hands_over_at_once(self, play):
         async def scenario(world):
             leader = await wait_for_leader(world)
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -80,15 +80,15 @@
         clock = Clock()
         board, client, link = make_link(clock, monkeypatch)
         add_job(board, StepSpec(1, SMALL))
-        await link.hold_once()
+        await link.hold_once(0)
         (start,) = plan(board, now=clock.now)
         board.note_started(start.task, start.run, clock.now)
         client.running = [make_row(start)]
-        await link.hold_once()
+        await link.hold_once(0)
         client.up = False
         until = clock.now + seconds
         while clock.now < until:
-            await link.hold_once()
+            await link.hold_once(0)
         return start.task, client
 
     def test_its_tasks_wait_for_its_leases(self, monkeypatch):
