Keep a wave's cap over a change of leader; move only what is known to be empty

Change: VMs listed as in maintenance and orders without an answer count as down; after a takeover no maintenance begins for 4 s; a VM is empty only when its worker is adopted, in reach and has no tasks; a chosen VM takes no work; a task that uses no processor is not at work. Orders to the cloud in a module of their own. Ruled out: counting by the VM list alone; it is read once a second.

--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -36,10 +36,12 @@
 
     :param vm: as the platform lists it.
     :param worker: its worker as its board knows it, if it has one.
+    :param resting: whether it is in the standby pool, where nothing runs.
     """
 
     vm: FleetVm
     worker: Worker | None
+    resting: bool = False
 
     @property
     def cores(self) -> float:
@@ -56,8 +58,11 @@
 
     @property
     def empty(self) -> bool:
-        """Whether nothing runs there."""
-        return self.worker is None or not self.worker.tasks
+        """Whether nothing runs there for sure."""
+        worker = self.worker
+        if worker is None:
+            return self.resting
+        return worker.adopted and worker.reachable and not worker.tasks
 
 
 @final
@@ -247,7 +252,7 @@
         resting = [
             view
             for view in usable
-            if view.vm.pool == self.standby
+            if view.resting
             and view.vm.vm not in moved
             and view.vm.vm not in self.intents
         ]
--- a/verbenapost/coordination/scheduling/evacuation.py
+++ b/verbenapost/coordination/scheduling/evacuation.py
@@ -65,10 +65,19 @@
         return False
     return (
         task.state is TaskState.RUNNING
+        and _is_busy(task)
         and task.percent == FULL_PERCENT
         and now - task.started_at >= STARTUP_SECONDS
     )
 
 
+def _is_busy(task: Task) -> bool:
+    """Return whether it makes progress; one that stands still uses nothing.
+
+    The figure of a task with users is the tail of its response times.
+    """
+    return bool(task.step.target) or task.load > 0
+
+
 def _is_movable(task: Task) -> bool:
     return task.step.long_running and task.state is TaskState.RUNNING
--- a/verbenapost/coordination/scheduling/tests/sample.py
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -75,6 +75,7 @@
     starts = plan(board, now, wall)
     for start in starts:
         board.note_started(start.task, start.run, now)
+        start.task.load = 1
     return starts
 
 
--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -43,7 +43,10 @@
 def make_view(name, pool='routing', state=VmState.UP, worker=None):
     if worker is None and pool != 'spare':
         worker = Worker(make_entry(name))
-    return VmView(FleetVm(name, pool, state, (), ROOM, ''), worker)
+    if worker is not None:
+        worker.adopted = worker.reachable = True
+    vm = FleetVm(name, pool, state, (), ROOM, '')
+    return VmView(vm, worker, resting=pool == 'spare')
 
 
 def plan_moves(planner, demands, views, now=0.0, incoming=None):
@@ -177,7 +180,7 @@
         orders = planner.plan(progress, views, now=0)
         assert len(orders) == 2
         for order in orders:
-            planner.note_ordered(progress, order.vm, now=0)
+            planner.note_ordered(progress, order.vm)
         assert planner.plan(progress, views, now=1) == []
         for order in orders:
             planner.note_begun(progress, order.vm, now=1)
@@ -189,6 +192,31 @@
         assert planner.plan(progress, [*down, *views[2:]], now=4) == []
         assert len(planner.plan(progress, views, now=5)) == 2
 
+    def test_vms_that_a_leader_before_sent_down_count(self):
+        planner, progress = self.make(5, cap=2)
+        views = [
+            make_view('w0', 'spare', VmState.MAINTENANCE),
+            *(make_view(f'w{row}', 'spare') for row in range(1, 5)),
+        ]
+        assert len(planner.plan(progress, views, now=0)) == 1
+        progress.quiet_until = 4
+        assert planner.plan(progress, views, now=3) == []
+
+    def test_an_order_without_an_answer_counts_as_down(self):
+        planner, progress = self.make(5, cap=1)
+        views = [make_view(f'w{row}', 'spare') for row in range(5)]
+        planner.note_ordered(progress, 'w0')
+        assert planner.plan(progress, views, now=9) == []
+        planner.note_failed(progress, 'w0', now=10, doubtful=True)
+        assert planner.plan(progress, views, now=20) == []
+        planner.note_failed(progress, 'w0', now=20, doubtful=False)
+        assert len(planner.plan(progress, views, now=21)) == 1
+
+    def test_a_vm_whose_worker_is_not_known_may_run_something(self):
+        planner, progress = self.make(1, cap=1)
+        vm = FleetVm('w0', 'routing', VmState.UP, (), ROOM, 'i-1')
+        assert planner.plan(progress, [VmView(vm, None)], now=0) == []
+
     def test_it_is_complete_when_all_that_are_there_have_begun(self):
         planner, progress = self.make(2, cap=2)
         views = [make_view('w0', 'spare')]
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -11,6 +11,13 @@
 #: Seconds that one VM takes, from choosing it until it is back.
 TURN_SECONDS: Final = 5.0
 
+#: Seconds beyond its maintenance for which a VM counts as down; the list of
+#: VMs is read once a second.
+BACK_MARGIN: Final = 0.5
+
+#: Seconds for which an order without an answer may still be carried out.
+DOUBT_SECONDS: Final = 15.0
+
 #: Share of a wave's time in which it is planned to be over.
 TIME_SHARE: Final = 0.7
 
@@ -30,6 +37,8 @@
 
     :param wave: the wave.
     :param seen_at: local seconds at which it was first seen.
+    :param quiet_until: local seconds until which VMs may be down by the orders
+        of a leader before this one.
     :param begun: VMs whose maintenance has begun.
     :param down: local seconds until which a VM is down for it, at least.
     :param emptying: VMs that are being emptied.
@@ -37,6 +46,7 @@
 
     wave: MaintenanceWave
     seen_at: float
+    quiet_until: float = 0
     begun: set[str] = dataclasses.field(default_factory=set)
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
@@ -76,24 +86,37 @@
             and view.vm.state is VmState.UP
         ]
         due.sort(key=_rank)
-        free = progress.wave.cap - len(progress.down)
-        empty = [view for view in due if view.empty]
-        orders = [
-            MaintainVm(view.vm.vm, progress.wave.number)
-            for view in empty[: max(0, free)]
-        ]
         self._choose_emptying(progress, due, now)
-        return orders
-
-    def note_ordered(self, progress: WaveProgress, vm: str, now: float) -> None:
+        if now < progress.quiet_until:
+            return []
+        free = max(0, progress.wave.cap - _count_down(progress, views))
+        chosen = [view for view in due if view.empty][:free]
+        for empty in chosen:
+            _mark_leaving(empty)
+        return [MaintainVm(view.vm.vm, progress.wave.number) for view in chosen]
+
+    def note_ordered(self, progress: WaveProgress, vm: str) -> None:
         """Note that an order is on its way; the VM counts as down."""
-        progress.down[vm] = now + self._maintenance
+        progress.down[vm] = math.inf
         progress.emptying.discard(vm)
 
     def note_begun(self, progress: WaveProgress, vm: str, now: float) -> None:
         """Note that a VM's maintenance has begun."""
         progress.begun.add(vm)
-        progress.down[vm] = now + self._maintenance
+        progress.down[vm] = now + self._maintenance + BACK_MARGIN
+
+    def note_failed(
+        self,
+        progress: WaveProgress,
+        vm: str,
+        now: float,
+        *,
+        doubtful: bool,
+    ) -> None:
+        """Note that an order was refused or has no answer."""
+        progress.down.pop(vm, None)
+        if doubtful:
+            progress.down[vm] = now + DOUBT_SECONDS
 
     def _drop_back(
         self,
@@ -124,8 +147,24 @@
                 break
             progress.emptying.add(view.vm.vm)
         for view in busy:
-            if view.worker is not None and view.vm.vm in progress.emptying:
-                view.worker.leaving = True
+            if view.vm.vm in progress.emptying:
+                _mark_leaving(view)
+
+
+def _mark_leaving(view: VmView) -> None:
+    if view.worker is not None:
+        view.worker.leaving = True
+
+
+def _count_down(progress: WaveProgress, views: Sequence[VmView]) -> int:
+    """Return how many VMs are down for a wave, by whosever order."""
+    listed = {
+        view.vm.vm
+        for view in views
+        if view.vm.vm in progress.wave.vms
+        and view.vm.state is VmState.MAINTENANCE
+    }
+    return len(listed | progress.down.keys())
 
 
 def _rank(view: VmView) -> tuple[bool, int, str]:
--- a/verbenapost/scheduler/keeper.py
+++ b/verbenapost/scheduler/keeper.py
@@ -3,10 +3,9 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable
 from typing import Any, Final, final
 
-from result import Err, Result
+from result import Err
 
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.capacity import (
@@ -30,13 +29,13 @@
 )
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
-from verbenapost.platform.http import Answer
-from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.platform.cloud import CloudClient
+from verbenapost.protocol.orders import Fault
 from verbenapost.scheduler.boards import BoardSet
 from verbenapost.scheduler.election import LEASE_SECONDS, RENEW_SECONDS
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.ports import LeaderPorts
-from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.scheduler.vmorders import VmOrders
 from verbenapost.scheduler.wavestatus import WaveStatus
 from verbenapost.state.workloads import FleetVm, VmState
 
@@ -46,19 +45,13 @@
 #: Seconds between two readings of the VM list without orders.
 LIST_SECONDS: Final = 1.0
 
-#: Seconds for which a VM stays put after an order without an answer, since
-#: a copy of the order may still be carried out.
-DOUBT_SECONDS: Final = 13.0
-
-#: Seconds between two tries of an order without an answer.
-RETRY_SECONDS: Final = 0.5
-
-#: Tries of an order without an answer.
-ORDER_TRIES: Final = 12
-
 #: Seconds beyond the platform's own figure until a moved VM is at work.
 JOIN_SECONDS: Final = 1.0
 
+#: Seconds after a takeover in which no maintenance begins: the VMs that the
+#: leader before had sent into it are not all in the list yet.
+QUIET_SECONDS: Final = 4.0
+
 #: Seconds added to the wait for the orders of a leader before.
 TURN_MARGIN: Final = 0.3
 
@@ -82,6 +75,7 @@
     """Orders moves and maintenance while its daemon leads.
 
     :param ports: what the leader has.
+    :param cloud: calls of the cloud.
     :param boards: the boards.
     :param fleet: the links to the workers.
     :param log: log of this part.
@@ -90,12 +84,15 @@
     def __init__(
         self,
         ports: LeaderPorts,
+        cloud: CloudClient,
         boards: BoardSet,
         fleet: WorkerFleet,
         log: Any,
     ) -> None:
         self.meters: dict[str, DemandMeter] = {}
         self._ports = ports
+        self._cloud = cloud
+        self._orders = VmOrders(cloud, ports.election, log)
         self._boards = boards
         self._fleet = fleet
         self._log = log
@@ -104,14 +101,14 @@
         self._waves = WavePlanner(ports.settings.bounds.maintenance_s)
         self._progress: dict[int, WaveProgress] = {}
         self._status = WaveStatus(ports.store, ports.election, log)
-        self._busy: set[str] = set()
-        self._doubtful: dict[str, float] = {}
         self._joining: dict[str, _Joining] = {}
         self._listed_at: float = 0
         self._noted_at: dict[str, float] = {}
         self._stale = True
         self._began = read_clock()
-        self._tasks = TaskSet()
+        self._quiet_until: float = 0
+        if ports.election.token > 1:
+            self._quiet_until = self._began + QUIET_SECONDS
 
     async def run(self) -> None:
         """Work in rounds until the task is cancelled."""
@@ -121,7 +118,7 @@
                 await self._run_round()
                 await asyncio.sleep(ROUND_SECONDS)
         finally:
-            await self._tasks.close()
+            await self._orders.close()
 
     def find_meter(self, service: str) -> DemandMeter:
         """Return the meter of a service's demand."""
@@ -167,15 +164,15 @@
         self._evacuate(now)
         if not self._vms or not self._ports.election.holds():
             return
-        views = self._make_views(now)
+        views = self._make_views()
         await self._run_waves(views, now)
         self._run_moves(views, now)
 
+    def _note_stale(self) -> None:
+        self._stale = True
+
     async def _read_list(self) -> None:
-        cloud = self._ports.cloud
-        if cloud is None:
-            return
-        listed = await cloud.list_vms()
+        listed = await self._cloud.list_vms()
         if isinstance(listed, Err):
             self._log.warning(
                 'VM list not read',
@@ -197,15 +194,14 @@
                 )
         self._vms = found
 
-    def _make_views(self, now: float) -> list[VmView]:
+    def _make_views(self) -> list[VmView]:
         """Return the VMs that no order is out for."""
-        self._doubtful = {
-            vm: until for vm, until in self._doubtful.items() if now < until
-        }
+        services = self._ports.configuration.find_services()
+        resting = {row.name for row in services.values() if row.standby}
         return [
-            VmView(vm, self._find_worker(vm))
+            VmView(vm, self._find_worker(vm), vm.pool in resting)
             for name, vm in self._vms.items()
-            if name not in self._busy and name not in self._joining
+            if name not in self._orders.busy and name not in self._joining
         ]
 
     def _find_worker(self, vm: FleetVm) -> Worker | None:
@@ -243,15 +239,17 @@
         for number, wave in self._ports.configuration.waves.items():
             progress = self._progress.get(number)
             if progress is None:
-                progress = WaveProgress(wave, now)
+                progress = WaveProgress(wave, now, self._quiet_until)
                 progress.begun.update(await self._status.begin(number))
                 self._progress[number] = progress
             if self._status.is_complete(number):
                 continue
             orders = self._waves.plan(progress, views, now)
             for order in orders:
-                self._waves.note_ordered(progress, order.vm, now)
-                self._begin(order.vm, self._maintain(order, progress))
+                self._waves.note_ordered(progress, order.vm)
+                self._orders.begin(
+                    order.vm, self._maintain(order, progress), self._note_stale
+                )
             if progress.is_complete(views) and not progress.down:
                 await self._status.complete(number)
 
@@ -260,17 +258,13 @@
         order: MaintainVm,
         progress: WaveProgress,
     ) -> None:
-        cloud = self._ports.cloud
-        if cloud is None:
-            return
-        token = self._ports.election.token
-        answer = await self._insist(
-            order.vm, lambda: cloud.maintain(order.vm, order.wave, token)
-        )
-        self._note_order('maintenance', order.vm, str(order.wave), answer)
+        answer = await self._orders.maintain(order.vm, order.wave)
         if isinstance(answer, Err):
-            if answer.err_value.fault is not Fault.UNKNOWN:
-                progress.down.pop(order.vm, None)
+            doubtful = answer.err_value.fault is Fault.UNKNOWN
+            self._waves.note_failed(
+                progress, order.vm, read_clock(), doubtful=doubtful
+            )
+            self._keep_worker(order.vm, doubtful=doubtful)
             return
         self._waves.note_begun(progress, order.vm, read_clock())
         self._end_life(order.vm, 'its VM is maintained')
@@ -289,14 +283,16 @@
         ]
         if not any(meter.seen for meter in self.meters.values()):
             return
-        free = [view for view in views if view.vm.vm not in self._doubtful]
+        doubtful = self._orders.find_doubtful(now)
+        free = [view for view in views if view.vm.vm not in doubtful]
         incoming = {
             demand.service: self.count_incoming(demand.service)
             for demand in demands
         }
         self._capacity.may_spare = now - self._began > WINDOW_SECONDS
         for move in self._capacity.plan(demands, free, incoming, now):
-            self._begin(move.vm, self._move(move))
+            self._log.info('VM moves', vm=move.vm, pool=move.pool)
+            self._orders.begin(move.vm, self._move(move), self._note_stale)
 
     def _measure_demand(self, service: str, now: float) -> PoolDemand:
         load = measure_load(self._boards.find(service), time.time())
@@ -315,81 +311,30 @@
         return PoolDemand(service, load.lasting + busy)
 
     async def _move(self, move: MoveVm) -> None:
-        cloud = self._ports.cloud
-        if cloud is None:
-            return
-        token = self._ports.election.token
         vm = self._vms[move.vm]
         join = self._ports.settings.bounds.move_s + JOIN_SECONDS
         if move.pool != self._capacity.standby:
             self._joining[move.vm] = _Joining(
                 move.pool, vm.room.cpu / _MILLI, read_clock() + join
             )
-        answer = await self._insist(
-            move.vm, lambda: cloud.move(move.vm, move.pool, token)
-        )
-        self._note_order('move', move.vm, move.pool, answer)
+        answer = await self._orders.move(move.vm, move.pool)
         if isinstance(answer, Err):
             self._joining.pop(move.vm, None)
-            link = self._fleet.find_by_vm(move.vm)
-            if link is not None and answer.err_value.fault is not Fault.UNKNOWN:
-                link.worker.leaving = False
+            doubtful = answer.err_value.fault is Fault.UNKNOWN
+            self._keep_worker(move.vm, doubtful=doubtful)
             return
         self._end_life(move.vm, 'its VM has moved')
         self._vms[move.vm] = dataclasses.replace(
             vm, pool=move.pool, state=VmState.MOVING, worker=''
         )
 
-    # Orders
-
-    def _begin(self, vm: str, order: Any) -> None:
-        self._busy.add(vm)
-        task = self._tasks.add(order)
-        task.add_done_callback(lambda _task: self._finish(vm))
-
-    def _finish(self, vm: str) -> None:
-        self._busy.discard(vm)
-        self._stale = True
-
-    async def _insist(
-        self,
-        vm: str,
-        order: Callable[[], Any],
-    ) -> Result[Answer, CallFault]:
-        """Repeat an order until its outcome is known."""
-        answer: Result[Answer, CallFault] = Err(CallFault(Fault.NOT_DONE))
-        for _ in range(ORDER_TRIES):
-            if not self._ports.election.holds():
-                return answer
-            answer = await order()
-            if not isinstance(answer, Err):
-                return answer
-            fault = answer.err_value.fault
-            if fault is Fault.FENCED:
-                self._ports.election.lose('the cloud has seen a higher token')
-                return answer
-            if fault is Fault.UNKNOWN:
-                self._doubtful[vm] = read_clock() + DOUBT_SECONDS
-            elif fault not in {Fault.LIMITED, Fault.NOT_DONE}:
-                return answer
-            await asyncio.sleep(RETRY_SECONDS)
-        return answer
+    def _keep_worker(self, vm: str, *, doubtful: bool) -> None:
+        """Let a VM that stays take work again, once that is certain."""
+        link = self._fleet.find_by_vm(vm)
+        if link is not None and not doubtful:
+            link.worker.leaving = False
 
     def _end_life(self, vm: str, reason: str) -> None:
         link = self._fleet.find_by_vm(vm)
         if link is not None:
             link.end_life(reason)
-
-    def _note_order(
-        self,
-        kind: str,
-        vm: str,
-        target: str,
-        answer: Result[Answer, CallFault],
-    ) -> None:
-        outcome = 'ok'
-        if isinstance(answer, Err):
-            outcome = f'{answer.err_value.fault}: {answer.err_value.detail}'
-        self._log.info(
-            'VM ordered', kind=kind, vm=vm, target=target, outcome=outcome
-        )
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -81,9 +81,15 @@
             ),
             make_logger('fleet'),
         )
-        self._keeper = FleetKeeper(
-            ports, self._boards, self._fleet, make_logger('keeper')
-        )
+        self._keeper: FleetKeeper | None = None
+        if ports.cloud is not None:
+            self._keeper = FleetKeeper(
+                ports,
+                ports.cloud,
+                self._boards,
+                self._fleet,
+                make_logger('keeper'),
+            )
 
     async def run(self) -> None:
         """Take over and lead until the leadership is lost."""
@@ -119,11 +125,12 @@
             return Room(accepted=True)
         board = self._boards.find(ask.service)
         now = read_clock()
-        work = ask.task_cores * board.run_times.estimate(route.name)
-        self._keeper.find_meter(ask.service).note(ask.job, work, now)
-        demand = Demand(
-            route, ask.steps, self._keeper.count_incoming(ask.service)
-        )
+        incoming: float = 0
+        if self._keeper is not None:
+            work = ask.task_cores * board.run_times.estimate(route.name)
+            self._keeper.find_meter(ask.service).note(ask.job, work, now)
+            incoming = self._keeper.count_incoming(ask.service)
+        demand = Demand(route, ask.steps, incoming)
         verdict = judge_demand(board, demand, now)
         self._log.info(
             'job admitted' if verdict.accepted else 'job refused',
@@ -148,13 +155,15 @@
         await self._ports.configuration.known.wait()
         await self._read_progress()
         self.jobs.inheriting = token > 1
-        self.jobs.notify = self._keeper.note_job
+        if self._keeper is not None:
+            self.jobs.notify = self._keeper.note_job
         self._tasks.add(self._recorder.run())
         await self._follow(SUBMITTED_PREFIX, self.jobs.take_change)
         await self._follow(WORKER_PREFIX, self._fleet.take_change)
         self.jobs.inheriting = False
         self.ready = True
-        self._tasks.add(self._keeper.run())
+        if self._keeper is not None:
+            self._tasks.add(self._keeper.run())
         self._start_advisor()
         self._log.info(
             'takeover read',
--- /dev/null
+++ b/verbenapost/scheduler/vmorders.py
@@ -0,0 +1,124 @@
+"""Orders to the cloud for single VMs, repeated until their outcome is known."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final
+
+from result import Err, Result
+
+from verbenapost.coordination.scheduling.waves import DOUBT_SECONDS
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.cloud import CloudClient
+from verbenapost.platform.http import Answer
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.tasks import TaskSet
+
+#: Seconds between two tries of an order without an answer.
+RETRY_SECONDS: Final = 0.5
+
+#: Tries of an order without an answer.
+ORDER_TRIES: Final = 12
+
+Outcome = Result[Answer, CallFault]
+
+_WORTH_REPEATING: Final = frozenset(
+    (Fault.UNKNOWN, Fault.LIMITED, Fault.NOT_DONE)
+)
+
+
+class VmOrders:
+    """Sends one order at a time to each VM.
+
+    :param cloud: calls of the cloud.
+    :param election: whether orders may be sent.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        cloud: CloudClient,
+        election: Election,
+        log: Any,
+    ) -> None:
+        self.busy: set[str] = set()
+        self._cloud = cloud
+        self._election = election
+        self._log = log
+        self._tasks = TaskSet()
+        self._doubtful: dict[str, float] = {}
+
+    def begin(
+        self,
+        vm: str,
+        order: Coroutine[Any, Any, None],
+        finish: Callable[[], None],
+    ) -> None:
+        """Carry out an order in the background.
+
+        :param finish: called when it has ended, however it has.
+        """
+        self.busy.add(vm)
+
+        def note_end(_task: Any) -> None:
+            self.busy.discard(vm)
+            finish()
+
+        self._tasks.add(order).add_done_callback(note_end)
+
+    def find_doubtful(self, now: float) -> set[str]:
+        """Return the VMs for which an order may still be carried out late."""
+        self._doubtful = {
+            vm: until for vm, until in self._doubtful.items() if now < until
+        }
+        return set(self._doubtful)
+
+    async def move(self, vm: str, pool: str) -> Outcome:
+        """Move a VM into another pool."""
+        token = self._election.token
+        return await self._insist(
+            'move', vm, lambda: self._cloud.move(vm, pool, token)
+        )
+
+    async def maintain(self, vm: str, wave: int) -> Outcome:
+        """Begin a VM's maintenance."""
+        token = self._election.token
+        return await self._insist(
+            'maintenance', vm, lambda: self._cloud.maintain(vm, wave, token)
+        )
+
+    async def close(self) -> None:
+        """Stop all orders."""
+        await self._tasks.close()
+
+    async def _insist(
+        self,
+        kind: str,
+        vm: str,
+        order: Callable[[], Awaitable[Outcome]],
+    ) -> Outcome:
+        outcome: Outcome = Err(CallFault(Fault.NOT_DONE, 'not sent'))
+        unsure: Outcome | None = None
+        tries = 0
+        while tries < ORDER_TRIES and self._election.holds():
+            tries += 1
+            outcome = await order()
+            self._note(kind, vm, outcome)
+            if not isinstance(outcome, Err):
+                return outcome
+            if outcome.err_value.fault not in _WORTH_REPEATING:
+                break
+            if outcome.err_value.fault is Fault.UNKNOWN:
+                unsure = outcome
+                self._doubtful[vm] = read_clock() + DOUBT_SECONDS
+            await asyncio.sleep(RETRY_SECONDS)
+        return unsure or outcome
+
+    def _note(self, kind: str, vm: str, outcome: Outcome) -> None:
+        shown = 'ok'
+        if isinstance(outcome, Err):
+            fault = outcome.err_value
+            shown = f'{fault.fault}: {fault.detail}'
+            if fault.fault is Fault.FENCED:
+                self._election.lose('the cloud has seen a higher token')
+        self._log.info('VM ordered', kind=kind, vm=vm, outcome=shown)
