Forget ended jobs; show metrics on the internal address

Cause: the keys of ended jobs stayed in the store for good; nothing counted calls, orders and answers. Change: an hour of growth is bounded by removing a job's keys status_s + 60 s after its end was stored; counters and latency histograms at /metrics of the internal port; leader split further (boards, cleanup).

--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -14,6 +14,7 @@
 from verbenapost.scheduler.core import Core
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.entry import CallerRequest, Entry
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.settings import SchedulerSettings
 from verbenapost.state.workloads import Size
@@ -60,6 +61,7 @@
             advice=None,
             election=Election(self.store, settings, make_logger('election')),
             configuration=ConfigurationFollower(make_logger('configuration')),
+            metrics=SchedulerMetrics(),
         )
         self.core = Core(self.ports)
         self.entry = Entry(
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -120,6 +120,7 @@
     :param spec: as submitted.
     :param arrived: local seconds at which it was first seen here.
     :param inherited: whether a former owner may have started its tasks.
+    :ivar ended_at: local seconds at which its end was stored, if it was.
     """
 
     def __init__(
--- a/verbenapost/daemon/logstream.py
+++ b/verbenapost/daemon/logstream.py
@@ -32,6 +32,7 @@
         limit: int = MAX_WAITING_BYTES,
     ) -> None:
         self.dropped = 0
+        self.total_dropped = 0
         self._descriptor = descriptor
         self._limit = limit
         self._waiting: collections.deque[bytes] = collections.deque()
@@ -45,6 +46,7 @@
             self.flush()
         if self._bytes + len(packed) > self._limit:
             self.dropped += 1
+            self.total_dropped += 1
         else:
             self._waiting.append(packed)
             self._bytes += len(packed)
--- a/verbenapost/scheduler/__main__.py
+++ b/verbenapost/scheduler/__main__.py
@@ -21,14 +21,14 @@
 EXIT_SETTINGS: Final = 2
 
 
-async def serve(settings: SchedulerSettings) -> None:
+async def serve(settings: SchedulerSettings, stream: BoundedStream) -> None:
     """Run a daemon until SIGTERM or SIGINT."""
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    node = Node(settings)
+    node = Node(settings, lambda: stream.total_dropped)
     await node.start()
     gc.collect()
     gc.freeze()
@@ -45,7 +45,7 @@
         sys.exit(EXIT_SETTINGS)
     stream = BoundedStream(sys.stdout.fileno())
     configure_logs(LogSettings(), stream)
-    asyncio.run(serve(loaded.ok_value))
+    asyncio.run(serve(loaded.ok_value, stream))
 
 
 if __name__ == '__main__':
--- a/verbenapost/scheduler/calls.py
+++ b/verbenapost/scheduler/calls.py
@@ -14,6 +14,7 @@
     Status,
     refuse,
 )
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.transport.bodies import BodyReader, ByteBudget, Receive
 
 #: Bytes of one body.
@@ -27,6 +28,7 @@
 
 _MILLI: Final = 1000
 _HTTP: Final = 'http'
+_METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
 
 Scope = MutableMapping[str, Any]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
@@ -36,9 +38,11 @@
     """Reads a request, has it served, and writes the whole answer.
 
     :param entry: serves the requests.
+    :param metrics: metrics of the daemon.
     """
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, entry: Entry, metrics: SchedulerMetrics) -> None:
+        self._metrics = metrics
         self.running = 0
         self.closing = False
         self._entry = entry
@@ -75,8 +79,15 @@
                 answer = await self._entry.serve(request)
         finally:
             reader.release()
+        self._count(scope['method'], answer, read_clock() - began)
         await self._write(answer, send)
 
+    def _count(self, method: str, answer: EntryAnswer, seconds: float) -> None:
+        known = method if method in _METHODS else 'other'
+        status = str(int(answer.status))
+        self._metrics.requests.inc({'method': known, 'status': status})
+        self._metrics.request_seconds.observe({'method': known}, seconds)
+
     async def _write(self, answer: EntryAnswer, send: Send) -> None:
         headers = [
             (b'content-type', b'application/json'),
--- /dev/null
+++ b/verbenapost/scheduler/cleanup.py
@@ -0,0 +1,87 @@
+"""Forgetting jobs that ended long ago."""
+
+import asyncio
+from typing import Any, Final
+
+from result import Err
+
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.store import PlatformStore
+from verbenapost.protocol.orders import Expectation, Transaction
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.intake import JobIntake
+from verbenapost.scheduler.keys import (
+    LEADER_KEY,
+    make_cancel_key,
+    make_progress_key,
+    make_spec_key,
+)
+
+#: Seconds between two rounds.
+ROUND_SECONDS: Final = 5.0
+
+#: Seconds beyond the platform's bound for which an ended job is kept, so that
+#: a late repeat of its submission still finds it.
+KEEP_SECONDS: Final = 60.0
+
+#: Jobs of one transaction: three of the store's 32 entries each.
+BATCH_JOBS: Final = 10
+
+
+class Cleanup:
+    """Removes the keys of jobs whose end nobody asks for any more.
+
+    :param store: the store.
+    :param election: who leads.
+    :param jobs: the known jobs.
+    :param keep: seconds for which the end of a job has to be shown.
+    :param log: log of this part.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        election: Election,
+        jobs: JobIntake,
+        keep: float,
+        log: Any,
+    ) -> None:
+        self._store = store
+        self._election = election
+        self._jobs = jobs
+        self._keep = keep + KEEP_SECONDS
+        self._log = log
+
+    async def run(self) -> None:
+        """Clean up until the task is cancelled."""
+        while True:
+            await asyncio.sleep(ROUND_SECONDS)
+            if self._election.holds():
+                await self.remove_old(read_clock())
+
+    async def remove_old(self, now: float) -> None:
+        """Remove one batch of jobs that ended long enough ago."""
+        names = self._jobs.find_ended(now - self._keep)[:BATCH_JOBS]
+        if not names:
+            return
+        removed = [
+            key
+            for name in names
+            for key in (
+                make_spec_key(name),
+                make_cancel_key(name),
+                make_progress_key(name),
+            )
+        ]
+        answer = await self._store.commit(
+            Transaction(
+                (Expectation(LEADER_KEY, self._election.revision),),
+                (),
+                removed,
+            )
+        )
+        if isinstance(answer, Err):
+            self._log.warning('jobs not removed', fault=str(answer.err_value))
+            return
+        self._jobs.forget(names)
+        self._log.info('jobs removed', jobs=len(names))
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -1,7 +1,7 @@
 """The jobs of the leader, as they come by the store."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from verbenapost.coordination.scheduling.board import Board
@@ -72,6 +72,25 @@
             return JobState.RUNNING
         return job.state
 
+    def find_ended(self, before: float) -> list[str]:
+        """Return the jobs whose end was stored before a time.
+
+        :param before: local seconds.
+        """
+        found = []
+        for name in self._owners:
+            job = self.find_job(name)
+            ended_at = None if job is None else job.ended_at
+            if ended_at is not None and ended_at < before:
+                found.append(name)
+        return found
+
+    def forget(self, names: Iterable[str]) -> None:
+        """Drop jobs whose keys were removed."""
+        for name in names:
+            self._owners.pop(name).drop_job(name)
+            self._cancelled.discard(name)
+
     def take_change(self, change: Change) -> None:
         """Take a change of a key of submissions."""
         if change.value is None:
@@ -94,6 +113,8 @@
         progress = self._progress.pop(make_progress_key(spec.job), None)
         if progress is not None:
             job.restore(progress.value, progress.revision)
+            if job.state.ended:
+                job.ended_at = read_clock()
         route = self._configuration.find_route(spec.route)
         board = self._boards.find(spec.service)
         board.add_job(job, route or Route(spec.route, '', '', spec.service))
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
 from typing import Any, Final
 
 from result import Err
@@ -11,14 +10,13 @@
     Demand,
     judge_demand,
 )
-from verbenapost.coordination.scheduling.board import Board
-from verbenapost.coordination.scheduling.commands import Command
 from verbenapost.coordination.scheduling.planning import Moment, Planner
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler.advising import Advisor
-from verbenapost.scheduler.boards import BoardSet
+from verbenapost.scheduler.boards import BoardSet, settle_board
+from verbenapost.scheduler.cleanup import Cleanup
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.following import PrefixFollower
 from verbenapost.scheduler.intake import JobIntake
@@ -36,10 +34,6 @@
 #: Shortest time between two rounds in seconds, so that many ends make one.
 ROUND_GAP: Final = 0.01
 
-#: How many times the longest lease a worker that doesn't answer is waited
-#: for after a takeover: its clock may be slow, and orders take their time.
-SETTLE_FACTOR: Final = 1.05
-
 #: Seconds between two tries to read the store at takeover.
 RETRY_SECONDS: Final = 0.2
 
@@ -56,10 +50,16 @@
         self._log = make_logger('leader')
         self._boards = BoardSet(ports.election.token)
         self._began = read_clock()
+        self._longest = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
         self._tasks = TaskSet()
+
+        def send(board: Any, commands: Any) -> None:
+            # The fleet is made after the parts that send by it.
+            self._fleet.send(board, commands)
+
         self.jobs = JobIntake(
-            self._boards, ports.configuration, self._send, make_logger('jobs')
+            self._boards, ports.configuration, send, make_logger('jobs')
         )
         self._recorder = Recorder(
             ports.store,
@@ -76,7 +76,8 @@
                 self._recorder,
                 ports.settings.bounds.hold_seconds,
                 self._wake.set,
-                self._send,
+                ports.metrics,
+                send,
                 make_logger('worker'),
             ),
             make_logger('fleet'),
@@ -146,12 +147,10 @@
             wait=verdict.wait,
         )
 
-    def _send(self, board: Board, commands: Sequence[Command]) -> None:
-        self._fleet.send(board, commands)
-
     async def _take_over(self) -> None:
         token = self._ports.election.token
         self._log.info('takeover begins', term=token)
+        self._ports.metrics.takeovers.inc({})
         await self._ports.configuration.known.wait()
         await self._read_progress()
         self.jobs.inheriting = token > 1
@@ -165,6 +164,7 @@
         if self._keeper is not None:
             self._tasks.add(self._keeper.run())
         self._start_advisor()
+        self._start_cleanup()
         self._log.info(
             'takeover read',
             jobs=len(self.jobs),
@@ -172,6 +172,16 @@
             seconds=round(read_clock() - self._began, 3),
         )
 
+    def _start_cleanup(self) -> None:
+        cleanup = Cleanup(
+            self._ports.store,
+            self._ports.election,
+            self.jobs,
+            self._ports.settings.bounds.status_s,
+            make_logger('cleanup'),
+        )
+        self._tasks.add(cleanup.run())
+
     def _start_advisor(self) -> None:
         if self._ports.advice is None:
             return
@@ -214,16 +224,7 @@
         self._wake.clear()
         moment = Moment(read_clock(), time.time())
         for board in self._boards:
-            self._settle(board, moment.now)
-            self._send(board, Planner(board, moment).plan())
+            if settle_board(board, moment.now - self._began, self._longest):
+                self._log.info('pool settled', pool=board.service)
+            self._fleet.send(board, Planner(board, moment).plan())
             self._recorder.mark(board.take_dirty())
-
-    def _settle(self, board: Board, now: float) -> None:
-        """End the pause for jobs that a former leader may have started."""
-        if not board.unsettled:
-            return
-        asked = all(worker.adopted for worker in board.workers.values())
-        longest = self._ports.settings.bounds.hold_seconds * SETTLE_FACTOR
-        if asked or now - self._began > longest:
-            board.unsettled = False
-            self._log.info('pool settled', pool=board.service, asked=asked)
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Final, final
 
-from result import Err
+from result import Err, Result
 
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.commands import (
@@ -27,6 +27,7 @@
     WorkerReport,
 )
 from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.recorder import Recorder
 from verbenapost.state.workloads import WorkerEntry
 
@@ -62,6 +63,7 @@
     :param recorder: writes ends into the store.
     :param hold_seconds: longest lease of a run.
     :param wake: has the boards plan again.
+    :param metrics: metrics of the daemon.
     :param send: carries commands out.
     :param log: log of this part.
     """
@@ -71,6 +73,7 @@
     recorder: Recorder
     hold_seconds: float
     wake: Callable[[], None]
+    metrics: SchedulerMetrics
     send: Callable[[Board, Sequence[Command]], None]
     log: Any
 
@@ -132,6 +135,7 @@
             deadline,
             wait,
         )
+        self._count('hold', answer)
         if self.over:
             # The life has ended meanwhile; its tasks are another's concern.
             return True
@@ -161,6 +165,9 @@
         )
         sent = read_clock()
         answer = await self._ports.client.start(self.worker.entry, order)
+        self._count('start', answer)
+        passed = read_clock() - sent
+        self._ports.metrics.order_seconds.observe({}, passed)
         if isinstance(answer, Err):
             self._fail_start(command, answer.err_value)
             if answer.err_value.fault is Fault.UNKNOWN:
@@ -181,6 +188,7 @@
                 command.run,
                 self._ports.election.token,
             )
+            self._count('stop', answer)
             if not isinstance(answer, Err):
                 self._board.note_stopped(
                     command.task, command.run, read_clock()
@@ -222,6 +230,12 @@
         )
         self._ports.wake()
 
+    def _count(self, kind: str, answer: Result[Any, CallFault]) -> None:
+        outcome = 'ok'
+        if isinstance(answer, Err):
+            outcome = answer.err_value.fault.value
+        self._ports.metrics.orders.inc({'kind': kind, 'outcome': outcome})
+
     async def _settle_start(self, command: StartTask) -> None:
         """Bar a start without an answer and look whether it runs."""
         task = command.task
--- /dev/null
+++ b/verbenapost/scheduler/metrics.py
@@ -0,0 +1,71 @@
+"""Metrics of a daemon on the platform, in the text format of Prometheus."""
+
+from collections.abc import Callable
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+#: Upper bounds of the latency histograms in seconds.
+BUCKETS: Final = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5)
+
+Labels = dict[str, str]
+
+
+class SchedulerMetrics:
+    """Counters, gauges and histograms of one daemon.
+
+    :ivar requests: answers to callers, by method and status.
+    :ivar request_seconds: time to answer callers, by method.
+    :ivar store_calls: calls to the store, by kind and outcome.
+    :ivar orders: orders to workers, by kind and outcome.
+    :ivar order_seconds: time until a worker answered a start.
+    :ivar takeovers: times that this daemon began to lead.
+    :ivar vms: VMs by pool and state, as the leader knows them.
+    :ivar log_lines_dropped: log lines dropped since nobody read them.
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._sources: list[Callable[[], None]] = []
+        self.requests = self._count('requests_total', 'Answers to callers.')
+        self.request_seconds = self._time(
+            'request_seconds', 'Time to answer callers.'
+        )
+        self.store_calls = self._count(
+            'store_calls_total', 'Calls to the store.'
+        )
+        self.orders = self._count('orders_total', 'Orders to workers.')
+        self.order_seconds = self._time(
+            'order_seconds', 'Time until a worker answered a start.'
+        )
+        self.takeovers = self._count('takeovers_total', 'Leaderships begun.')
+        self.vms = self._gauge('vms', 'VMs by pool and state.')
+        self.log_lines_dropped = self._gauge(
+            'log_lines_dropped', 'Log lines dropped.'
+        )
+
+    def add_source(self, read: Callable[[], None]) -> None:
+        """Call a function that puts numbers before each answer."""
+        self._sources.append(read)
+
+    def render(self) -> bytes:
+        """Return the body of an answer to a scrape."""
+        for read in self._sources:
+            read()
+        body, _headers = render(self._registry, [])
+        return bytes(body)
+
+    def _count(self, name: str, doc: str) -> Counter:
+        return Counter(f'verbenapost_{name}', doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(f'verbenapost_{name}', doc, registry=self._registry)
+
+    def _time(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            f'verbenapost_{name}',
+            doc,
+            registry=self._registry,
+            buckets=list(BUCKETS),
+        )
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -1,6 +1,7 @@
 """A daemon on the platform: its core behind HTTP servers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from verbenapost.daemon.logs import make_logger
@@ -16,6 +17,7 @@
 from verbenapost.scheduler.core import Core
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.entry import Entry
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.peers import LeaderClient, make_peer_app
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.settings import SchedulerSettings
@@ -34,13 +36,23 @@
 GRACE_MARGIN: Final = 0.5
 
 
+def _count_nothing() -> int:
+    return 0
+
+
 class Node:
     """All parts of one daemon.
 
     :param settings: settings of the daemon.
+    :param count_dropped: returns how many log lines were dropped.
     """
 
-    def __init__(self, settings: SchedulerSettings) -> None:
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        count_dropped: Callable[[], int] = _count_nothing,
+    ) -> None:
+        self._count_dropped = count_dropped
         self._settings = settings
         self._log = make_logger('daemon')
         self._http = HttpClient()
@@ -57,7 +69,8 @@
             self._peers,
             make_logger('entry'),
         )
-        self._app = CallerApp(entry)
+        self._app = CallerApp(entry, self._ports.metrics)
+        self._ports.metrics.add_source(self._copy_numbers)
         self._servers = self._make_servers()
 
     def is_ready(self) -> bool:
@@ -91,12 +104,24 @@
         await self._http.close()
         self._log.info('stopped', seconds=round(read_clock() - began, 2))
 
+    def _copy_numbers(self) -> None:
+        for name, number in self._ports.store.calls.items():
+            kind, _, outcome = name.partition(' ')
+            labels = {'kind': kind, 'outcome': outcome}
+            self._ports.metrics.store_calls.set(labels, number)
+        self._ports.metrics.log_lines_dropped.set({}, self._count_dropped())
+
     def _make_servers(self) -> tuple[WebServer, ...]:
         listen = self._settings.listen
         internal = self._settings.internal_address
         return (
             WebServer(ProbeApp(self.is_ready), _parse(listen.probes)),
-            WebServer(make_peer_app(self._core.find_local), _parse(internal)),
+            WebServer(
+                make_peer_app(
+                    self._core.find_local, self._ports.metrics.render
+                ),
+                _parse(internal),
+            ),
             WebServer(self._app, _parse(listen.callers)),
         )
 
@@ -118,6 +143,7 @@
         advice=AdviceClient(http, advice) if advice else None,
         election=Election(store, settings, make_logger('election')),
         configuration=ConfigurationFollower(make_logger('configuration')),
+        metrics=SchedulerMetrics(),
     )
 
 
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -19,6 +19,9 @@
 #: Path at which a daemon answers other daemons.
 ASK_PATH: Final = '/ask'
 
+#: Path at which a daemon shows its metrics.
+METRICS_PATH: Final = '/metrics'
+
 #: Seconds that the leader has for an answer before the entry helps itself.
 ASK_TIMEOUT: Final = 0.5
 
@@ -101,12 +104,19 @@
         self._log.warning('leader silent', address=address, fault=repr(fault))
 
 
-def make_peer_app(find_local: Callable[[], Answerer | None]) -> Starlette:
+def make_peer_app(
+    find_local: Callable[[], Answerer | None],
+    render_metrics: Callable[[], bytes],
+) -> Starlette:
     """Return the application that answers other daemons.
 
     :param find_local: returns the answerer of this daemon while it leads.
+    :param render_metrics: returns the metrics as text.
     """
 
+    async def show_metrics(_request: Request) -> Response:
+        return Response(render_metrics(), media_type='text/plain')
+
     async def answer(request: Request) -> Response:
         local = find_local()
         if local is None:
@@ -117,4 +127,9 @@
             return Response(str(fault), status_code=_INVALID)
         return Response(codec.encode(local(message)))
 
-    return Starlette(routes=[HttpRoute(ASK_PATH, answer, methods=['POST'])])
+    return Starlette(
+        routes=[
+            HttpRoute(ASK_PATH, answer, methods=['POST']),
+            HttpRoute(METRICS_PATH, show_metrics),
+        ],
+    )
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -9,6 +9,7 @@
 from verbenapost.platform.workers import WorkerClient
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.settings import SchedulerSettings
 
 
@@ -24,6 +25,7 @@
     :param advice: calls of the policy's service, where there is one.
     :param election: who leads.
     :param configuration: the operators' configuration.
+    :param metrics: metrics of the daemon.
     """
 
     settings: SchedulerSettings
@@ -33,3 +35,4 @@
     advice: AdviceClient | None
     election: Election
     configuration: ConfigurationFollower
+    metrics: SchedulerMetrics
--- a/verbenapost/scheduler/recorder.py
+++ b/verbenapost/scheduler/recorder.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.store import PlatformStore
 from verbenapost.protocol.orders import (
     CallFault,
@@ -144,6 +145,7 @@
             row.job.revision = revision
             row.job.stored_state = row.state
             if row.state.ended:
+                row.job.ended_at = read_clock()
                 self._log.info(
                     'end stored',
                     job=row.job.spec.job,
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -111,11 +111,6 @@
         """Port at which the daemon answers other daemons."""
         return self.listen.internal_ports[0]
 
-    @property
-    def metrics_port(self) -> int:
-        """Port at which the daemon shows its metrics."""
-        return self.internal_port + 10
-
     @property
     def internal_address(self) -> str:
         """Address at which the daemon answers other daemons."""
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -16,6 +16,7 @@
 from verbenapost.protocol.orders import CallFault, Fault, WorkerReport
 from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler.link import LinkPorts, WorkerLink
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.state.workloads import StepSpec
 
 HOLD_SECONDS = 6
@@ -68,6 +69,7 @@
         Recorder(),
         HOLD_SECONDS,
         lambda: None,
+        SchedulerMetrics(),
         lambda _board, _commands: None,
         make_logger('worker'),
     )
