--- /dev/null
+++ b/verbenapost/scheduler/tests/test_calls.py
@@ -0,0 +1,118 @@
+"""The front port under input that nobody should send."""
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler.calls import MAX_BODY_BYTES, CallerApp
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.entry import Entry
+from verbenapost.scheduler.messages import Room
+from verbenapost.scheduler.metrics import SchedulerMetrics
+from verbenapost.state.workloads import FleetConfiguration, Route, Service
+
+JOB = '5c0e7a21d94b36f8'
+ROUTE = Route('plan', 'host', '/plan/', 'routing')
+
+
+class Store:
+    """Answers each write in the same way."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def commit(self, _transaction):
+        return self.answer
+
+    async def read_key(self, _key):
+        return Ok(None)
+
+
+class Leader:
+    def __init__(self, room):
+        self.room = room
+
+    async def ask(self, _message):
+        return self.room
+
+
+def make_app(answer=None, room=None):
+    configuration = ConfigurationFollower(make_logger('configuration'))
+    configuration.current = FleetConfiguration(
+        1, {'plan': ROUTE}, {'routing': Service('routing')}
+    )
+    entry = Entry(
+        configuration,
+        Store(answer or Ok(1)),
+        Leader(room or Err('nobody leads')),
+        make_logger('entry'),
+    )
+    return CallerApp(entry, SchedulerMetrics())
+
+
+async def send_request(app, method, path, body=b'', headers=()):
+    sent = []
+
+    async def receive():
+        return {'type': 'http.request', 'body': body, 'more_body': False}
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': method,
+        'path': path,
+        'headers': [(b'host', b'host'), *headers],
+    }
+    await app(scope, receive, send)
+    return sent[0]['status'], dict(sent[0]['headers'])
+
+
+GOOD = b'{"spec":"x","steps":[{"count":1}]}'
+
+
+class TestFrontPort:
+    async def test_statuses_say_what_became_of_a_request(self):
+        path = f'/plan/{JOB}'
+        away = Err(CallFault(Fault.NOT_DONE))
+        lost = Err(CallFault(Fault.UNKNOWN))
+        full = Ok(Room(accepted=False, retry_after=0.5))
+        soon = [(b'x-verbenapost-deadline-ms', b'100')]
+        cases = {
+            (200, 'POST', path): make_app(),
+            (503, 'POST', path): make_app(away),
+            (504, 'POST', path): make_app(lost),
+            (429, 'POST', path): make_app(room=full),
+            (400, 'POST', '/plan/short'): make_app(),
+            (404, 'POST', f'/other/{JOB}'): make_app(),
+            (405, 'PUT', path): make_app(),
+            (410, 'GET', path): make_app(),
+        }
+        for (status, method, where), app in cases.items():
+            found, headers = await send_request(app, method, where, GOOD, soon)
+            assert found == status
+            assert (b'retry-after' in headers) == (status in {429, 503})
+
+    async def test_a_body_over_the_limit_is_refused(self):
+        body = b'x' * (MAX_BODY_BYTES + 1)
+        status, _ = await send_request(make_app(), 'POST', f'/plan/{JOB}', body)
+        assert status == 413
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.sampled_from(('GET', 'POST', 'DELETE', 'PATCH')),
+        st.sampled_from(('/plan/', f'/plan/{JOB}', '/', '/plan/²')),
+        st.binary(max_size=40) | st.just(GOOD),
+        st.binary(max_size=10),
+    )
+    def test_nothing_breaks_it(self, method, path, body, deadline):
+        headers = [(b'x-verbenapost-deadline-ms', deadline)]
+        status, _ = asyncio.run(
+            send_request(make_app(), method, path, body, headers)
+        )
+        assert status in {200, 400, 404, 405, 410, 413, 503}
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_cleanup.py
@@ -0,0 +1,32 @@
+"""Ended jobs are forgotten, others are not."""
+
+import asyncio
+
+from verbenapost.scheduler.cleanup import KEEP_SECONDS
+from verbenapost.scheduler.tests.test_histories import (
+    STEPS,
+    name_job,
+    play,
+    wait_for_leader,
+)
+
+__all__ = ('play',)
+
+STATUS_SECONDS = 120
+
+
+class TestCleanup:
+    def test_the_keys_of_an_ended_job_go_after_its_time(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_job(1), STEPS)
+            await world.submit('1a57000000000000', STEPS)
+            await asyncio.sleep(STATUS_SECONDS)
+            kept = await world.call('GET', name_job(1))
+            await asyncio.sleep(KEEP_SECONDS + 15)
+            gone = await world.call('GET', name_job(1))
+            lasting = await world.call('GET', '1a57000000000000')
+            left = [key for key in world.store.items if name_job(1) in key]
+            return kept.status, gone.status, lasting.status, left
+
+        assert play(scenario) == (200, 410, 200, [])
