Explain a job from the logs; log each end; check settings that change

Cause: the logs showed starts and stored ends of jobs but not the ends of runs, and nobody could read a job's story across daemons at a glance.

--- a/verbenapost/cli/commands.py
+++ b/verbenapost/cli/commands.py
@@ -14,6 +14,7 @@
 
 from verbenapost.cli.client import AdminRequest
 from verbenapost.cli.files import parse_seconds, read_document
+from verbenapost.cli.story import Explanation
 from verbenapost.cli.tables import format_fields
 from verbenapost.cli.views import (
     Show,
@@ -40,7 +41,7 @@
     show: Show
 
 
-Choose = Callable[[Command], None]
+Choose = Callable[[Command | Explanation], None]
 
 
 def keep_text(function: _Function) -> _Function:
@@ -280,6 +281,14 @@
         """Show what the asked daemon says of itself."""
         self._choose(Command(AdminRequest('status'), format_fields))
 
+    @keep_text
+    def explain(self, job: str, *logs: str) -> None:
+        """Tell the story of a job from the logs of the daemons.
+
+        :param logs: files with logs; standard input when there are none.
+        """
+        self._choose(Explanation(job, logs))
+
 
 def _quote(name: str) -> str:
     return quote(name, safe='')
--- a/verbenapost/cli/main.py
+++ b/verbenapost/cli/main.py
@@ -1,6 +1,7 @@
 """Entry point of the command-line tool."""
 
 import asyncio
+import dataclasses
 import json
 import os
 import sys
@@ -14,6 +15,7 @@
 from verbenapost.cli.commands import Command, Commands
 from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
 from verbenapost.cli.options import Options, parse_options
+from verbenapost.cli.story import Explanation
 
 # Keeps the command-line library from starting a pager for its help.
 _NO_PAGER = '-'
@@ -44,6 +46,9 @@
     command = _find_command(line.rest)
     if command is None:
         return int(ExitCode.DONE)
+    if isinstance(command, Explanation):
+        _write_story(line.options, command)
+        return int(ExitCode.DONE)
     line.options.check()
     answer = asyncio.run(send_request(line.options, command.request))
     _write(line.options, command, answer.content)
@@ -56,9 +61,9 @@
     return int(ExitCode.DONE)
 
 
-def _find_command(words: Sequence[str]) -> Command | None:
+def _find_command(words: Sequence[str]) -> Command | Explanation | None:
     """Return the command, or ``None`` when help was shown."""
-    chosen: list[Command] = []
+    chosen: list[Command | Explanation] = []
     try:
         fire.Fire(
             Commands(chosen.append),
@@ -74,6 +79,16 @@
     return chosen[0] if chosen else None
 
 
+def _write_story(options: Options, command: Explanation) -> None:
+    story = command.tell()
+    if options.as_json:
+        rows = [dataclasses.asdict(line) for line in story]
+        text = json.dumps(rows, indent=2)
+    else:
+        text = '\n'.join(line.show() for line in story)
+    sys.stdout.write(f'{text}\n')
+
+
 def _write(options: Options, command: Command, content: Any) -> None:
     if options.as_json:
         text = json.dumps(content, indent=2, sort_keys=True)
--- a/verbenapost/scheduler/__main__.py
+++ b/verbenapost/scheduler/__main__.py
@@ -15,6 +15,7 @@
 from verbenapost.daemon.settings import LogSettings
 from verbenapost.platform.names import SETTINGS_VARIABLE
 from verbenapost.scheduler.node import Node
+from verbenapost.scheduler.reload import SettingsWatch
 from verbenapost.scheduler.settings import SchedulerSettings, load_settings
 
 #: Exit status for settings that can not be used.
@@ -27,19 +28,25 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    watch = SettingsWatch(_find_settings(), settings)
+    loop.add_signal_handler(signal.SIGHUP, watch.look)
     node = Node(settings, lambda: stream.total_dropped)
     await node.start()
     gc.collect()
     gc.freeze()
+    watching = asyncio.create_task(watch.run())
     await ended.wait()
+    watching.cancel()
     await node.stop()
 
 
+def _find_settings() -> Path:
+    return Path(os.environ.get(SETTINGS_VARIABLE, ''))
+
+
 def main() -> None:
     """Run the daemon with the settings that the platform names."""
-    path = os.environ.get(SETTINGS_VARIABLE, '')
-    loaded = load_settings(Path(path))
+    loaded = load_settings(_find_settings())
     if isinstance(loaded, Err):
         sys.stderr.write(f'{loaded.err_value}\n')
         sys.exit(EXIT_SETTINGS)
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -293,6 +293,16 @@
         worker.reachable = True
         ends = [end for end in report.ends if end.number > self._taken]
         self._taken = max([self._taken, *(end.number for end in ends)])
+        for end in ends:
+            self._ports.log.info(
+                'run ended',
+                job=end.task.job,
+                task=dataclasses.astuple(end.task)[1:],
+                run=end.run,
+                worker=self.name,
+                kind=end.kind.value,
+                number=end.number,
+            )
         reader = ReportReader(self._board, worker, now)
         commands = reader.apply(report, ends, sent)
         worker.adopted = True
--- /dev/null
+++ b/verbenapost/scheduler/reload.py
@@ -0,0 +1,59 @@
+"""Settings that change while the daemon runs."""
+
+import asyncio
+from pathlib import Path
+from typing import Final
+
+from result import Err
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.scheduler.settings import SchedulerSettings, load_settings
+
+#: Seconds between two looks at the file; it may change without a signal.
+LOOK_SECONDS: Final = 2.0
+
+
+class SettingsWatch:
+    """Checks the settings file when it changes and says what it found.
+
+    The daemon goes on with the settings that it started with; new ones take
+    effect when it is restarted.
+
+    :param path: the file.
+    :param settings: the settings in force.
+    """
+
+    def __init__(self, path: Path, settings: SchedulerSettings) -> None:
+        self._path = path
+        self._settings = settings
+        self._log = make_logger('settings')
+        self._seen = self._read_stamp()
+
+    async def run(self) -> None:
+        """Look until the task is cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            stamp = self._read_stamp()
+            if stamp != self._seen:
+                self._seen = stamp
+                self.look()
+
+    def look(self) -> None:
+        """Read the file and log whether it differs and can be used."""
+        loaded = load_settings(self._path)
+        if isinstance(loaded, Err):
+            self._log.error('settings not usable', fault=loaded.err_value)
+            return
+        changed = [
+            name
+            for name, found in loaded.ok_value
+            if found != getattr(self._settings, name)
+        ]
+        self._log.info('settings read', changed=changed, in_force='at restart')
+
+    def _read_stamp(self) -> float:
+        try:
+            return self._path.stat().st_mtime
+        except OSError:
+            # A file that is being replaced; the next look sees the new one.
+            return 0
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_settings.py
@@ -0,0 +1,56 @@
+"""Settings are checked as a whole, also when they change."""
+
+import json
+
+from verbenapost.scheduler.reload import SettingsWatch
+from verbenapost.scheduler.settings import load_settings
+
+FIELDS = {
+    'daemon': 'front-1',
+    'data_centre': 'a',
+    'address': '10.1.0.9',
+    'listen': {
+        'callers': '10.1.0.9:1',
+        'probes': '10.1.0.9:2',
+        'internal_ports': [7060, 7075],
+    },
+    'store': {'address': '10.0.0.7:1'},
+    'bounds': {'lease_ms': 3000, 'of_a_later_version': 1},
+}
+
+
+def write(path, **changes):
+    path.write_text(json.dumps(FIELDS | changes))
+    return path
+
+
+class TestSettings:
+    def test_a_whole_file_is_read(self, tmp_path):
+        loaded = load_settings(write(tmp_path / 's.json'))
+        assert loaded.ok_value.internal_address == '10.1.0.9:7060'
+        assert loaded.ok_value.bounds.lease_seconds == 3
+
+    def test_every_fault_is_named(self, tmp_path):
+        path = write(tmp_path / 's.json', daemon=7, extra=1, store={})
+        faults = load_settings(path).err_value.splitlines()
+        named = {line.partition(':')[0] for line in faults}
+        assert named == {'daemon', 'extra', 'store.address'}
+
+    def test_a_missing_or_broken_file_is_an_error(self, tmp_path):
+        assert load_settings(tmp_path / 'none').is_err()
+        broken = tmp_path / 'broken'
+        broken.write_text('{')
+        assert load_settings(broken).is_err()
+
+    def test_a_change_is_logged_and_broken_ones_do_no_harm(
+        self, tmp_path, capsys
+    ):
+        path = write(tmp_path / 's.json')
+        watch = SettingsWatch(path, load_settings(path).ok_value)
+        write(path, data_centre='b')
+        watch.look()
+        path.write_text('{')
+        watch.look()
+        shown = capsys.readouterr().out
+        assert "['data_centre']" in shown
+        assert 'settings not usable' in shown
