Tell no old number of waiting jobs

By reading: an entry that can't reach the leader went on telling the last number it knew, however old. Change: a number older than 1.5 s is not told; 503 with Retry-After instead. Test: test_an_old_number_of_waiting_jobs_is_not_told, failing before.

--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -49,6 +49,9 @@
 #: of the store but that it is away.
 AWAY_RETRY_SECONDS: Final = 1.0
 
+#: Seconds for which a number of waiting jobs may be told again.
+PENDING_SECONDS: Final = 1.5
+
 _MILLI: Final = 1000
 
 
@@ -101,6 +104,13 @@
     retry_after: float | None = None
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    jobs: int
+    read_at: float
+
+
 def refuse(
     status: Status,
     reason: str,
@@ -130,7 +140,7 @@
         self._store = store
         self._leader = leader
         self._log = log
-        self._pending: dict[str, int] = {}
+        self._pending: dict[str, _Pending] = {}
 
     async def serve(self, request: CallerRequest) -> EntryAnswer:
         """Return the whole answer to a request."""
@@ -319,13 +329,16 @@
 
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(AskPending(route.name))
+        now = read_clock()
         if isinstance(asked, Ok):
-            self._pending[route.name] = asked.ok_value.pending
-        elif route.name not in self._pending:
+            self._pending[route.name] = _Pending(asked.ok_value.pending, now)
+        known = self._pending.get(route.name)
+        if known is None or now - known.read_at > PENDING_SECONDS:
+            self._log.info('pending not known', route=route.name)
             return refuse(
                 Status.UNAVAILABLE, 'the leader is away', AWAY_RETRY_SECONDS
             )
-        return EntryAnswer(Status.OK, encode_pending(self._pending[route.name]))
+        return EntryAnswer(Status.OK, encode_pending(known.jobs))
 
 
 def _show_state(state: JobState) -> EntryAnswer:
--- a/verbenapost/scheduler/tests/test_calls.py
+++ b/verbenapost/scheduler/tests/test_calls.py
@@ -8,10 +8,11 @@
 
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler import entry as entry_module
 from verbenapost.scheduler.calls import MAX_BODY_BYTES, CallerApp
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.entry import Entry
-from verbenapost.scheduler.messages import Room
+from verbenapost.scheduler.messages import PendingAnswer, Room
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.state.workloads import FleetConfiguration, Route, Service
 
@@ -40,7 +41,7 @@
         return self.room
 
 
-def make_app(answer=None, room=None):
+def make_app(answer=None, room=None, leader=None):
     configuration = ConfigurationFollower(make_logger('configuration'))
     configuration.current = FleetConfiguration(
         1, {'plan': ROUTE}, {'routing': Service('routing')}
@@ -48,7 +49,7 @@
     entry = Entry(
         configuration,
         Store(answer or Ok(1)),
-        Leader(room or Err('nobody leads')),
+        leader or Leader(room or Err('nobody leads')),
         make_logger('entry'),
     )
     return CallerApp(entry, SchedulerMetrics())
@@ -98,6 +99,18 @@
             assert found == status
             assert (b'retry-after' in headers) == (status in {429, 503})
 
+    async def test_an_old_number_of_waiting_jobs_is_not_told(self, monkeypatch):
+        now = [100.0]
+        monkeypatch.setattr(entry_module, 'read_clock', lambda: now[0])
+        leader = Leader(Ok(PendingAnswer(3)))
+        app = make_app(leader=leader)
+        assert (await send_request(app, 'GET', '/plan/'))[0] == 200
+        leader.room = Err('nobody leads')
+        now[0] += entry_module.PENDING_SECONDS
+        assert (await send_request(app, 'GET', '/plan/'))[0] == 200
+        now[0] += 0.1
+        assert (await send_request(app, 'GET', '/plan/'))[0] == 503
+
     async def test_a_body_over_the_limit_is_refused(self):
         body = b'x' * (MAX_BODY_BYTES + 1)
         status, _ = await send_request(make_app(), 'POST', f'/plan/{JOB}', body)
