--- a/verbenapost/scheduler/tests/test_settings.py
+++ b/verbenapost/scheduler/tests/test_settings.py
@@ -2,6 +2,8 @@
 
 import json
 
+from structlog.testing import capture_logs
+
 from verbenapost.scheduler.reload import SettingsWatch
 from verbenapost.scheduler.settings import load_settings
 
@@ -42,15 +44,14 @@
         broken.write_text('{')
         assert load_settings(broken).is_err()
 
-    def test_a_change_is_logged_and_broken_ones_do_no_harm(
-        self, tmp_path, capsys
-    ):
+    def test_a_change_is_logged_and_broken_ones_do_no_harm(self, tmp_path):
         path = write(tmp_path / 's.json')
         watch = SettingsWatch(path, load_settings(path).ok_value)
-        write(path, data_centre='b')
-        watch.look()
-        path.write_text('{')
-        watch.look()
-        shown = capsys.readouterr().out
-        assert "['data_centre']" in shown
-        assert 'settings not usable' in shown
+        with capture_logs() as lines:
+            write(path, data_centre='b')
+            watch.look()
+            path.write_text('{')
+            watch.look()
+        read, unusable = lines
+        assert read['changed'] == ['data_centre']
+        assert unusable['event'] == 'settings not usable'
