Acknowledge an end only after all before it are stored; count a beaten run's room

A leader with a backlog of writes saw two ends of a worker in two answers; the second was stored first and last_seen rose over both. The leader lost the store, the first end was in no list and in no record, and the successor started the task again. An end counted as stored as well when the write had found another leader.

Ruled out: pages of the progress read at takeover (the job's record was there and old), a write of the former leader after the takeover (expects its key).

Change: a link keeps the numbers of ends that are not stored and acknowledges up to the first; the recorder's futures tell whether the write was done; the later run stays booked until it is barred and no list shows it.

--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -23,6 +23,10 @@
 
 _RUNS: Final = frozenset((TaskState.RUNNING, TaskState.STOPPING))
 
+#: States of which a start may still be on its way; one that is done is booked
+#: while a later run of it is being stopped.
+_UNBARRED: Final = frozenset((TaskState.UNSURE, TaskState.DONE))
+
 
 class ReportReader:
     """Applies one report of a worker to its board.
@@ -76,6 +80,10 @@
         ours = task.worker == name and task.run == row.run
         if ours and task.state is not TaskState.DONE:
             return self._confirm(task, row)
+        if ours and task.key in self._worker.tasks:
+            # Another run was done first; this one is booked until it ends.
+            task.seen_at = self._now
+            return self._stop(task)
         if task.state is TaskState.WAITING and not self._is_ended(task):
             task.worker = name
             task.run = row.run
@@ -125,7 +133,7 @@
         return [
             command
             for task in self._worker.tasks.values()
-            if task.state is TaskState.UNSURE
+            if task.state in _UNBARRED
             for command in self._stop(task)
         ]
 
@@ -145,15 +153,19 @@
             seconds = self._now - task.started_at
             board.run_times.observe(job.spec.route, seconds)
         elif task.state.placed:
+            # The later run takes room until its end is listed.
+            task.stop_asked_at = self._now
             commands.append(StopTask(task.worker, task, task.run))
+            job.finish(task)
         members = [task]
         step = job.find_step(task.key)
         if task.step.gang and step is not None:
             # One end of a gang stands for all its members.
             members = step.tasks
         for member in members:
-            board.release(member)
-            job.finish(member)
+            if member.state is not TaskState.DONE:
+                board.release(member)
+                job.finish(member)
         board.mark(job)
         return commands
 
@@ -185,6 +197,6 @@
 
 def _is_settled(task: Task) -> bool:
     """Return whether a list without the task means that it is over."""
-    if task.state is TaskState.UNSURE:
+    if task.state in _UNBARRED:
         return task.stop_sent
     return task.state in _RUNS
--- a/verbenapost/coordination/scheduling/tests/test_board.py
+++ b/verbenapost/coordination/scheduling/tests/test_board.py
@@ -201,6 +201,51 @@
         assert plan(board) == []
 
 
+class TestLateEnd:
+    """An earlier run is done after a later one was started elsewhere."""
+
+    def start_twice(self):
+        board = make_board(make_entry('w0'), make_entry('w1'))
+        add_job(board, StepSpec(1, Size(3000, 100)))
+        (first,) = start_all(board)
+        board.workers[first.worker].reachable = False
+        board.free_tasks(board.workers[first.worker])
+        (second,) = start_all(board)
+        return board, first, second
+
+    def test_the_later_run_takes_room_until_its_end_is_listed(self):
+        board, first, second = self.start_twice()
+        (stop,) = end_run(board, first)
+        assert (stop.worker, stop.run) == (second.worker, second.run)
+        add_job(board, StepSpec(1, Size(3000, 100)), job='0' * 16)
+        assert plan(board) == []
+        end_run(board, second, EndKind.STOPPED)
+        assert [row.worker for row in plan(board)] == [second.worker]
+
+    def test_it_is_counted_once_while_it_is_listed(self):
+        board, first, second = self.start_twice()
+        end_run(board, first)
+        report(board, second.worker, [make_row(second)], sent=2, now=2)
+        add_job(board, StepSpec(1, SMALL), job='0' * 16)
+        assert [row.worker for row in plan(board)] == [second.worker]
+
+    def test_a_list_without_it_frees_its_room_once_it_is_barred(self):
+        board, first, second = self.start_twice()
+        end_run(board, first)
+        add_job(board, StepSpec(1, Size(3000, 100)), job='0' * 16)
+        report(board, second.worker, [], sent=2, now=2)
+        assert plan(board) == []
+        board.note_stopped(second.task, second.run, now=2)
+        report(board, second.worker, [], sent=3, now=3)
+        assert [row.worker for row in plan(board)] == [second.worker]
+
+    def test_it_is_stopped_again_while_that_is_not_acknowledged(self):
+        board, first, second = self.start_twice()
+        end_run(board, first)
+        (stop,) = report(board, second.worker, [], sent=5, now=5)
+        assert stop.run == second.run
+
+
 class TestForeignRuns:
     def test_what_is_being_stopped_still_takes_room(self):
         board = make_board(make_entry('w0'), make_entry('w1'))
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -95,6 +95,8 @@
         self._ports = ports
         self._acknowledged = 0
         self._taken = 0
+        # Numbers of ends that the store doesn't have yet.
+        self._unstored: set[int] = set()
         self._last_clock = 0
         # A worker that doesn't answer gets no further lease: what it was
         # given before has to lapse before its tasks may start elsewhere.
@@ -306,10 +308,13 @@
         reader = ReportReader(self._board, worker, now)
         commands = reader.apply(report, ends, sent)
         worker.adopted = True
+        # Before anything else runs, which might take the changes.
+        written = self._ports.recorder.mark(self._board.take_dirty())
+        self._unstored.update(end.number for end in ends)
         self._ports.send(self._board, commands)
         self._ports.wake()
         await self._pace()
-        await self._store_ends(ends)
+        await self._store_ends(ends, written)
 
     async def _pace(self) -> None:
         for order in pace_worker(self.worker):
@@ -332,14 +337,21 @@
             else:
                 order.task.percent = order.percent
 
-    async def _store_ends(self, ends: list[RunEnd]) -> None:
-        """Acknowledge ends only after the store has what they change."""
-        written = self._ports.recorder.mark(self._board.take_dirty())
-        if not ends:
+    async def _store_ends(
+        self,
+        ends: list[RunEnd],
+        written: Sequence[asyncio.Future[bool]],
+    ) -> None:
+        """Acknowledge ends only after the store has what they change.
+
+        An acknowledgement covers all ends up to a number, and another answer's
+        ends may be stored sooner than those before them.
+        """
+        if not ends or not all(await asyncio.gather(*written)):
             return
-        await asyncio.gather(*written)
-        newest = max(end.number for end in ends)
-        self._acknowledged = max(self._acknowledged, newest)
+        self._unstored.difference_update(end.number for end in ends)
+        before = min(self._unstored, default=self._taken + 1)
+        self._acknowledged = max(self._acknowledged, before - 1)
 
     def _note_unreachable(self, fault: CallFault) -> None:
         if self._is_final(fault):
--- a/verbenapost/scheduler/recorder.py
+++ b/verbenapost/scheduler/recorder.py
@@ -68,15 +68,15 @@
         self._election = election
         self._find = find
         self._log = log
-        self._dirty: dict[str, list[asyncio.Future[None]]] = {}
+        self._dirty: dict[str, list[asyncio.Future[bool]]] = {}
         self._wake = asyncio.Event()
 
-    def mark(self, jobs: Iterable[str]) -> list[asyncio.Future[None]]:
-        """Have jobs written; the futures end when they are."""
+    def mark(self, jobs: Iterable[str]) -> list[asyncio.Future[bool]]:
+        """Have jobs written; the futures tell in the end whether they are."""
         futures = []
         loop = asyncio.get_running_loop()
         for job in jobs:
-            future: asyncio.Future[None] = loop.create_future()
+            future: asyncio.Future[bool] = loop.create_future()
             self._dirty.setdefault(job, []).append(future)
             futures.append(future)
         if futures:
@@ -97,24 +97,25 @@
                 for job in map(self._find, batch)
                 if job is not None
             ]
-            await self._write(entries)
+            written = await self._write(entries)
             for futures in batch.values():
-                _resolve(futures)
+                _resolve(futures, written=written)
 
     async def drain(self) -> None:
         """Wait until all that is dirty now is written."""
         await asyncio.gather(*self.mark(list(self._dirty)))
 
-    def _take(self) -> dict[str, list[asyncio.Future[None]]]:
+    def _take(self) -> dict[str, list[asyncio.Future[bool]]]:
         chosen = list(self._dirty)[:BATCH_JOBS]
         return {job: self._dirty.pop(job) for job in chosen}
 
-    async def _write(self, entries: Sequence[_Entry]) -> None:
+    async def _write(self, entries: Sequence[_Entry]) -> bool:
+        """Write entries and return whether the store has them all."""
         while entries:
             answer = await self._store.commit(self._make(entries))
             if not isinstance(answer, Err):
                 self._note_written(entries, answer.ok_value)
-                return
+                return True
             fault = answer.err_value
             if isinstance(fault, CallFault):
                 self._log.warning(
@@ -125,7 +126,11 @@
                 )
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            entries = self._compare(entries, fault)
+            left = self._compare(entries, fault)
+            if left is None:
+                return False
+            entries = left
+        return True
 
     def _make(self, entries: Sequence[_Entry]) -> Transaction:
         expected = [
@@ -157,13 +162,16 @@
         self,
         entries: Sequence[_Entry],
         conflict: Conflict,
-    ) -> list[_Entry]:
-        """Return the entries that an earlier try has not written."""
+    ) -> list[_Entry] | None:
+        """Return the entries that an earlier try has not written.
+
+        :returns: ``None`` when this daemon doesn't lead any more.
+        """
         found = {item.key: item for item in conflict.items}
         leader = found.get(LEADER_KEY)
         if leader is None or leader.revision != self._election.revision:
             self._election.lose('a write found another leader')
-            return []
+            return None
         left = []
         for row in entries:
             item = found.get(make_progress_key(row.job.spec.job))
@@ -175,7 +183,11 @@
         return left
 
 
-def _resolve(futures: Sequence[asyncio.Future[None]]) -> None:
+def _resolve(
+    futures: Sequence[asyncio.Future[bool]],
+    *,
+    written: bool,
+) -> None:
     for future in futures:
         if not future.done():
-            future.set_result(None)
+            future.set_result(written)
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -13,7 +13,13 @@
     plan,
 )
 from verbenapost.daemon.logs import make_logger
-from verbenapost.protocol.orders import CallFault, Fault, WorkerReport
+from verbenapost.protocol.orders import (
+    CallFault,
+    EndKind,
+    Fault,
+    RunEnd,
+    WorkerReport,
+)
 from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler.link import LinkPorts, WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
@@ -37,14 +43,20 @@
         self.clock = clock
         self.up = True
         self.running = []
+        self.ends = []
         self.leases = []
+        self.seen = []
 
-    async def hold(self, _worker, _token, _seen, deadline, _wait):
+    async def hold(self, _worker, _token, seen, deadline, _wait):
         self.clock.now += 0.5
         self.leases.append(deadline)
+        self.seen.append(seen)
         if not self.up:
             return Err(CallFault(Fault.UNKNOWN, 'silent'))
-        return Ok(WorkerReport(round(self.clock.now * 1000), self.running, []))
+        ends = [end for end in self.ends if end.number > seen]
+        return Ok(
+            WorkerReport(round(self.clock.now * 1000), self.running, ends)
+        )
 
 
 class Election:
@@ -55,18 +67,26 @@
 
 
 class Recorder:
-    def mark(self, _jobs):
-        return []
+    """Keeps what is to be written until a test says how that went."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def mark(self, jobs):
+        loop = asyncio.get_running_loop()
+        futures = [loop.create_future() for _ in jobs]
+        self.waiting.extend(futures)
+        return futures
 
 
-def make_link(clock, monkeypatch):
+def make_link(clock, monkeypatch, recorder=None):
     monkeypatch.setattr(link_module, 'read_clock', clock.read)
     board = make_board()
     client = FakeWorker(clock)
     ports = LinkPorts(
         client,
         Election(),
-        Recorder(),
+        recorder or Recorder(),
         HOLD_SECONDS,
         lambda: None,
         SchedulerMetrics(),
@@ -101,3 +121,50 @@
         task, client = asyncio.run(self.run_silence(monkeypatch, 8))
         assert task.state is TaskState.WAITING
         assert client.leases[-1] is None
+
+
+class TestStoredEnds:
+    async def end_two(self, monkeypatch, recorder):
+        """Let two tasks end, each seen by a hold of its own."""
+        clock = Clock()
+        board, client, link = make_link(clock, monkeypatch, recorder)
+        add_job(board, StepSpec(1, SMALL))
+        add_job(board, StepSpec(1, SMALL), job='0' * 16)
+        await link.hold_once(0)
+        holds = []
+        for number, start in enumerate(plan(board, now=clock.now), 1):
+            board.note_started(start.task, start.run, clock.now)
+            end = RunEnd(number, start.task.key, start.run, EndKind.DONE, '')
+            client.ends.append(end)
+            holds.append(asyncio.create_task(link.hold_once(0)))
+            await asyncio.sleep(0)
+        return client, link, holds
+
+    def test_an_end_is_acknowledged_after_all_before_it(self, monkeypatch):
+        async def scenario():
+            recorder = Recorder()
+            client, link, holds = await self.end_two(monkeypatch, recorder)
+            first, second = recorder.waiting
+            second.set_result(True)
+            await holds[1]
+            await link.hold_once(0)
+            early = client.seen[-1]
+            first.set_result(True)
+            await holds[0]
+            await link.hold_once(0)
+            return early, client.seen[-1]
+
+        assert asyncio.run(scenario()) == (0, 2)
+
+    def test_an_end_that_was_not_stored_is_not_acknowledged(self, monkeypatch):
+        async def scenario():
+            recorder = Recorder()
+            client, link, holds = await self.end_two(monkeypatch, recorder)
+            first, second = recorder.waiting
+            first.set_result(False)
+            second.set_result(True)
+            await asyncio.gather(*holds)
+            await link.hold_once(0)
+            return client.seen[-1]
+
+        assert asyncio.run(scenario()) == 0
