Read the store in seconds at a takeover, also over a slow link

Records of ended jobs, kept for minutes, were most of it.

Ruled out: the store (others read it in 0.1 s), the lease (renewed all the time).

--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -191,7 +191,13 @@
             self.state = JobState.COMPLETED
 
     def pack(self) -> bytes:
-        """Return what has to outlive this process."""
+        """Return what has to outlive this process.
+
+        Of a job that has ended that is its state.
+        """
+        if self.state.ended:
+            ended: bytes = msgpack.packb({_STATE: self.state.value})
+            return ended
         fields: dict[str, Any] = {
             _STATE: self.state.value,
             _DONE: [
@@ -219,11 +225,11 @@
         :raises ValueError: when it can't be read.
         """
         fields = msgpack.unpackb(packed)
-        for place in fields[_DONE]:
+        for place in fields.get(_DONE, ()):
             self.finish(self._locate(place))
-        for *place, runs in fields[_FAILED]:
+        for *place, runs in fields.get(_FAILED, ()):
             self._locate(place).failed_runs = tuple(runs)
-        for *place, checkpoint in fields[_SAVED]:
+        for *place, checkpoint in fields.get(_SAVED, ()):
             self._locate(place).checkpoint = checkpoint
         self.state = JobState(fields[_STATE])
         self.stored_state = self.state
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -34,6 +34,13 @@
 #: Seconds that a call may take; the store answers in 4 ms when it is well.
 CALL_TIMEOUT: Final = 1.0
 
+#: Seconds that a page may take: up to 1 MB over the slowest links, with others'
+#: traffic beside it.
+PAGE_TIMEOUT: Final = 3.0
+
+#: Tries of one page before the whole read has failed.
+PAGE_TRIES: Final = 3
+
 #: Seconds that a renewal may take, so that there is time for another try.
 RENEW_TIMEOUT: Final = 0.6
 
@@ -86,7 +93,7 @@
         if after:
             query['after'] = after
         path = f'{names.RANGE_PATH}?{urlencode(query)}'
-        answer = await self._call('GET', path)
+        answer = await self._call('GET', path, timeout=PAGE_TIMEOUT)
         if isinstance(answer, Err):
             return answer
         return _decode(answer.ok_value, _read_page)
@@ -100,7 +107,9 @@
         items: list[Item] = []
         revision = 0
         while True:
-            page = await self.read_page(prefix, items[-1].key if items else '')
+            page = await self._insist_page(
+                prefix, items[-1].key if items else ''
+            )
             if isinstance(page, Err):
                 return page
             items.extend(page.ok_value.items)
@@ -172,6 +181,19 @@
         answer = await self._call('DELETE', f'{names.REVOKE_PATH}/{lease}')
         return answer.map(_drop)
 
+    async def _insist_page(
+        self,
+        prefix: str,
+        after: str,
+    ) -> Result[ItemPage, CallFault]:
+        """Read a page anew when it fails, so that those before are kept."""
+        page = await self.read_page(prefix, after)
+        for _ in range(PAGE_TRIES - 1):
+            if not after or not isinstance(page, Err):
+                break
+            page = await self.read_page(prefix, after)
+        return page
+
     async def _call(
         self,
         method: str,
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -36,6 +36,13 @@
 #: has written before the others have read.
 CAMPAIGN_JITTER: Final = 0.15
 
+#: Cores that leading takes at the size of the users' second milestone.
+LEADER_CORES: Final = 1.0
+
+#: Seconds for which a daemon with less leaves the campaign to the others;
+#: longer than their own waits together.
+SMALL_DELAY: Final = 0.4
+
 #: Seconds for which a process counts as just started; a round of restarts
 #: takes about as long.
 YOUNG_SECONDS: Final = 20.0
@@ -252,6 +259,8 @@
         if read_clock() - self._started_at > YOUNG_SECONDS:
             delay += CAMPAIGN_JITTER
         return delay
+        if self._settings.processor.cores < LEADER_CORES:
+            delay += SMALL_DELAY
 
     async def _write(self, token: int, *expected: Expectation) -> None:
         asked = read_clock()
--- a/verbenapost/scheduler/recorder.py
+++ b/verbenapost/scheduler/recorder.py
@@ -18,12 +18,21 @@
     Write,
 )
 from verbenapost.scheduler.election import Election
-from verbenapost.scheduler.keys import LEADER_KEY, make_progress_key
-from verbenapost.state.workloads import JobState
+from verbenapost.scheduler.keys import (
+    LEADER_KEY,
+    make_progress_key,
+    make_spec_key,
+)
+from verbenapost.state.submissions import pack_job
+from verbenapost.state.workloads import JobSpec, JobState
+
+#: Entries of one transaction beside the leader's key; the store takes 32.
+BATCH_ENTRIES: Final = 31
 
-#: Jobs of one transaction: two of the store's 32 entries each, and one for
-#: the leader's key.
-BATCH_JOBS: Final = 15
+#: Entries of a job: its progress is expected and written, and the submission
+#: of one that has ended is cut down.
+JOB_ENTRIES: Final = 2
+ENDED_ENTRIES: Final = 3
 
 #: Seconds that changes gather before a transaction; a store answer takes 4 ms
 #: and each call is paid for.
@@ -106,8 +115,16 @@
         await asyncio.gather(*self.mark(list(self._dirty)))
 
     def _take(self) -> dict[str, list[asyncio.Future[bool]]]:
-        chosen = list(self._dirty)[:BATCH_JOBS]
-        return {job: self._dirty.pop(job) for job in chosen}
+        chosen = []
+        entries = 0
+        for name in self._dirty:
+            job = self._find(name)
+            ended = job is not None and job.state.ended
+            entries += ENDED_ENTRIES if ended else JOB_ENTRIES
+            if entries > BATCH_ENTRIES:
+                break
+            chosen.append(name)
+        return {row: self._dirty.pop(row) for row in chosen}
 
     async def _write(self, entries: Sequence[_Entry]) -> bool:
         """Write entries and return whether the store has them all."""
@@ -137,12 +154,18 @@
             Expectation(make_progress_key(row.job.spec.job), row.job.revision)
             for row in entries
         ]
+        writes = [
+            Write(make_progress_key(row.job.spec.job), row.packed)
+            for row in entries
+        ]
+        cut = [
+            Write(make_spec_key(row.job.spec.job), pack_job(shorten(row.job)))
+            for row in entries
+            if row.state.ended
+        ]
         return Transaction(
             (Expectation(LEADER_KEY, self._election.revision), *expected),
-            [
-                Write(make_progress_key(row.job.spec.job), row.packed)
-                for row in entries
-            ],
+            [*writes, *cut],
         )
 
     def _note_written(self, entries: Sequence[_Entry], revision: int) -> None:
@@ -183,6 +206,15 @@
         return left
 
 
+def shorten(job: Job) -> JobSpec:
+    """Return what is kept of the submission of a job that has ended.
+
+    Its key still shows that the job is known; its text and its steps would
+    only make the next leader's reading longer.
+    """
+    return dataclasses.replace(job.spec, payload='', steps=(), repetitions=0)
+
+
 def _resolve(
     futures: Sequence[asyncio.Future[bool]],
     *,
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -25,6 +25,34 @@
     probes: str
     internal_ports: tuple[int, int]
 
+    @pydantic.field_validator('internal_ports')
+    @classmethod
+    def check_ports(cls, ports: tuple[int, int]) -> tuple[int, int]:
+        """Refuse a range without room for metrics and streams."""
+        first, last = ports
+        if first >= last:
+            raise ValueError('two ports or more are needed')
+        return ports
+
+
+@final
+class Processor(pydantic.BaseModel):
+    """What the daemon may use of its VM's processors.
+
+    :param share: share of one core.
+    :param speed: how many times as fast that core is.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
+
+    share: float = 1
+    speed: float = 1
+
+    @property
+    def cores(self) -> float:
+        """Processors in cores."""
+        return self.share * self.speed
+
 
 @final
 class StoreAddress(pydantic.BaseModel):
@@ -105,6 +133,7 @@
     cloud: CloudAddress | None = None
     advice_address: str | None = None
     bounds: Bounds = Bounds()
+    processor: Processor = Processor()
 
     @property
     def internal_port(self) -> int:
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_takeover.py
@@ -0,0 +1,91 @@
+"""What a successor reads, and who it is."""
+
+import pytest
+from result import Err, Ok
+
+from standins.fleet.world import make_settings
+from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.daemon.logs import make_logger
+from verbenapost.platform.http import Answer
+from verbenapost.platform.store import PAGE_TRIES, PlatformStore
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler import election as election_module
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.recorder import shorten
+from verbenapost.scheduler.settings import Processor
+from verbenapost.state.submissions import pack_job, unpack_job
+from verbenapost.state.workloads import JobSpec, JobState, StepSpec
+
+
+class Pages:
+    """Answers range reads page by page; some calls fail."""
+
+    def __init__(self, pages, failing):
+        self.pages = pages
+        self.failing = failing
+        self.asked = []
+
+    async def exchange(self, call):
+        self.asked.append(call.path)
+        if len(self.asked) in self.failing:
+            return Err(CallFault(Fault.UNKNOWN, 'timeout'))
+        number = int('after=' in call.path)
+        return Ok(Answer(200, self.pages[number]))
+
+
+def make_page(key, *, truncated):
+    item = {'key': key, 'value': '', 'revision': 1}
+    return {'items': [item], 'truncated': truncated, 'store_revision': 5}
+
+
+PAGES = (
+    make_page('p/a', truncated=True),
+    make_page('p/b', truncated=False),
+)
+
+
+class TestPages:
+    async def test_a_page_that_fails_is_read_again_and_no_other(self):
+        http = Pages(PAGES, failing={2})
+        found = await PlatformStore(http, '127.0.0.1:1').read_range('p/')
+        assert [item.key for item in found.ok_value.items] == ['p/a', 'p/b']
+        assert len(http.asked) == 3
+
+    async def test_a_page_that_keeps_failing_ends_the_read(self):
+        failing = set(range(2, 2 + PAGE_TRIES))
+        http = Pages(PAGES, failing=failing)
+        found = await PlatformStore(http, '127.0.0.1:1').read_range('p/')
+        assert found.err_value.fault is Fault.UNKNOWN
+
+
+class TestEndedJob:
+    def test_its_record_and_submission_are_small_and_read_back(self):
+        spec = JobSpec('5c0e7a21d94b36f8', 'plan', 'x' * 4000, (StepSpec(24),))
+        job = Job(spec, 0)
+        job.state = JobState.COMPLETED
+        cut = pack_job(shorten(job))
+        assert len(cut) + len(job.pack()) < 300
+        known = Job(unpack_job(cut), 0)
+        known.restore(job.pack(), revision=3)
+        assert (known.state, known.revision) == (JobState.COMPLETED, 3)
+
+
+class TestCampaign:
+    """A daemon with little processor leaves the campaign to the others."""
+
+    @pytest.mark.parametrize(
+        ('processor', 'waits'),
+        [
+            (Processor(share=0.7, speed=3), False),
+            (Processor(share=0.5, speed=2), False),
+            (Processor(share=0.5, speed=1), True),
+        ],
+    )
+    def test_its_wait_is_longer_than_any_of_theirs(self, processor, waits):
+        settings = make_settings('d0').model_copy(
+            update={'processor': processor}
+        )
+        election = Election(None, settings, make_logger('election'))
+        longest = 2 * election_module.CAMPAIGN_JITTER
+        delays = {election._choose_delay() > longest for _ in range(50)}
+        assert delays == {waits}
