Connect daemons by streams and have them send the leader's calls to workers

Weighed: an owner a pool (one pool's turn alone is more than a daemon can send; VMs change pools every few seconds, with a holder each time); the leader's decisions with other daemons as senders (taken: no state moves, a daemon that is lost costs some calls without an answer, which are handled already).

Change: each daemon keeps a msgpack stream to the leader, found by the leader's key and proved by the random text in it; entries ask over it, and from 64 workers on the leader's calls go out by the daemon that a worker's address picks. A failed call passes the worker to the next daemon.

--- a/verbenapost/platform/http.py
+++ b/verbenapost/platform/http.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 from collections.abc import Mapping
-from typing import Any, Final, final
+from typing import Any, Final, Protocol, final
 
 import aiohttp
 from result import Err, Ok, Result
@@ -68,18 +68,61 @@
         return self.status == _OK
 
 
-class HttpClient:
-    """Keeps the connections to the platform's servers."""
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class EncodedCall:
+    """A call as it goes over a connection.
 
-    def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+    :param method: HTTP method.
+    :param address: ``IP:port``.
+    :param path: path with its query.
+    :param payload: body, or ``None``.
+    :param headers: all headers that the caller sets.
+    :param timeout: seconds for the whole exchange.
+    """
 
-    async def exchange(self, call: Call) -> Result[Answer, CallFault]:
+    method: str
+    address: str
+    path: str
+    payload: bytes | None
+    headers: Mapping[str, str]
+    timeout: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class EncodedAnswer:
+    """A whole answer as it came over a connection."""
+
+    status: int
+    payload: bytes
+
+
+class Carrier(Protocol):
+    """Takes calls to the servers of the platform."""
+
+    async def carry(
+        self,
+        call: EncodedCall,
+    ) -> Result[EncodedAnswer, CallFault]:
         """Send a call and return its whole answer.
 
         :returns: the answer with any status, or a fault that tells whether
             the call may have had an effect.
         """
+
+
+class HttpCarrier:
+    """Keeps the connections of this process to the platform's servers."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def carry(
+        self,
+        call: EncodedCall,
+    ) -> Result[EncodedAnswer, CallFault]:
+        """Send a call over a connection of this process."""
         try:
             async with asyncio.timeout(call.timeout):
                 return await self._send(call)
@@ -94,24 +137,19 @@
             await self._session.close()
             self._session = None
 
-    async def _send(self, call: Call) -> Result[Answer, CallFault]:
-        payload = None
-        headers = dict(call.headers)
-        if call.body is not None:
-            payload = json.dumps(call.body, separators=(',', ':')).encode()
-            headers.update(_JSON_HEADERS)
+    async def _send(
+        self,
+        call: EncodedCall,
+    ) -> Result[EncodedAnswer, CallFault]:
         request = self._find_session().request(
             call.method,
             f'http://{call.address}{call.path}',
-            data=payload,
-            headers=headers,
+            data=call.payload,
+            headers=call.headers,
         )
         async with request as response:
-            status = response.status
-            fields = decode_body(await response.read())
-        if fields is None:
-            return Err(CallFault(Fault.UNKNOWN, f'{status} with a broken body'))
-        return Ok(Answer(status, fields))
+            payload = await response.read()
+            return Ok(EncodedAnswer(response.status, payload))
 
     def _find_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -129,6 +167,49 @@
         return self._session
 
 
+class HttpClient:
+    """Encodes calls and decodes their answers.
+
+    :param carrier: takes the calls to the servers.
+    """
+
+    def __init__(self, carrier: Carrier) -> None:
+        self._carrier = carrier
+
+    async def exchange(self, call: Call) -> Result[Answer, CallFault]:
+        """Send a call and return its whole answer.
+
+        :returns: the answer with any status, or a fault that tells whether
+            the call may have had an effect.
+        """
+        answer = await self._carrier.carry(_encode_call(call))
+        return answer.and_then(_decode_answer)
+
+
+def _encode_call(call: Call) -> EncodedCall:
+    payload = None
+    headers = dict(call.headers)
+    if call.body is not None:
+        payload = json.dumps(call.body, separators=(',', ':')).encode()
+        headers.update(_JSON_HEADERS)
+    return EncodedCall(
+        call.method,
+        call.address,
+        call.path,
+        payload,
+        headers,
+        call.timeout,
+    )
+
+
+def _decode_answer(answer: EncodedAnswer) -> Result[Answer, CallFault]:
+    fields = decode_body(answer.payload)
+    if fields is None:
+        detail = f'{answer.status} with a broken body'
+        return Err(CallFault(Fault.UNKNOWN, detail))
+    return Ok(Answer(answer.status, fields))
+
+
 def decode_body(body: bytes) -> Fields | None:
     """Return the fields of a body, or ``None`` when it holds no object.
 
--- a/verbenapost/scheduler/calls.py
+++ b/verbenapost/scheduler/calls.py
@@ -26,6 +26,9 @@
 #: Seconds that a caller waits when it doesn't say.
 DEFAULT_TIMEOUT: Final = 3.0
 
+#: Path at which a daemon shows its metrics.
+METRICS_PATH: Final = '/metrics'
+
 _MILLI: Final = 1000
 _HTTP: Final = 'http'
 _METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
@@ -89,23 +92,13 @@
         self._metrics.request_seconds.observe({'method': known}, seconds)
 
     async def _write(self, answer: EntryAnswer, send: Send) -> None:
-        headers = [
-            (b'content-type', b'application/json'),
-            (b'content-length', str(len(answer.body)).encode()),
-        ]
+        headers = [(b'content-type', b'application/json')]
         if answer.retry_after is not None:
             seconds = f'{answer.retry_after:.2f}'.encode()
             headers.append((b'retry-after', seconds))
         if self.closing:
             headers.append((b'connection', b'close'))
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': int(answer.status),
-                'headers': headers,
-            },
-        )
-        await send({'type': 'http.response.body', 'body': answer.body})
+        await _respond(send, answer.status, headers, answer.body)
 
 
 class ProbeApp:
@@ -127,14 +120,47 @@
         if scope['path'] == READY_PATH:
             ready = self._is_ready()
             status = Status.OK if ready else Status.UNAVAILABLE
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': int(status),
-                'headers': [(b'content-length', b'0')],
-            },
-        )
-        await send({'type': 'http.response.body', 'body': b''})
+        await _respond(send, status, [], b'')
+
+
+class MetricsApp:
+    """Shows the metrics as text.
+
+    :param render: returns the text.
+    """
+
+    def __init__(self, render: Callable[[], bytes]) -> None:
+        self._render = render
+
+    async def __call__(
+        self, scope: Scope, _receive: Receive, send: Send
+    ) -> None:
+        """Answer one scrape."""
+        if scope['type'] != _HTTP:
+            return
+        if scope['path'] != METRICS_PATH:
+            await _respond(send, Status.NO_ROUTE, [], b'')
+            return
+        headers = [(b'content-type', b'text/plain; charset=utf-8')]
+        await _respond(send, Status.OK, headers, self._render())
+
+
+async def _respond(
+    send: Send,
+    status: Status,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
+    """Write a whole answer."""
+    length = (b'content-length', str(len(body)).encode())
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': int(status),
+            'headers': [*headers, length],
+        },
+    )
+    await send({'type': 'http.response.body', 'body': body})
 
 
 def _read_host(headers: dict[bytes, bytes]) -> str:
--- /dev/null
+++ b/verbenapost/scheduler/channels.py
@@ -0,0 +1,127 @@
+"""Requests and replies between two daemons over one peer stream."""
+
+import asyncio
+import inspect
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import msgpack
+from result import Err, Ok, Result
+
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol import codec
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler.messages import Beat, Reply, Request
+from verbenapost.scheduler.tasks import TaskSet
+
+#: Seconds between two heartbeats on a connection.
+BEAT_SECONDS: Final = 0.5
+
+#: Seconds of silence after which a connection is given up: three heartbeats.
+SILENCE_SECONDS: Final = 1.6
+
+#: Returns the answer to a message, or an awaitable of it; raises
+#: ``ValueError`` when there is none.
+Answerer = Callable[[Any], Any]
+
+Send = Callable[[Any], bool]
+
+
+class Channel:
+    """One side of a connection, which may ask and answer.
+
+    :param send: queues a message; returns whether it could.
+    :param answer: answers the other side's requests.
+    :param tasks: holds the answers that take time.
+    :ivar relays: whether the other side carries calls for this one.
+    :ivar heard_at: local seconds at which the other side was last heard.
+    """
+
+    def __init__(self, send: Send, answer: Answerer, tasks: TaskSet) -> None:
+        self.relays = False
+        self.heard_at = read_clock()
+        self._send = send
+        self._answer = answer
+        self._tasks = tasks
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[bytes]] = {}
+
+    @property
+    def silent(self) -> bool:
+        """Whether nothing was heard for too long."""
+        return read_clock() - self.heard_at > SILENCE_SECONDS
+
+    async def ask(
+        self,
+        message: Any,
+        timeout: float,
+    ) -> Result[Any, CallFault]:
+        """Return the other side's answer, or what is known without one.
+
+        :param timeout: seconds to wait.
+        """
+        number = next(self._numbers)
+        future: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+        if not self._send(Request(number, codec.encode(message))):
+            return Err(CallFault(Fault.NOT_DONE, 'no connection'))
+        self._waiting[number] = future
+        try:
+            async with asyncio.timeout(timeout):
+                body = await future
+        except TimeoutError:
+            return Err(CallFault(Fault.UNKNOWN, 'no reply in time'))
+        except ConnectionError as fault:
+            return Err(CallFault(Fault.UNKNOWN, str(fault)))
+        finally:
+            self._waiting.pop(number, None)
+        return _read(body)
+
+    def beat(self, *, relays: bool) -> None:
+        """Show that this side lives, and whether it carries calls."""
+        self._send(Beat(relays))
+
+    def take(self, message: Any) -> None:
+        """Take a message of the other side."""
+        self.heard_at = read_clock()
+        match message:
+            case Reply():
+                future = self._waiting.get(message.number)
+                if future is not None and not future.done():
+                    future.set_result(message.body)
+            case Request():
+                self._take_request(message)
+            case Beat():
+                self.relays = message.relays
+
+    def close(self) -> None:
+        """Fail what waits for a reply; the connection is gone."""
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionError('connection lost'))
+
+    def _take_request(self, request: Request) -> None:
+        try:
+            found = self._answer(codec.decode(msgpack.unpackb(request.body)))
+        except ValueError:
+            # The empty reply tells the other side that there is no answer.
+            self._send(Reply(request.number, b''))
+            return
+        if inspect.isawaitable(found):
+            self._tasks.add(self._reply_later(request.number, found))
+        else:
+            self._send(Reply(request.number, codec.encode(found)))
+
+    async def _reply_later(self, number: int, found: Awaitable[Any]) -> None:
+        self._send(Reply(number, codec.encode(await found)))
+
+
+def _read(body: bytes) -> Result[Any, CallFault]:
+    if not body:
+        return Err(CallFault(Fault.NOT_DONE, 'the other side has no answer'))
+    try:
+        return Ok(codec.decode(msgpack.unpackb(body)))
+    except ValueError as fault:
+        return Err(CallFault(Fault.UNKNOWN, f'broken reply: {fault}'))
--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -5,6 +5,7 @@
 
 from verbenapost.daemon.logs import make_logger
 from verbenapost.platform.names import OPERATOR_PREFIX
+from verbenapost.scheduler.channels import Answerer
 from verbenapost.scheduler.election import Election, Leadership
 from verbenapost.scheduler.following import PrefixFollower
 from verbenapost.scheduler.keys import LEADER_KEY
@@ -16,7 +17,6 @@
     PendingAnswer,
     StateAnswer,
 )
-from verbenapost.scheduler.peers import Answerer
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.tasks import TaskSet
 
@@ -81,6 +81,16 @@
             return None
         return self._answer if self._ports.election.holds() else None
 
+    def answer_peer(self, message: Any) -> Any:
+        """Answer another daemon.
+
+        :raises ValueError: while this daemon doesn't lead.
+        """
+        local = self.find_local()
+        if local is None:
+            raise ValueError('this daemon does not lead')
+        return local(message)
+
     async def _campaign(self) -> None:
         await self._leadership.listed.wait()
         await self._ports.election.run()
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -62,7 +62,7 @@
     :param token: fencing token; rises with each leader.
     :param daemon: name of the daemon.
     :param start: random text of the process.
-    :param address: internal ``IP:port`` of the daemon.
+    :param address: ``IP:port`` at which it takes streams of other daemons.
     """
 
     token: int
@@ -139,7 +139,8 @@
         self._store = store
         self._settings = settings
         self._log = log
-        self._start = secrets.token_hex(8)
+        #: Random text of this process.
+        self.start = secrets.token_hex(8)
         self._mine: Leadership | None = None
         self._lease = 0
         self._valid_until: float = 0
@@ -247,7 +248,7 @@
         if current is None:
             return True
         same = current.daemon == self._settings.daemon
-        return same and current.start != self._start
+        return same and current.start != self.start
 
     def _choose_delay(self) -> float:
         """Return the seconds to wait before a campaign.
@@ -258,9 +259,9 @@
         delay = random.random() * CAMPAIGN_JITTER  # noqa: S311
         if read_clock() - self._started_at > YOUNG_SECONDS:
             delay += CAMPAIGN_JITTER
-        return delay
         if self._settings.processor.cores < LEADER_CORES:
             delay += SMALL_DELAY
+        return delay
 
     async def _write(self, token: int, *expected: Expectation) -> None:
         asked = read_clock()
@@ -271,8 +272,8 @@
         claim = Leadership(
             token,
             self._settings.daemon,
-            self._start,
-            self._settings.internal_address,
+            self.start,
+            self._settings.peer_address,
         )
         transaction = Transaction(
             expected=expected,
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -178,7 +178,7 @@
         self._log.info(
             'takeover read',
             jobs=len(self.jobs),
-            workers=len(self._fleet.links),
+            workers=self._fleet.count_live(),
             seconds=round(read_clock() - self._began, 3),
         )
 
@@ -233,6 +233,8 @@
     def _run_round(self) -> None:
         began = read_clock()
         self._wake.clear()
+        if self._ports.relays is not None:
+            self._ports.relays.adapt(self._fleet.count_live())
         moment = Moment(read_clock(), time.time())
         for board in self._boards:
             if settle_board(board, moment.now - self._began, self._longest):
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -310,7 +310,7 @@
         worker.adopted = True
         # Before anything else runs, which might take the changes.
         written = self._ports.recorder.mark(self._board.take_dirty())
-        self._unstored.update(end.number for end in ends)
+        self._unstored.update(row.number for row in ends)
         self._ports.send(self._board, commands)
         self._ports.wake()
         await self._pace()
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -1,6 +1,7 @@
-"""Messages between an entry and the leader."""
+"""Messages between the leader and the other daemons."""
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Final, final
 
 from verbenapost.protocol.codec import register_message
@@ -11,6 +12,11 @@
 _STATE: Final = 604
 _ASK_PENDING: Final = 605
 _PENDING: Final = 606
+_REQUEST: Final = 607
+_REPLY: Final = 608
+_BEAT: Final = 609
+_RELAY_CALL: Final = 610
+_RELAY_ANSWER: Final = 611
 
 
 @final
@@ -85,3 +91,83 @@
     """Answer to :class:`AskPending`."""
 
     pending: int
+
+
+@final
+@register_message(_REQUEST)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A message that wants a reply.
+
+    :param number: counts the requests of one side of a connection.
+    :param body: the message, packed.
+    """
+
+    number: int
+    body: bytes
+
+
+@final
+@register_message(_REPLY)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """The reply to a request.
+
+    :param number: number of the request.
+    :param body: the message, packed; empty when there is no answer.
+    """
+
+    number: int
+    body: bytes
+
+
+@final
+@register_message(_BEAT)
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """Heartbeat on a connection.
+
+    :param relays: whether the sender carries calls for the leader.
+    """
+
+    relays: bool
+
+
+@final
+@register_message(_RELAY_CALL)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayCall:
+    """Has a daemon send a call to a worker.
+
+    :param method: HTTP method.
+    :param address: ``IP:port`` of the worker.
+    :param path: path with its query.
+    :param payload: body, or ``None``.
+    :param headers: headers by name.
+    :param timeout: seconds for the whole exchange with the worker.
+    """
+
+    method: str
+    address: str
+    path: str
+    payload: bytes | None
+    headers: Mapping[str, str]
+    timeout: float
+
+
+@final
+@register_message(_RELAY_ANSWER)
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """What a worker has answered to a relayed call.
+
+    :param status: HTTP status; 0 without an answer.
+    :param payload: body.
+    :param fault: what is known of the call's effect without an answer.
+    :param detail: what was seen, for the log.
+    """
+
+    status: int
+    payload: bytes
+    fault: str = ''
+    detail: str = ''
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -1,7 +1,7 @@
 """A daemon on the platform: its core behind HTTP servers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from verbenapost.daemon.logs import make_logger
@@ -9,18 +9,21 @@
 from verbenapost.daemon.web import WebAddress, WebServer
 from verbenapost.platform.advice import AdviceClient
 from verbenapost.platform.cloud import CloudClient
-from verbenapost.platform.http import HttpClient
+from verbenapost.platform.http import HttpCarrier, HttpClient
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.workers import WorkerClient
-from verbenapost.scheduler.calls import CallerApp, ProbeApp
+from verbenapost.scheduler.calls import CallerApp, MetricsApp, ProbeApp
+from verbenapost.scheduler.channels import Channel
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.core import Core
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.entry import Entry
 from verbenapost.scheduler.metrics import SchedulerMetrics
-from verbenapost.scheduler.peers import LeaderClient, make_peer_app
+from verbenapost.scheduler.peers import LeaderClient, PeerServer
 from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.relays import RelayCarrier, RelayDesk
 from verbenapost.scheduler.settings import SchedulerSettings
+from verbenapost.transport.peers import Identity
 
 #: Connections that may wait to be taken.
 BACKLOG: Final = 512
@@ -55,12 +58,22 @@
         self._count_dropped = count_dropped
         self._settings = settings
         self._log = make_logger('daemon')
-        self._http = HttpClient()
-        self._ports = _make_ports(settings, self._http)
+        self._http = HttpCarrier()
+        self._relays = RelayCarrier(self._http, self._find_relays)
+        self._ports = _make_ports(settings, self._http, self._relays)
         self._core = Core(self._ports)
+        start = self._ports.election.start
+        identity = Identity(settings.daemon, start, start)
+        self._peer_server = PeerServer(
+            identity,
+            self._core.answer_peer,
+            make_logger('peers'),
+        )
         self._peers = LeaderClient(
+            identity,
             self._core.find_leader,
             self._core.find_local,
+            RelayDesk(self._http).answer,
             make_logger('peers'),
         )
         entry = Entry(
@@ -82,7 +95,11 @@
         """Listen and begin to follow the store."""
         for server in self._servers:
             await server.start()
+        await self._peer_server.start(
+            self._settings.address, self._settings.peer_port
+        )
         self._core.start()
+        self._peers.start()
         self._log.info('started', address=self._settings.address)
 
     async def stop(self) -> None:
@@ -90,6 +107,7 @@
         self._log.info('stop begins', running=self._app.running)
         began = read_clock()
         self._app.closing = True
+        self._peers.stop_relaying()
         await self._core.resign()
         grace = self._settings.bounds.grace_s - GRACE_MARGIN
         while read_clock() - began < grace:
@@ -101,9 +119,13 @@
             await server.stop()
         await self._core.close()
         await self._peers.close()
+        await self._peer_server.stop()
         await self._http.close()
         self._log.info('stopped', seconds=round(read_clock() - began, 2))
 
+    def _find_relays(self) -> Mapping[str, Channel]:
+        return self._peer_server.find_relays()
+
     def _copy_numbers(self) -> None:
         for name, number in self._ports.store.calls.items():
             kind, _, outcome = name.partition(' ')
@@ -117,9 +139,7 @@
         return (
             WebServer(ProbeApp(self.is_ready), _parse(listen.probes)),
             WebServer(
-                make_peer_app(
-                    self._core.find_local, self._ports.metrics.render
-                ),
+                MetricsApp(self._ports.metrics.render),
                 _parse(internal),
             ),
             WebServer(self._app, _parse(listen.callers)),
@@ -128,15 +148,17 @@
 
 def _make_ports(
     settings: SchedulerSettings,
-    http: HttpClient,
+    carrier: HttpCarrier,
+    relays: RelayCarrier,
 ) -> LeaderPorts:
+    http = HttpClient(carrier)
     store = PlatformStore(http, settings.store.address)
     cloud = settings.cloud
     advice = settings.advice_address
     return LeaderPorts(
         settings=settings,
         store=store,
-        workers=WorkerClient(http),
+        workers=WorkerClient(HttpClient(relays)),
         cloud=(
             CloudClient(http, cloud.address, settings.daemon) if cloud else None
         ),
@@ -144,6 +166,7 @@
         election=Election(store, settings, make_logger('election')),
         configuration=ConfigurationFollower(make_logger('configuration')),
         metrics=SchedulerMetrics(),
+        relays=relays,
     )
 
 
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -1,135 +1,241 @@
-"""Calls from an entry to the leader, as msgpack over HTTP."""
+"""Connections between the leader and the other daemons."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
-import aiohttp
-import msgpack
 from result import Err, Ok, Result
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route as HttpRoute
 
 from verbenapost.daemon.timers import read_clock
-from verbenapost.protocol import codec
+from verbenapost.scheduler.channels import (
+    BEAT_SECONDS,
+    Answerer,
+    Channel,
+)
 from verbenapost.scheduler.election import Leadership
-
-#: Path at which a daemon answers other daemons.
-ASK_PATH: Final = '/ask'
-
-#: Path at which a daemon shows its metrics.
-METRICS_PATH: Final = '/metrics'
+from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.transport.peers import (
+    AcceptedStream,
+    Identity,
+    PeerLink,
+    PeerStream,
+)
 
 #: Seconds that the leader has for an answer before the entry helps itself.
 ASK_TIMEOUT: Final = 0.5
 
 #: Seconds for which a leader that did not answer is not asked again.
-SILENCE_SECONDS: Final = 0.7
+PAUSE_SECONDS: Final = 0.7
 
-_OK: Final = 200
-_INVALID: Final = 400
-_UNAVAILABLE: Final = 503
+#: Seconds between two looks at who leads and at the connection to it.
+LOOK_SECONDS: Final = 0.1
 
-Answerer = Callable[[Any], Any]
+#: Longest wait between two attempts to connect, in seconds; entries need the
+#: leader for each submission.
+RECONNECT_SECONDS: Final = 0.4
+
+
+class PeerServer:
+    """Takes the connections of the other daemons.
+
+    :param identity: who this daemon is; its key is its own random text, which
+        the others read in the leader's key of the store.
+    :param answer: answers their requests.
+    :param log: log of this part.
+    """
+
+    def __init__(self, identity: Identity, answer: Answerer, log: Any) -> None:
+        self._identity = identity
+        self._answer = answer
+        self._log = log
+        self._channels: dict[AcceptedStream, Channel] = {}
+        self._tasks = TaskSet()
+        self._relays: Mapping[str, Channel] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen and begin to send heartbeats."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, host, port)
+        self._tasks.add(self._beat())
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        if self._server is not None:
+            self._server.close()
+        for stream in list(self._channels):
+            stream.close()
+        await self._tasks.close()
+
+    def find_relays(self) -> Mapping[str, Channel]:
+        """Return the daemons that carry calls, by name; the same object
+        until they change.
+        """
+        return self._relays
+
+    def _accept(self) -> AcceptedStream:
+        def deliver(_peer: str, message: Any) -> None:
+            channel.take(message)
+
+        stream = AcceptedStream(self._identity, deliver)
+        channel = Channel(stream.send, self._answer, self._tasks)
+        self._channels[stream] = channel
+        stream.closed.add_done_callback(lambda _ended: self._drop(stream))
+        return stream
+
+    def _drop(self, stream: AcceptedStream) -> None:
+        channel = self._channels.pop(stream, None)
+        if channel is not None:
+            channel.close()
+        self._look_for_relays()
+        if stream.peer:
+            self._log.info('daemon disconnected', daemon=stream.peer)
+
+    def _look_for_relays(self) -> None:
+        found = {
+            stream.peer: channel
+            for stream, channel in self._channels.items()
+            if channel.relays and not channel.silent
+        }
+        if found != self._relays:
+            self._relays = found
+
+    async def _beat(self) -> None:
+        while True:
+            self._look_for_relays()
+            for stream, channel in list(self._channels.items()):
+                if channel.silent:
+                    stream.abort()
+                elif stream.peer:
+                    channel.beat(relays=False)
+            await asyncio.sleep(BEAT_SECONDS)
 
 
 class LeaderClient:
-    """Asks whoever leads.
+    """Keeps a connection to whoever leads, and asks it.
 
+    :param identity: who this daemon is.
     :param find_leader: returns who leads, or ``None``.
     :param find_local: returns the answerer of this daemon while it leads.
+    :param answer: answers what the leader asks of this daemon.
     :param log: log of this part.
     """
 
     def __init__(
         self,
+        identity: Identity,
         find_leader: Callable[[], Leadership | None],
         find_local: Callable[[], Answerer | None],
+        answer: Answerer,
         log: Any,
     ) -> None:
+        self.relays = True
+        self._identity = identity
         self._find_leader = find_leader
         self._find_local = find_local
+        self._answer = answer
         self._log = log
-        self._session: aiohttp.ClientSession | None = None
-        self._silent_until: float = 0
-        self._silent_address = ''
+        self._leader: Leadership | None = None
+        self._link: PeerLink | None = None
+        self._dialling: asyncio.Task[None] | None = None
+        self._stream: PeerStream | None = None
+        self._channel: Channel | None = None
+        self._tasks = TaskSet()
+        self._paused_until: float = 0
+        self._beat_at: float = 0
+
+    def start(self) -> None:
+        """Begin to follow who leads."""
+        self._tasks.add(self._run())
+
+    def stop_relaying(self) -> None:
+        """Ask the leader to send its calls by other daemons."""
+        self.relays = False
+        self._beat_at = 0
+        self._look()
 
     async def ask(self, message: Any) -> Result[Any, str]:
         """Return the leader's answer, or why there is none."""
         local = self._find_local()
         if local is not None:
             return Ok(local(message))
-        leader = self._find_leader()
-        if leader is None:
-            return Err('nobody leads')
-        if self._is_silent(leader.address):
+        channel = self._channel
+        if channel is None:
+            return Err('no connection to a leader')
+        if read_clock() < self._paused_until:
             return Err('the leader was silent just now')
-        try:
-            async with asyncio.timeout(ASK_TIMEOUT):
-                return await self._send(leader.address, message)
-        except (aiohttp.ClientError, TimeoutError, OSError) as fault:
-            self._note_silent(leader.address, fault)
-            return Err(repr(fault))
+        answer = await channel.ask(message, ASK_TIMEOUT)
+        if isinstance(answer, Err):
+            self._note_silent(answer.err_value.detail)
+            return Err(answer.err_value.detail)
+        return Ok(answer.ok_value)
 
     async def close(self) -> None:
-        """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
-
-    async def _send(self, address: str, message: Any) -> Result[Any, str]:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(auto_decompress=False)
-        url = f'http://{address}{ASK_PATH}'
-        packed = codec.encode(message)
-        async with self._session.post(url, data=packed) as response:
-            body = await response.read()
-            if response.status != _OK:
-                return Err(f'status {response.status}')
-        try:
-            return Ok(codec.decode(msgpack.unpackb(body)))
-        except ValueError as fault:
-            return Err(f'broken answer: {fault}')
-
-    def _is_silent(self, address: str) -> bool:
-        return (
-            address == self._silent_address
-            and read_clock() < self._silent_until
-        )
-
-    def _note_silent(self, address: str, fault: Exception) -> None:
-        self._silent_address = address
-        self._silent_until = read_clock() + SILENCE_SECONDS
-        self._log.warning('leader silent', address=address, fault=repr(fault))
-
-
-def make_peer_app(
-    find_local: Callable[[], Answerer | None],
-    render_metrics: Callable[[], bytes],
-) -> Starlette:
-    """Return the application that answers other daemons.
+        """Close the connection."""
+        self._hang_up()
+        await self._tasks.close()
 
-    :param find_local: returns the answerer of this daemon while it leads.
-    :param render_metrics: returns the metrics as text.
-    """
+    async def _run(self) -> None:
+        while True:
+            self._look()
+            await asyncio.sleep(LOOK_SECONDS)
 
-    async def show_metrics(_request: Request) -> Response:
-        return Response(render_metrics(), media_type='text/plain')
-
-    async def answer(request: Request) -> Response:
-        local = find_local()
-        if local is None:
-            return Response(status_code=_UNAVAILABLE)
-        try:
-            message = codec.decode(msgpack.unpackb(await request.body()))
-        except ValueError as fault:
-            return Response(str(fault), status_code=_INVALID)
-        return Response(codec.encode(local(message)))
-
-    return Starlette(
-        routes=[
-            HttpRoute(ASK_PATH, answer, methods=['POST']),
-            HttpRoute(METRICS_PATH, show_metrics),
-        ],
-    )
+    def _look(self) -> None:
+        leader = self._find_leader()
+        if leader is not None and leader.start == self._identity.start:
+            leader = None
+        if leader != self._leader:
+            self._leader = leader
+            self._hang_up()
+            if leader is not None:
+                self._dial(leader)
+        self._check_stream()
+        self._send_beat()
+
+    def _dial(self, leader: Leadership) -> None:
+        host, _, port = leader.address.rpartition(':')
+        mine = Identity(self._identity.name, self._identity.start, leader.start)
+        link = PeerLink(mine, (host, int(port)), RECONNECT_SECONDS)
+        self._link = link
+        self._dialling = self._tasks.add(link.run(self._deliver))
+
+    def _hang_up(self) -> None:
+        if self._dialling is not None:
+            self._dialling.cancel()
+        self._link = None
+        self._check_stream()
+
+    def _check_stream(self) -> None:
+        """Notice a new connection, a lost one and a silent one."""
+        stream = None if self._link is None else self._link.stream
+        if stream is not self._stream:
+            self._stream = stream
+            self._change_channel(stream)
+        if stream is not None and self._channel and self._channel.silent:
+            self._log.warning('leader silent', leader=stream.peer)
+            stream.abort()
+
+    def _change_channel(self, stream: PeerStream | None) -> None:
+        if self._channel is not None:
+            self._channel.close()
+        self._channel = None
+        if stream is not None:
+            self._channel = Channel(stream.send, self._answer, self._tasks)
+            self._paused_until = 0
+            self._beat_at = 0
+            self._log.info('leader connected', leader=stream.peer)
+
+    def _send_beat(self) -> None:
+        now = read_clock()
+        if self._channel is not None and now - self._beat_at >= BEAT_SECONDS:
+            self._beat_at = now
+            self._channel.beat(relays=self.relays)
+
+    def _deliver(self, _peer: str, message: Any) -> None:
+        self._check_stream()
+        if self._channel is not None:
+            self._channel.take(message)
+
+    def _note_silent(self, detail: str) -> None:
+        self._paused_until = read_clock() + PAUSE_SECONDS
+        self._log.warning('leader has not answered', detail=detail)
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -10,6 +10,7 @@
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.metrics import SchedulerMetrics
+from verbenapost.scheduler.relays import RelayCarrier
 from verbenapost.scheduler.settings import SchedulerSettings
 
 
@@ -26,6 +27,7 @@
     :param election: who leads.
     :param configuration: the operators' configuration.
     :param metrics: metrics of the daemon.
+    :param relays: has other daemons send calls to workers, where they can.
     """
 
     settings: SchedulerSettings
@@ -36,3 +38,4 @@
     election: Election
     configuration: ConfigurationFollower
     metrics: SchedulerMetrics
+    relays: RelayCarrier | None = None
--- /dev/null
+++ b/verbenapost/scheduler/relays.py
@@ -0,0 +1,143 @@
+"""Calls to workers that other daemons send for the leader.
+
+Load pattern: a pool in its turn wants hundreds of starts a second, each an HTTP
+exchange of a millisecond of processor time; one process can't send them all.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, Final, final
+
+from result import Err, Ok, Result
+
+from verbenapost.coordination.ownership import rank_members
+from verbenapost.platform.http import Carrier, EncodedAnswer, EncodedCall
+from verbenapost.protocol.codec import CodecError
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler.channels import Channel
+from verbenapost.scheduler.messages import RelayAnswer, RelayCall
+
+#: Workers up to which the leader sends all calls itself: one process holds so
+#: many with a tenth of a core.
+DIRECT_WORKERS: Final = 64
+
+#: Seconds beyond a call's own timeout for the way to the daemon and back.
+WAY_SECONDS: Final = 0.15
+
+
+@final
+class RelayCarrier:
+    """Has each worker's calls sent by one of the other daemons.
+
+    Explanation
+    ===========
+
+    The daemon is picked by the worker's address, so that one daemon keeps the
+    connections to one worker. When a call by it fails, the next one in order
+    takes the worker over: the way between the two may be cut. A call without
+    a reply counts as one that the worker left unanswered; it may be carried
+    out late, and the leases and numbers of runs guard against that as they do
+    without a daemon in between.
+
+    :param local: sends the calls of this process.
+    :param find_relays: returns the daemons that carry calls, by name.
+    """
+
+    def __init__(
+        self,
+        local: Carrier,
+        find_relays: Callable[[], Mapping[str, Channel]],
+    ) -> None:
+        self._local = local
+        self._find_relays = find_relays
+        self._spread = False
+        self._shifts: Counter[str] = Counter()
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._known: Mapping[str, Channel] = {}
+
+    def adapt(self, workers: int) -> None:
+        """Send calls by other daemons while there are many workers."""
+        self._spread = workers > DIRECT_WORKERS
+        if not self._spread:
+            self._shifts.clear()
+
+    async def carry(
+        self,
+        call: EncodedCall,
+    ) -> Result[EncodedAnswer, CallFault]:
+        """Send a call by the daemon that its worker belongs to."""
+        relay = self._pick(call.address) if self._spread else None
+        if relay is None:
+            return await self._local.carry(call)
+        answer = await relay.ask(
+            _make_request(call), call.timeout + WAY_SECONDS
+        )
+        carried = answer.and_then(_read_answer)
+        if isinstance(carried, Err):
+            self._shifts[call.address] += 1
+        return carried
+
+    def _pick(self, address: str) -> Channel | None:
+        relays = self._find_relays()
+        if not relays:
+            return None
+        if relays is not self._known:
+            self._known = relays
+            self._ranked.clear()
+        ranked = self._ranked.get(address)
+        if ranked is None:
+            ranked = rank_members(address, relays)
+            self._ranked[address] = ranked
+        return relays[ranked[self._shifts[address] % len(ranked)]]
+
+
+class RelayDesk:
+    """Carries calls of the leader on this daemon.
+
+    :param local: sends the calls of this process.
+    """
+
+    def __init__(self, local: Carrier) -> None:
+        self._local = local
+
+    def answer(self, message: Any) -> Any:
+        """Return an awaitable of the answer to a relayed call.
+
+        :raises ValueError: when it is another message.
+        """
+        if not isinstance(message, RelayCall):
+            raise CodecError(f'{type(message).__name__} has no answer')
+        return self._carry(message)
+
+    async def _carry(self, message: RelayCall) -> RelayAnswer:
+        call = EncodedCall(
+            message.method,
+            message.address,
+            message.path,
+            message.payload,
+            message.headers,
+            message.timeout,
+        )
+        answer = await self._local.carry(call)
+        if isinstance(answer, Err):
+            fault = answer.err_value
+            return RelayAnswer(0, b'', fault.fault.value, fault.detail)
+        found = answer.ok_value
+        return RelayAnswer(found.status, found.payload)
+
+
+def _make_request(call: EncodedCall) -> RelayCall:
+    return RelayCall(
+        call.method,
+        call.address,
+        call.path,
+        call.payload,
+        call.headers,
+        call.timeout,
+    )
+
+
+def _read_answer(answer: RelayAnswer) -> Result[EncodedAnswer, CallFault]:
+    if answer.fault:
+        return Err(CallFault(Fault(answer.fault), answer.detail))
+    return Ok(EncodedAnswer(answer.status, answer.payload))
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -137,14 +137,24 @@
 
     @property
     def internal_port(self) -> int:
-        """Port at which the daemon answers other daemons."""
+        """Port at which the daemon shows its metrics."""
         return self.listen.internal_ports[0]
 
     @property
     def internal_address(self) -> str:
-        """Address at which the daemon answers other daemons."""
+        """Address at which the daemon shows its metrics."""
         return f'{self.address}:{self.internal_port}'
 
+    @property
+    def peer_port(self) -> int:
+        """Port at which the daemon takes the streams of other daemons."""
+        return self.internal_port + 1
+
+    @property
+    def peer_address(self) -> str:
+        """Address at which the daemon takes the streams of other daemons."""
+        return f'{self.address}:{self.peer_port}'
+
 
 def load_settings(path: Path) -> Result[SchedulerSettings, str]:
     """Return the settings in a file, or every fault in it, one a line."""
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -0,0 +1,248 @@
+"""Connections between the leader and the other daemons, over loopback."""
+
+import asyncio
+import contextlib
+
+from result import Err, Ok
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.platform.http import EncodedAnswer, EncodedCall
+from verbenapost.protocol.orders import CallFault, Fault
+from verbenapost.scheduler import channels
+from verbenapost.scheduler.channels import Channel
+from verbenapost.scheduler.election import Leadership
+from verbenapost.scheduler.messages import AskPending, PendingAnswer, Reply
+from verbenapost.scheduler.peers import LeaderClient, PeerServer
+from verbenapost.scheduler.relays import (
+    DIRECT_WORKERS,
+    RelayCarrier,
+    RelayDesk,
+)
+from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.transport.peers import Identity
+
+CALL = EncodedCall('POST', '10.0.0.1:1', '/p', b'{}', {'A': 'b'}, 0.5)
+
+#: Seconds after which a state that does not come is a failure.
+PATIENCE = 10
+
+
+async def wait_until(look):
+    async with asyncio.timeout(PATIENCE):
+        while not look():
+            await asyncio.sleep(0.01)
+
+
+def refuse(message):
+    raise ValueError(f'{type(message).__name__} has no answer')
+
+
+class Worker:
+    """Carries calls in place of HTTP and notes them."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.calls = []
+
+    async def carry(self, call):
+        self.calls.append(call)
+        return self.answer
+
+
+class Site:
+    """A leader and one other daemon on loopback."""
+
+    def __init__(self):
+        self.worker = Worker(Ok(EncodedAnswer(200, b'{"clock_ms":1}')))
+        self.answer = self.count
+        self.server = PeerServer(
+            Identity('d0', 'first', 'first'),
+            self.answer_by_test,
+            make_logger('peers'),
+        )
+        self.leader = None
+        self.client = LeaderClient(
+            Identity('d1', 'second', 'second'),
+            lambda: self.leader,
+            lambda: None,
+            RelayDesk(self.worker).answer,
+            make_logger('peers'),
+        )
+
+    @contextlib.asynccontextmanager
+    async def run(self, start='first'):
+        await self.server.start('127.0.0.1', 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.leader = Leadership(1, 'd0', start, f'127.0.0.1:{port}')
+        self.client.start()
+        try:
+            yield
+        finally:
+            await self.client.close()
+            await self.server.stop()
+
+    def answer_by_test(self, message):
+        return self.answer(message)
+
+    def count(self, message):
+        assert isinstance(message, AskPending)
+        return PendingAnswer(len(message.route))
+
+
+class TestAsking:
+    async def test_the_leader_answers(self):
+        site = Site()
+        async with site.run():
+            await wait_until(self.is_connected(site))
+            answer = await site.client.ask(AskPending('four'))
+        assert answer == Ok(PendingAnswer(4))
+
+    async def test_who_does_not_know_the_store_is_not_let_in(self):
+        site = Site()
+        async with site.run(start='guessed'):
+            await asyncio.sleep(0.3)
+            answer = await site.client.ask(AskPending('four'))
+        assert answer == Err('no connection to a leader')
+
+    async def test_a_daemon_that_does_not_lead_has_no_answer(self):
+        site = Site()
+        site.answer = refuse
+        async with site.run():
+            await wait_until(self.is_connected(site))
+            answer = await site.client.ask(AskPending('four'))
+        assert answer == Err('the other side has no answer')
+
+    async def test_a_connection_that_is_cut_is_made_again(self):
+        site = Site()
+        async with site.run():
+            await wait_until(self.is_connected(site))
+            before = site.client._stream
+            before.abort()
+            await wait_until(
+                lambda: site.client._stream not in {None, before},
+            )
+            answer = await site.client.ask(AskPending('four'))
+        assert answer == Ok(PendingAnswer(4))
+
+    async def test_a_silent_connection_is_given_up(self, monkeypatch):
+        site = Site()
+        async with site.run():
+            await wait_until(self.is_connected(site))
+            before = site.client._stream
+            monkeypatch.setattr(site.client._channel, 'heard_at', -100)
+            await wait_until(
+                lambda: site.client._stream not in {None, before},
+            )
+
+    def is_connected(self, site):
+        return lambda: site.client._channel is not None
+
+
+class TestChannel:
+    def make(self, sent, answer=refuse):
+        return Channel(
+            lambda message: sent.append(message) or True, answer, TaskSet()
+        )
+
+    async def test_no_reply_in_time_leaves_the_effect_unknown(self):
+        answer = await self.make([]).ask(AskPending('a'), 0.01)
+        assert answer.err_value.fault is Fault.UNKNOWN
+
+    async def test_a_message_that_was_not_sent_had_no_effect(self):
+        channel = Channel(lambda _message: False, refuse, TaskSet())
+        answer = await channel.ask(AskPending('a'), 1)
+        assert answer.err_value.fault is Fault.NOT_DONE
+
+    async def test_a_lost_connection_ends_what_waits(self):
+        channel = self.make([])
+        asked = asyncio.create_task(channel.ask(AskPending('a'), 60))
+        await asyncio.sleep(0)
+        channel.close()
+        assert (await asked).err_value.fault is Fault.UNKNOWN
+
+    async def test_a_broken_reply_is_unknown(self):
+        channel = self.make([])
+        asked = asyncio.create_task(channel.ask(AskPending('a'), 60))
+        await asyncio.sleep(0)
+        channel.take(Reply(1, b'\xc1'))
+        assert (await asked).err_value.fault is Fault.UNKNOWN
+
+    async def test_late_and_foreign_replies_are_ignored(self):
+        channel = self.make([])
+        channel.take(Reply(7, b''))
+        assert not channel.silent
+
+    async def test_silence_shows(self, monkeypatch):
+        channel = self.make([])
+        later = channel.heard_at + channels.SILENCE_SECONDS + 1
+        monkeypatch.setattr(channels, 'read_clock', lambda: later)
+        assert channel.silent
+
+
+class TestRelays:
+    """A pool in its turn wants more calls than one process can send."""
+
+    async def test_another_daemon_carries_the_calls_of_many_workers(self):
+        site = Site()
+        local = Worker(Err(CallFault(Fault.NOT_DONE, 'not from here')))
+        carrier = RelayCarrier(local, site.server.find_relays)
+        async with site.run():
+            await wait_until(site.server.find_relays)
+            carrier.adapt(DIRECT_WORKERS)
+            direct = await carrier.carry(CALL)
+            carrier.adapt(DIRECT_WORKERS + 1)
+            carried = await carrier.carry(CALL)
+            site.client.stop_relaying()
+            await wait_until(lambda: not site.server.find_relays())
+        assert direct == local.answer
+        assert carried == site.worker.answer
+        assert site.worker.calls == [CALL]
+
+    async def test_a_fault_keeps_what_is_known_of_the_effect(self):
+        site = Site()
+        site.worker.answer = Err(CallFault(Fault.UNKNOWN, 'timeout'))
+        carrier = RelayCarrier(Worker(Ok(None)), site.server.find_relays)
+        carrier.adapt(DIRECT_WORKERS + 1)
+        async with site.run():
+            await wait_until(site.server.find_relays)
+            answer = await carrier.carry(CALL)
+        assert answer == site.worker.answer
+
+    async def test_after_a_failure_the_next_daemon_takes_the_worker(self):
+        def make_relay(worker):
+            desk = RelayDesk(worker)
+            sides = {}
+
+            def send_back(message):
+                sides['near'].take(message)
+                return True
+
+            def send_there(message):
+                sides['far'].take(message)
+                return True
+
+            sides['far'] = Channel(send_back, desk.answer, TaskSet())
+            sides['near'] = Channel(send_there, refuse, TaskSet())
+            return sides['near']
+
+        workers = {
+            name: Worker(Err(CallFault(Fault.UNKNOWN, name)))
+            for name in ('d1', 'd2', 'd3')
+        }
+        relays = {name: make_relay(row) for name, row in workers.items()}
+        carrier = RelayCarrier(Worker(Ok(None)), lambda: relays)
+        carrier.adapt(DIRECT_WORKERS + 1)
+        for _ in relays:
+            await carrier.carry(CALL)
+        assert [len(row.calls) for row in workers.values()] == [1, 1, 1]
+        for row in workers.values():
+            row.answer = Ok(EncodedAnswer(200, b'{}'))
+        for _ in range(4):
+            await carrier.carry(CALL)
+        assert sorted(len(row.calls) for row in workers.values()) == [1, 1, 5]
+
+    async def test_without_other_daemons_the_leader_sends(self):
+        local = Worker(Ok(EncodedAnswer(200, b'{}')))
+        carrier = RelayCarrier(local, dict)
+        carrier.adapt(DIRECT_WORKERS + 1)
+        assert await carrier.carry(CALL) == local.answer
--- a/verbenapost/transport/peers.py
+++ b/verbenapost/transport/peers.py
@@ -69,7 +69,7 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         loop = asyncio.get_running_loop()
-        self._deadline = loop.call_later(HANDSHAKE_TIMEOUT, self._expire)
+        self._deadline = loop.call_later(HANDSHAKE_TIMEOUT, self.abort)
 
     def data_received(self, chunk: bytes) -> None:
         """Unpack and deliver each whole message."""
@@ -106,6 +106,11 @@
             self._flush()
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once; what is not written is lost."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _handshake(self, message: Any) -> None:
         raise codec.CodecError('no message may come here')
 
@@ -135,10 +140,6 @@
         self.bytes_out += len(packed)
         self._transport.write(packed)
 
-    def _expire(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
 
 class AcceptedStream(PeerStream):
     """The accepting side: challenges first."""
@@ -188,12 +189,23 @@
 
 
 class PeerLink:
-    """Task that keeps one connection to one peer."""
+    """Task that keeps one connection to one peer.
 
-    def __init__(self, identity: Identity, address: tuple[str, int]) -> None:
+    :param identity: who this daemon is.
+    :param address: IP number and port of the peer.
+    :param longest_pause: longest wait between two attempts in seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        address: tuple[str, int],
+        longest_pause: float = RETRY_MAX,
+    ) -> None:
         self.address = address
         self.stream: PeerStream | None = None
         self._identity = identity
+        self._longest_pause = longest_pause
         self._bytes_before = 0
         self._random = random.Random(identity.start)  # noqa: S311
 
@@ -219,7 +231,7 @@
             if await self._serve_once(on_message):
                 pause = RETRY_MIN
             await asyncio.sleep(pause * (1 + self._random.random()))
-            pause = min(RETRY_MAX, pause * 2)
+            pause = min(self._longest_pause, pause * 2)
 
     async def _serve_once(self, on_message: Deliver) -> bool:
         stream = DialledStream(self._identity, on_message)
