Refuse submissions at once while the store is away; see sooner that it is back

Ruled out: answering 503 after a try without an answer; the job may run.

Change: after three failures in a row over 0.3 s an entry answers 503 without a write, with a Retry-After that grows with the outage's age; watches don't wait while the store is lost; the leader's lease is 1.5 s, renewed each 0.4 s. The calls that are repeated for a caller, the answers and the book of a worker's ends have modules of their own.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -142,10 +142,14 @@
 
 
 class FleetStore:
-    """The store as one daemon reaches it; speaks the scheduler's port."""
+    """The store as one daemon reaches it; speaks the scheduler's port.
 
-    def __init__(self, core):
+    :param observe: is told of each call whether the store has dealt with it.
+    """
+
+    def __init__(self, core, observe):
         self.core = core
+        self.observe = observe
         self.faults = StoreFaults()
         self.calls = Counter()
 
@@ -241,9 +245,12 @@
         if self.faults.silent or self.core.faults.silent:
             return await self._time_out()
         if self.faults.down or self.core.faults.down:
+            self.observe(False)  # noqa: FBT003
             return Err(CallFault(Fault.NOT_DONE, 'down'))
+        self.observe(True)  # noqa: FBT003
         return None
 
     async def _time_out(self):
         await asyncio.sleep(1)
+        self.observe(False)  # noqa: FBT003
         return Err(CallFault(Fault.UNKNOWN, 'no answer'))
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -8,12 +8,15 @@
 
 from standins.fleet.store import FleetStore, StoreCore
 from standins.fleet.workers import FleetWorker, FleetWorkers
+from verbenapost.coordination.scheduling.outages import StoreOutage
 from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import EndKind
+from verbenapost.scheduler.answers import CallerRequest
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.core import Core
 from verbenapost.scheduler.election import Election
-from verbenapost.scheduler.entry import CallerRequest, Entry
+from verbenapost.scheduler.entry import Entry
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.settings import SchedulerSettings
@@ -50,7 +53,11 @@
         self.world = world
         self.name = name
         self.alive = True
-        self.store = FleetStore(world.store)
+        outage = StoreOutage()
+        self.store = FleetStore(
+            world.store,
+            lambda answered: outage.note(answered=answered, now=read_clock()),
+        )
         self.workers = FleetWorkers(world)
         settings = make_settings(name)
         self.ports = LeaderPorts(
@@ -62,12 +69,14 @@
             election=Election(self.store, settings, make_logger('election')),
             configuration=ConfigurationFollower(make_logger('configuration')),
             metrics=SchedulerMetrics(),
+            outage=outage,
         )
         self.core = Core(self.ports)
         self.entry = Entry(
             self.ports.configuration,
             self.store,
             _Peers(world, self.core),
+            outage,
             make_logger('entry'),
         )
         self.core.start()
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -42,7 +42,7 @@
 PAGE_TRIES: Final = 3
 
 #: Seconds that a renewal may take, so that there is time for another try.
-RENEW_TIMEOUT: Final = 0.6
+RENEW_TIMEOUT: Final = 0.5
 
 #: Seconds that an answer to a watch may take beyond the watch's own wait.
 WATCH_MARGIN: Final = 0.7
@@ -54,19 +54,33 @@
 _LIMITED = 429
 _UNAVAILABLE = 503
 _MISSING: Final = CallFault(Fault.NOT_FOUND)
+_NOT_DEALT_WITH: Final = frozenset(
+    (Fault.NOT_DONE, Fault.UNKNOWN, Fault.LIMITED)
+)
 
 _Shape = TypeVar('_Shape')
 
 
+def _ignore(_answered: bool) -> None:  # noqa: FBT001
+    """Take no note of how a call has ended."""
+
+
 class PlatformStore:
     """Calls of the store, one method for each.
 
     :param http: keeps the connections.
     :param address: ``IP:port`` of the store.
+    :param observe: is told of each call whether the store has dealt with it.
     """
 
-    def __init__(self, http: HttpClient, address: str) -> None:
+    def __init__(
+        self,
+        http: HttpClient,
+        address: str,
+        observe: Callable[[bool], None] = _ignore,
+    ) -> None:
         self.calls: Counter[str] = Counter()
+        self._observe = observe
         self._http = http
         self._address = address
 
@@ -206,6 +220,7 @@
         kind = path.partition('?')[0].split('/')[2]
         judged = answer.and_then(_judge)
         outcome = judged.err_value.fault if isinstance(judged, Err) else 'ok'
+        self._observe(outcome not in _NOT_DEALT_WITH)
         self.calls[f'{kind} {outcome}'] += 1
         return judged
 
--- a/verbenapost/scheduler/calls.py
+++ b/verbenapost/scheduler/calls.py
@@ -7,13 +7,13 @@
 
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import CALLER_TIMEOUT_HEADER, READY_PATH
-from verbenapost.scheduler.entry import (
+from verbenapost.scheduler.answers import (
     CallerRequest,
-    Entry,
     EntryAnswer,
     Status,
     refuse,
 )
+from verbenapost.scheduler.entry import Entry
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.transport.bodies import BodyReader, ByteBudget, Receive
 
--- a/verbenapost/scheduler/channels.py
+++ b/verbenapost/scheduler/channels.py
@@ -105,7 +105,7 @@
     def _take_request(self, request: Request) -> None:
         try:
             found = self._answer(codec.decode(msgpack.unpackb(request.body)))
-        except ValueError:
+        except (ValueError, TypeError):
             # The empty reply tells the other side that there is no answer.
             self._send(Reply(request.number, b''))
             return
@@ -123,5 +123,5 @@
         return Err(CallFault(Fault.NOT_DONE, 'the other side has no answer'))
     try:
         return Ok(codec.decode(msgpack.unpackb(body)))
-    except ValueError as fault:
+    except (ValueError, TypeError) as fault:
         return Err(CallFault(Fault.UNKNOWN, f'broken reply: {fault}'))
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -23,10 +23,10 @@
 
 #: Seconds of the leader's lease: a successor has to wait for its end, and a
 #: store that answers in a quarter of a second must not end it.
-LEASE_SECONDS: Final = 2.0
+LEASE_SECONDS: Final = 1.5
 
 #: Seconds between two renewals.
-RENEW_SECONDS: Final = 0.5
+RENEW_SECONDS: Final = 0.4
 
 #: Seconds before the lease's end from which no order is sent: an order that
 #: was judged just before may take this long to leave the process.
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -1,21 +1,20 @@
 """What an entry does with a caller's request."""
 
-import asyncio
 import dataclasses
-import enum
+import random
 import time
 from typing import Any, Final, final
 
 from result import Err, Ok, Result
 
 from verbenapost.coordination.scheduling.jobs import read_packed_state
+from verbenapost.coordination.scheduling.outages import StoreOutage
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.fields import FieldError
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.submissions import (
     decode_job,
     encode_pending,
-    encode_refusal,
     encode_state,
     is_job_id,
 )
@@ -28,6 +27,12 @@
     Transaction,
     Write,
 )
+from verbenapost.scheduler.answers import (
+    CallerRequest,
+    EntryAnswer,
+    Status,
+    refuse,
+)
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.keys import (
     make_cancel_key,
@@ -35,18 +40,16 @@
     make_spec_key,
 )
 from verbenapost.scheduler.messages import AskPending, AskRoom, AskState
+from verbenapost.scheduler.patience import PatientStore
 from verbenapost.scheduler.peers import LeaderClient
 from verbenapost.state.submissions import pack_job
 from verbenapost.state.workloads import JobSpec, JobState, Route
 
-#: Seconds between two tries of a write.
-RETRY_SECONDS: Final = 0.15
-
-#: Seconds before the caller's time is up at which it gets its answer.
-ANSWER_MARGIN: Final = 0.15
+#: Seconds after which a caller may come back to a daemon that has just
+#: started.
+UNCONFIGURED_RETRY: Final = 0.15
 
-#: Seconds after which a refused caller may come back when nothing is known
-#: of the store but that it is away.
+#: Seconds after which a caller may come back when nobody can tell more.
 AWAY_RETRY_SECONDS: Final = 1.0
 
 #: Seconds for which a number of waiting jobs may be told again.
@@ -55,55 +58,6 @@
 _MILLI: Final = 1000
 
 
-@enum.unique
-class Status(enum.IntEnum):
-    """HTTP status of an answer."""
-
-    OK = 200
-    INVALID = 400
-    NO_ROUTE = 404
-    NOT_ALLOWED = 405
-    NO_JOB = 410
-    TOO_LARGE = 413
-    REFUSED = 429
-    UNAVAILABLE = 503
-    TIMEOUT = 504
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request of a caller.
-
-    :param method: HTTP method.
-    :param host: host that it names.
-    :param path: path without a query.
-    :param body: whole body.
-    :param deadline: local seconds until which the caller waits.
-    """
-
-    method: str
-    host: str
-    path: str
-    body: bytes
-    deadline: float
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class EntryAnswer:
-    """An answer to a caller.
-
-    :param status: HTTP status.
-    :param body: JSON.
-    :param retry_after: seconds, or ``None`` to leave it out.
-    """
-
-    status: Status
-    body: bytes = b'{}'
-    retry_after: float | None = None
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pending:
@@ -111,21 +65,13 @@
     read_at: float
 
 
-def refuse(
-    status: Status,
-    reason: str,
-    retry_after: float | None = None,
-) -> EntryAnswer:
-    """Return an answer that says why there is no result."""
-    return EntryAnswer(status, encode_refusal(reason), retry_after)
-
-
 class Entry:
     """Answers callers from the leader's memory and the store.
 
     :param configuration: the operators' configuration.
     :param store: the store.
     :param leader: asks the leader.
+    :param outage: whether the store is away.
     :param log: log of this part.
     """
 
@@ -134,11 +80,14 @@
         configuration: ConfigurationFollower,
         store: PlatformStore,
         leader: LeaderClient,
+        outage: StoreOutage,
         log: Any,
     ) -> None:
         self._configuration = configuration
         self._store = store
         self._leader = leader
+        self._outage = outage
+        self._patient = PatientStore(store, outage)
         self._log = log
         self._pending: dict[str, _Pending] = {}
 
@@ -147,7 +96,7 @@
         current = self._configuration.current
         if current is None:
             return refuse(
-                Status.UNAVAILABLE, 'no configuration yet', RETRY_SECONDS
+                Status.UNAVAILABLE, 'no configuration yet', UNCONFIGURED_RETRY
             )
         route = current.find_route(request.host, request.path)
         if route is None:
@@ -182,6 +131,8 @@
             spec = dataclasses.replace(spec, submitted_at=time.time())
         except FieldError as refusal:
             return refuse(Status.INVALID, str(refusal))
+        if self._outage.is_away(read_clock()):
+            return self._refuse_away(name)
         room = await self._leader.ask(
             AskRoom(
                 name,
@@ -196,6 +147,8 @@
         elif not room.ok_value.accepted:
             return await self._refuse_room(name, room.ok_value.retry_after)
         answer = await self._create(spec, request.deadline)
+        if answer.status is Status.UNAVAILABLE:
+            return self._refuse_away(name)
         self._log.info(
             'submission answered',
             job=name,
@@ -205,6 +158,15 @@
         )
         return answer
 
+    def _refuse_away(self, name: str) -> EntryAnswer:
+        """Refuse a job of which nothing was written."""
+        retry = self._outage.choose_retry(
+            read_clock(),
+            random.random(),  # noqa: S311
+        )
+        self._log.info('submission refused', job=name, retry_after=retry)
+        return refuse(Status.UNAVAILABLE, 'the store is away; not run', retry)
+
     async def _refuse_room(self, name: str, retry: float) -> EntryAnswer:
         """Refuse a job, unless an earlier try of it was stored."""
         found = await self._store.read_key(make_spec_key(name))
@@ -219,35 +181,12 @@
             (Expectation(key, 0),),
             (Write(key, pack_job(spec)),),
         )
-        outcome = await self._write(transaction, deadline)
+        outcome = await self._patient.write(transaction, deadline)
         if isinstance(outcome, Ok) or isinstance(outcome.err_value, Conflict):
             # The key exists: the same job came before, or this try did.
             return EntryAnswer(Status.OK)
         return _give_up(outcome.err_value)
 
-    async def _write(
-        self,
-        transaction: Transaction,
-        deadline: float,
-    ) -> Result[int, CallFault | Conflict]:
-        """Try a write until it is settled or the caller's time is up.
-
-        A fault is ``NOT_DONE`` only when no try can have been carried out.
-        """
-        unsure: CallFault | None = None
-        while True:
-            answer = await self._store.commit(transaction)
-            if isinstance(answer, Ok):
-                return answer
-            fault = answer.err_value
-            if isinstance(fault, Conflict):
-                return answer
-            if fault.fault is Fault.UNKNOWN:
-                unsure = fault
-            if read_clock() + RETRY_SECONDS > deadline - ANSWER_MARGIN:
-                return Err(unsure or fault)
-            await asyncio.sleep(RETRY_SECONDS)
-
     async def _show(
         self,
         request: CallerRequest,
@@ -256,13 +195,11 @@
         asked = await self._leader.ask(AskState(name))
         if isinstance(asked, Ok) and asked.ok_value.state:
             return _show_state(JobState(asked.ok_value.state))
-        while True:
-            stored = await self._read_state(name)
-            if isinstance(stored, Ok):
-                break
-            if read_clock() + RETRY_SECONDS > request.deadline - ANSWER_MARGIN:
-                return _give_up(stored.err_value)
-            await asyncio.sleep(RETRY_SECONDS)
+        stored = await self._patient.read(
+            lambda: self._read_state(name), request.deadline
+        )
+        if isinstance(stored, Err):
+            return _give_up(stored.err_value)
         if stored.ok_value is None:
             self._log.info('no such job', job=name)
             return refuse(Status.NO_JOB, 'no such job')
@@ -299,7 +236,9 @@
         request: CallerRequest,
         name: str,
     ) -> EntryAnswer:
-        submitted = await self._find_submitted(name, request.deadline)
+        submitted = await self._patient.read(
+            lambda: self._read(make_spec_key(name)), request.deadline
+        )
         if isinstance(submitted, Err):
             return _give_up(submitted.err_value)
         if submitted.ok_value is None:
@@ -309,24 +248,12 @@
             (Expectation(key, 0),),
             (Write(key, b''),),
         )
-        outcome = await self._write(transaction, request.deadline)
+        outcome = await self._patient.write(transaction, request.deadline)
         self._log.info('cancel answered', job=name, stored=outcome.is_ok())
         if isinstance(outcome, Ok) or isinstance(outcome.err_value, Conflict):
             return EntryAnswer(Status.OK)
         return _give_up(outcome.err_value)
 
-    async def _find_submitted(
-        self,
-        name: str,
-        deadline: float,
-    ) -> Result[Item | None, CallFault]:
-        while True:
-            found = await self._read(make_spec_key(name))
-            late = read_clock() + RETRY_SECONDS > deadline - ANSWER_MARGIN
-            if isinstance(found, Ok) or late:
-                return found
-            await asyncio.sleep(RETRY_SECONDS)
-
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(AskPending(route.name))
         now = read_clock()
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -14,7 +14,8 @@
 from verbenapost.protocol.orders import Change
 from verbenapost.scheduler.boards import BoardSet
 from verbenapost.scheduler.configuration import ConfigurationFollower
-from verbenapost.scheduler.link import LinkPorts, WorkerLink
+from verbenapost.scheduler.link import WorkerLink
+from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.tasks import TaskSet
 from verbenapost.state.workloads import WorkerEntry
 
--- a/verbenapost/scheduler/following.py
+++ b/verbenapost/scheduler/following.py
@@ -95,8 +95,11 @@
 
     async def _watch(self) -> CallFault | None:
         asked = read_clock()
+        # A store that was silent is asked for what is there now: a call that
+        # may wait would show only later that it is back.
+        wait = 0 if self._lost else WATCH_SECONDS
         batch = await self._store.watch(
-            self._prefix, self._position.revision, WATCH_SECONDS
+            self._prefix, self._position.revision, wait
         )
         if isinstance(batch, Err):
             if batch.err_value.fault is Fault.NOT_FOUND:
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -23,9 +23,8 @@
 from verbenapost.scheduler.intake import JobIntake
 from verbenapost.scheduler.keeper import FleetKeeper
 from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
-from verbenapost.scheduler.link import LinkPorts
 from verbenapost.scheduler.messages import AskRoom, Room
-from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.ports import LeaderPorts, LinkPorts
 from verbenapost.scheduler.recorder import Recorder
 from verbenapost.scheduler.tasks import TaskSet
 
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -2,23 +2,22 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Sequence
-from typing import Any, Final, final
+from collections.abc import Sequence
+from typing import Any, Final
 
 from result import Err, Result
 
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.commands import (
-    Command,
     StartTask,
     StopTask,
 )
+from verbenapost.coordination.scheduling.ends import EndBook
 from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.reports import ReportReader
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
-from verbenapost.platform.workers import WorkerClient
 from verbenapost.protocol.orders import (
     CallFault,
     Fault,
@@ -26,9 +25,7 @@
     RunStart,
     WorkerReport,
 )
-from verbenapost.scheduler.election import Election
-from verbenapost.scheduler.metrics import SchedulerMetrics
-from verbenapost.scheduler.recorder import Recorder
+from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds that a worker may wait for an end before it answers. Leases are
@@ -53,31 +50,6 @@
 STOP_TRIES: Final = 5
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkPorts:
-    """What a link to a worker needs.
-
-    :param client: calls of workers.
-    :param election: whether orders may be sent.
-    :param recorder: writes ends into the store.
-    :param hold_seconds: longest lease of a run.
-    :param wake: has the boards plan again.
-    :param metrics: metrics of the daemon.
-    :param send: carries commands out.
-    :param log: log of this part.
-    """
-
-    client: WorkerClient
-    election: Election
-    recorder: Recorder
-    hold_seconds: float
-    wake: Callable[[], None]
-    metrics: SchedulerMetrics
-    send: Callable[[Board, Sequence[Command]], None]
-    log: Any
-
-
 class WorkerLink:
     """Keeps the leases of one life of a worker and reads its lists.
 
@@ -93,10 +65,7 @@
         self._born = worker.entry.born
         self._board = board
         self._ports = ports
-        self._acknowledged = 0
-        self._taken = 0
-        # Numbers of ends that the store doesn't have yet.
-        self._unstored: set[int] = set()
+        self._ends = EndBook()
         self._last_clock = 0
         # A worker that doesn't answer gets no further lease: what it was
         # given before has to lapse before its tasks may start elsewhere.
@@ -133,7 +102,7 @@
         answer = await self._ports.client.hold(
             self.worker.entry,
             self._ports.election.token,
-            self._acknowledged,
+            self._ends.acknowledged,
             deadline,
             wait,
         )
@@ -293,8 +262,7 @@
         if not worker.reachable:
             self._ports.log.info('worker reached', worker=self.name)
         worker.reachable = True
-        ends = [end for end in report.ends if end.number > self._taken]
-        self._taken = max([self._taken, *(end.number for end in ends)])
+        ends = self._ends.take(report.ends)
         for end in ends:
             self._ports.log.info(
                 'run ended',
@@ -310,7 +278,6 @@
         worker.adopted = True
         # Before anything else runs, which might take the changes.
         written = self._ports.recorder.mark(self._board.take_dirty())
-        self._unstored.update(row.number for row in ends)
         self._ports.send(self._board, commands)
         self._ports.wake()
         await self._pace()
@@ -342,16 +309,9 @@
         ends: list[RunEnd],
         written: Sequence[asyncio.Future[bool]],
     ) -> None:
-        """Acknowledge ends only after the store has what they change.
-
-        An acknowledgement covers all ends up to a number, and another answer's
-        ends may be stored sooner than those before them.
-        """
-        if not ends or not all(await asyncio.gather(*written)):
-            return
-        self._unstored.difference_update(end.number for end in ends)
-        before = min(self._unstored, default=self._taken + 1)
-        self._acknowledged = max(self._acknowledged, before - 1)
+        """Acknowledge ends only after the store has what they change."""
+        if ends and all(await asyncio.gather(*written)):
+            self._ends.note_stored(ends)
 
     def _note_unreachable(self, fault: CallFault) -> None:
         if self._is_final(fault):
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
+from verbenapost.coordination.scheduling.outages import StoreOutage
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.daemon.web import WebAddress, WebServer
@@ -80,6 +81,7 @@
             self._ports.configuration,
             self._ports.store,
             self._peers,
+            self._ports.outage,
             make_logger('entry'),
         )
         self._app = CallerApp(entry, self._ports.metrics)
@@ -152,7 +154,12 @@
     relays: RelayCarrier,
 ) -> LeaderPorts:
     http = HttpClient(carrier)
-    store = PlatformStore(http, settings.store.address)
+    outage = StoreOutage()
+
+    def observe(answered: bool) -> None:  # noqa: FBT001
+        outage.note(answered=answered, now=read_clock())
+
+    store = PlatformStore(http, settings.store.address, observe)
     cloud = settings.cloud
     advice = settings.advice_address
     return LeaderPorts(
@@ -167,6 +174,7 @@
         configuration=ConfigurationFollower(make_logger('configuration')),
         metrics=SchedulerMetrics(),
         relays=relays,
+        outage=outage,
     )
 
 
--- a/verbenapost/scheduler/tests/test_calls.py
+++ b/verbenapost/scheduler/tests/test_calls.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from verbenapost.coordination.scheduling.outages import StoreOutage
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.orders import CallFault, Fault
 from verbenapost.scheduler import entry as entry_module
@@ -50,6 +51,7 @@
         configuration,
         Store(answer or Ok(1)),
         leader or Leader(room or Err('nobody leads')),
+        StoreOutage(),
         make_logger('entry'),
     )
     return CallerApp(entry, SchedulerMetrics())
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_following.py
@@ -0,0 +1,49 @@
+"""Following a prefix while the store goes and comes back."""
+
+import asyncio
+
+from result import Err, Ok
+
+from verbenapost.daemon.logs import make_logger
+from verbenapost.protocol.orders import (
+    CallFault,
+    ChangeBatch,
+    Fault,
+    ItemPage,
+)
+from verbenapost.scheduler import following
+from verbenapost.scheduler.following import WATCH_SECONDS, PrefixFollower
+
+
+class Store:
+    """Answers watches as a test says; notes how long each may wait."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.waits = []
+
+    async def read_range(self, _prefix):
+        return Ok(ItemPage([], truncated=False, revision=1))
+
+    async def watch(self, _prefix, _after, wait):
+        if not self.answers:
+            await asyncio.Event().wait()
+        self.waits.append(wait)
+        return self.answers.pop(0)
+
+
+class TestOutage:
+    async def test_a_lost_store_is_asked_without_a_wait(self, monkeypatch):
+        monkeypatch.setattr(following, 'RETRY_SECONDS', 0)
+        well = Ok(ChangeBatch([], 1))
+        lost = Err(CallFault(Fault.UNKNOWN, 'silent'))
+        store = Store([well, lost, lost, well, well])
+        follower = PrefixFollower(
+            store, 'p/', lambda _change: None, make_logger('test')
+        )
+        task = asyncio.create_task(follower.run())
+        while store.answers:
+            await asyncio.sleep(0)
+        task.cancel()
+        usual = WATCH_SECONDS
+        assert store.waits == [usual, usual, 0, 0, usual]
--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -144,7 +144,7 @@
             await asyncio.sleep(15)
             other = next(row for row in world.daemons.values() if row.alive)
             states = await read_states(world, other.name)
-            return judge(world), set(states.values()), taken < 4
+            return judge(world), set(states.values()), taken < 3
 
         assert play(scenario) == ([], {COMPLETED}, True)
 
@@ -188,6 +188,57 @@
         assert play(scenario) == ([], {COMPLETED})
 
 
+class TestStoreOutage:
+    """Callers go on to submit while the store is gone for some seconds."""
+
+    async def call_until_settled(self, world, number, held):
+        """Submit as a caller does: four more tries, when it is told to."""
+        answer = None
+        for _ in range(5):
+            began = world.now()
+            answer = await world.submit(name_job(number), STEPS)
+            held.append(world.now() - began)
+            if answer.status not in {429, 503}:
+                break
+            await asyncio.sleep(answer.retry_after)
+        return answer.status
+
+    async def submit_through(self, world, fault):
+        await wait_for_leader(world)
+        await asyncio.sleep(2)
+        held = []
+        callers = []
+        setattr(world.store.faults, fault, True)
+        for number in range(15):
+            call = self.call_until_settled(world, number, held)
+            callers.append(asyncio.create_task(call))
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(1)
+        setattr(world.store.faults, fault, False)
+        statuses = await asyncio.gather(*callers)
+        await asyncio.sleep(20)
+        states = await read_states(world)
+        return judge(world), statuses, held, set(states.values())
+
+    def test_they_are_refused_at_once_and_served_later(self, play):
+        async def scenario(world):
+            found = await self.submit_through(world, 'down')
+            faults, statuses, held, states = found
+            short = sorted(held)[len(held) // 2]
+            return faults, statuses.count(200), short < 0.02, states
+
+        assert play(scenario) == ([], 15, True, {COMPLETED})
+
+    def test_a_silent_store_holds_only_the_first(self, play):
+        async def scenario(world):
+            found = await self.submit_through(world, 'silent')
+            faults, statuses, held, states = found
+            long = sum(row > 1 for row in held)
+            return faults, statuses.count(200) >= 5, long <= 15, states
+
+        assert play(scenario) == ([], True, True, {COMPLETED})
+
+
 class TestWorkerLoss:
     def test_tasks_of_a_dead_worker_run_elsewhere(self, play):
         async def scenario(world):
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -21,8 +21,9 @@
     WorkerReport,
 )
 from verbenapost.scheduler import link as link_module
-from verbenapost.scheduler.link import LinkPorts, WorkerLink
+from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
+from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.state.workloads import StepSpec
 
 HOLD_SECONDS = 6
--- a/verbenapost/scheduler/tests/test_peers.py
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from verbenapost.daemon.logs import make_logger
@@ -11,7 +14,13 @@
 from verbenapost.scheduler import channels
 from verbenapost.scheduler.channels import Channel
 from verbenapost.scheduler.election import Leadership
-from verbenapost.scheduler.messages import AskPending, PendingAnswer, Reply
+from verbenapost.scheduler.messages import (
+    AskPending,
+    Beat,
+    PendingAnswer,
+    Reply,
+    Request,
+)
 from verbenapost.scheduler.peers import LeaderClient, PeerServer
 from verbenapost.scheduler.relays import (
     DIRECT_WORKERS,
@@ -37,6 +46,18 @@
     raise ValueError(f'{type(message).__name__} has no answer')
 
 
+PACKABLE = (
+    st.binary(max_size=20)
+    | st.integers(0, 1000)
+    | st.none()
+    | st.text(max_size=5)
+    | st.lists(st.integers(0, 700), max_size=3).map(msgpack.packb)
+)
+
+
+FOREIGN = (b'GET / HTTP/1.1\r\n\r\n', b'\xc1' * 9, b'\x92\x01')
+
+
 class Worker:
     """Carries calls in place of HTTP and notes them."""
 
@@ -134,6 +155,19 @@
                 lambda: site.client._stream not in {None, before},
             )
 
+    async def test_foreign_bytes_end_only_their_own_connection(self):
+        site = Site()
+        async with site.run():
+            await wait_until(self.is_connected(site))
+            port = site.server._server.sockets[0].getsockname()[1]
+            for foreign in FOREIGN:
+                _, writer = await asyncio.open_connection('127.0.0.1', port)
+                writer.write(foreign)
+                await writer.drain()
+                writer.close()
+            answer = await site.client.ask(AskPending('four'))
+        assert answer == Ok(PendingAnswer(4))
+
     def is_connected(self, site):
         return lambda: site.client._channel is not None
 
@@ -167,6 +201,23 @@
         channel.take(Reply(1, b'\xc1'))
         assert (await asked).err_value.fault is Fault.UNKNOWN
 
+    @settings(derandomize=True, max_examples=200)
+    @given(PACKABLE)
+    async def test_no_message_breaks_it(self, body):
+        channel = self.make([])
+        asked = asyncio.create_task(channel.ask(AskPending('a'), 60))
+        await asyncio.sleep(0)
+        channel.take(Request(1, body))
+        channel.take(Reply(1, body))
+        channel.take(Beat(body))
+        answer = await asked
+        # What can be decoded is an answer, whatever it is.
+        readable = isinstance(answer, Ok)
+        assert readable or answer.err_value.fault in {
+            Fault.UNKNOWN,
+            Fault.NOT_DONE,
+        }
+
     async def test_late_and_foreign_replies_are_ignored(self):
         channel = self.make([])
         channel.take(Reply(7, b''))
