End lives whose VMs the platform lists elsewhere, so that a takeover starts work

What a former leader might have started there held all jobs up.

Ruled out: workers that are slow to answer (the others answered within 0.1 s); a write of each placement before its start (a store write in the way of every start; noted as the next step).

Change: the list of VMs is read at once at a takeover.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 from result import Err
 
 from verbenapost.coordination.scheduling.board import Board
 from verbenapost.coordination.scheduling.commands import Command, StartTask
+from verbenapost.coordination.scheduling.lives import is_replaced
 from verbenapost.platform.manifest import decode_worker
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.protocol.orders import Change
@@ -17,7 +18,7 @@
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.tasks import TaskSet
-from verbenapost.state.workloads import WorkerEntry
+from verbenapost.state.workloads import FleetVm, WorkerEntry
 
 
 class WorkerFleet:
@@ -85,6 +86,19 @@
         """Return how many workers are in service or may be."""
         return sum(not link.over for link in self.links.values())
 
+    def end_replaced(self, vms: Mapping[str, FleetVm], wall: float) -> None:
+        """End the lives that the platform's list shows to be over.
+
+        :param vms: all VMs by name.
+        :param wall: Unix seconds at which the list was asked for.
+        """
+        for link in list(self.links.values()):
+            if link.over or link.worker.reachable:
+                continue
+            entry = link.worker.entry
+            if is_replaced(entry, vms.get(entry.vm), wall):
+                link.end_life('its VM is listed without it')
+
     def find_by_vm(self, vm: str) -> WorkerLink | None:
         """Return the link to the worker of a VM."""
         link = self._by_vm.get(vm)
--- a/verbenapost/scheduler/keeper.py
+++ b/verbenapost/scheduler/keeper.py
@@ -112,6 +112,8 @@
 
     async def run(self) -> None:
         """Work in rounds until the task is cancelled."""
+        # Reading needs no turn, and shows which entries are of ended lives.
+        await self._read_list()
         await self._wait_for_turn()
         try:
             while True:
@@ -172,6 +174,7 @@
         self._stale = True
 
     async def _read_list(self) -> None:
+        wall = time.time()
         listed = await self._cloud.list_vms()
         if isinstance(listed, Err):
             self._log.warning(
@@ -193,6 +196,7 @@
                     'VM seen', vm=name, pool=vm.pool, state=vm.state.value
                 )
         self._vms = found
+        self._fleet.end_replaced(found, wall)
 
     def _make_views(self) -> list[VmView]:
         """Return the VMs that no order is out for."""
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -1,6 +1,7 @@
 """A link to a worker that falls silent."""
 
 import asyncio
+import dataclasses
 
 from result import Err, Ok
 
@@ -21,10 +22,13 @@
     WorkerReport,
 )
 from verbenapost.scheduler import link as link_module
+from verbenapost.scheduler.boards import BoardSet, settle_board
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LinkPorts
-from verbenapost.state.workloads import StepSpec
+from verbenapost.state.workloads import FleetVm, Size, StepSpec, VmState
 
 HOLD_SECONDS = 6
 
@@ -124,6 +128,50 @@
         assert client.leases[-1] is None
 
 
+class TestMovedVm:
+    """A takeover while the VM of a registered worker is in another pool."""
+
+    def make_fleet(self, monkeypatch):
+        clock = Clock()
+        board, _, link = make_link(clock, monkeypatch)
+        board.unsettled = True
+        worker = link.worker
+        worker.entry = dataclasses.replace(worker.entry, born=1000)
+        worker.adopted = False
+        worker.reachable = False
+        fleet = WorkerFleet(
+            BoardSet(2),
+            ConfigurationFollower(make_logger('configuration')),
+            link._ports,
+            make_logger('fleet'),
+        )
+        fleet.links['w0'] = link
+        return board, fleet, link
+
+    def list_vm(self, pool):
+        vm = FleetVm('vm-w0', pool, VmState.UP, (), Size(), '')
+        return {vm.vm: vm}
+
+    def test_older_jobs_of_its_pool_go_on_at_once(self, monkeypatch):
+        board, fleet, link = self.make_fleet(monkeypatch)
+        assert not settle_board(board, passed=0.1, longest=HOLD_SECONDS)
+        fleet.end_replaced(self.list_vm('standby'), wall=100)
+        assert link.over
+        assert settle_board(board, passed=0.1, longest=HOLD_SECONDS)
+
+    def test_a_worker_that_answers_is_believed(self, monkeypatch):
+        _, fleet, link = self.make_fleet(monkeypatch)
+        link.worker.reachable = True
+        fleet.end_replaced(self.list_vm('standby'), wall=100)
+        assert not link.over
+
+    def test_a_vm_that_stays_proves_nothing(self, monkeypatch):
+        board, fleet, link = self.make_fleet(monkeypatch)
+        fleet.end_replaced(self.list_vm('routing'), wall=100)
+        assert not link.over
+        assert not settle_board(board, passed=0.1, longest=HOLD_SECONDS)
+
+
 class TestStoredEnds:
     async def end_two(self, monkeypatch, recorder):
         """Let two tasks end, each seen by a hold of its own."""
