Send a relayed call as it is

Cause: the call to a worker stood as a type of the adapter and again as a message. Change: the adapter's type is registered as the message; a failed worker's place in the order of relays is forgotten when the relays change; the port for streams takes as many waiting connections as that for callers.

--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -1,9 +1,9 @@
 """Messages between the leader and the other daemons."""
 
 import dataclasses
-from collections.abc import Mapping
 from typing import Final, final
 
+from verbenapost.platform.http import EncodedCall
 from verbenapost.protocol.codec import register_message
 
 _ASK_ROOM: Final = 601
@@ -18,6 +18,9 @@
 _RELAY_CALL: Final = 610
 _RELAY_ANSWER: Final = 611
 
+# A call to a worker goes to a relay as it is.
+register_message(_RELAY_CALL)(EncodedCall)
+
 
 @final
 @register_message(_ASK_ROOM)
@@ -133,28 +136,6 @@
     relays: bool
 
 
-@final
-@register_message(_RELAY_CALL)
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayCall:
-    """Has a daemon send a call to a worker.
-
-    :param method: HTTP method.
-    :param address: ``IP:port`` of the worker.
-    :param path: path with its query.
-    :param payload: body, or ``None``.
-    :param headers: headers by name.
-    :param timeout: seconds for the whole exchange with the worker.
-    """
-
-    method: str
-    address: str
-    path: str
-    payload: bytes | None
-    headers: Mapping[str, str]
-    timeout: float
-
-
 @final
 @register_message(_RELAY_ANSWER)
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -21,6 +21,9 @@
     PeerStream,
 )
 
+#: Connections that may wait to be taken; all daemons dial a new leader at once.
+BACKLOG: Final = 512
+
 #: Seconds that the leader has for an answer before the entry helps itself.
 ASK_TIMEOUT: Final = 0.5
 
@@ -56,7 +59,9 @@
     async def start(self, host: str, port: int) -> None:
         """Listen and begin to send heartbeats."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, host, port)
+        self._server = await loop.create_server(
+            self._accept, host, port, backlog=BACKLOG
+        )
         self._tasks.add(self._beat())
 
     async def stop(self) -> None:
--- a/verbenapost/scheduler/relays.py
+++ b/verbenapost/scheduler/relays.py
@@ -15,7 +15,7 @@
 from verbenapost.protocol.codec import CodecError
 from verbenapost.protocol.orders import CallFault, Fault
 from verbenapost.scheduler.channels import Channel
-from verbenapost.scheduler.messages import RelayAnswer, RelayCall
+from verbenapost.scheduler.messages import RelayAnswer
 
 #: Workers up to which the leader sends all calls itself: one process holds so
 #: many with a tenth of a core.
@@ -69,9 +69,7 @@
         relay = self._pick(call.address) if self._spread else None
         if relay is None:
             return await self._local.carry(call)
-        answer = await relay.ask(
-            _make_request(call), call.timeout + WAY_SECONDS
-        )
+        answer = await relay.ask(call, call.timeout + WAY_SECONDS)
         carried = answer.and_then(_read_answer)
         if isinstance(carried, Err):
             self._shifts[call.address] += 1
@@ -84,6 +82,7 @@
         if relays is not self._known:
             self._known = relays
             self._ranked.clear()
+            self._shifts.clear()
         ranked = self._ranked.get(address)
         if ranked is None:
             ranked = rank_members(address, relays)
@@ -105,19 +104,11 @@
 
         :raises ValueError: when it is another message.
         """
-        if not isinstance(message, RelayCall):
+        if not isinstance(message, EncodedCall):
             raise CodecError(f'{type(message).__name__} has no answer')
         return self._carry(message)
 
-    async def _carry(self, message: RelayCall) -> RelayAnswer:
-        call = EncodedCall(
-            message.method,
-            message.address,
-            message.path,
-            message.payload,
-            message.headers,
-            message.timeout,
-        )
+    async def _carry(self, call: EncodedCall) -> RelayAnswer:
         answer = await self._local.carry(call)
         if isinstance(answer, Err):
             fault = answer.err_value
@@ -126,17 +117,6 @@
         return RelayAnswer(found.status, found.payload)
 
 
-def _make_request(call: EncodedCall) -> RelayCall:
-    return RelayCall(
-        call.method,
-        call.address,
-        call.path,
-        call.payload,
-        call.headers,
-        call.timeout,
-    )
-
-
 def _read_answer(answer: RelayAnswer) -> Result[EncodedAnswer, CallFault]:
     if answer.fault:
         return Err(CallFault(Fault(answer.fault), answer.detail))
