--- a/verbenapost/scheduler/channels.py
+++ b/verbenapost/scheduler/channels.py
@@ -12,11 +12,11 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol import codec
 from verbenapost.protocol.orders import CallFault, Fault
-from verbenapost.scheduler.messages import Beat, Reply, Request
+from verbenapost.scheduler.messages import Heartbeat, Reply, Request
 from verbenapost.scheduler.tasks import TaskSet
 
 #: Seconds between two heartbeats on a connection.
-BEAT_SECONDS: Final = 0.5
+HEARTBEAT_SECONDS: Final = 0.5
 
 #: Seconds of silence after which a connection is given up: three heartbeats.
 SILENCE_SECONDS: Final = 1.6
@@ -79,9 +79,9 @@
             self._waiting.pop(number, None)
         return _read(body)
 
-    def beat(self, *, relays: bool) -> None:
+    def send_heartbeat(self, *, relays: bool) -> None:
         """Show that this side lives, and whether it carries calls."""
-        self._send(Beat(relays))
+        self._send(Heartbeat(relays))
 
     def take(self, message: Any) -> None:
         """Take a message of the other side."""
@@ -93,7 +93,7 @@
                     future.set_result(message.body)
             case Request():
                 self._take_request(message)
-            case Beat():
+            case Heartbeat():
                 self.relays = message.relays
 
     def close(self) -> None:
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -40,8 +40,8 @@
     make_spec_key,
 )
 from verbenapost.scheduler.messages import AskPending, AskRoom, AskState
-from verbenapost.scheduler.patience import PatientStore
 from verbenapost.scheduler.peers import LeaderClient
+from verbenapost.scheduler.retries import RetryingStore
 from verbenapost.state.submissions import pack_job
 from verbenapost.state.workloads import JobSpec, JobState, Route
 
@@ -87,7 +87,7 @@
         self._store = store
         self._leader = leader
         self._outage = outage
-        self._patient = PatientStore(store, outage)
+        self._retrying = RetryingStore(store, outage)
         self._log = log
         self._pending: dict[str, _Pending] = {}
 
@@ -181,7 +181,7 @@
             (Expectation(key, 0),),
             (Write(key, pack_job(spec)),),
         )
-        outcome = await self._patient.write(transaction, deadline)
+        outcome = await self._retrying.write(transaction, deadline)
         if isinstance(outcome, Ok) or isinstance(outcome.err_value, Conflict):
             # The key exists: the same job came before, or this try did.
             return EntryAnswer(Status.OK)
@@ -195,7 +195,7 @@
         asked = await self._leader.ask(AskState(name))
         if isinstance(asked, Ok) and asked.ok_value.state:
             return _show_state(JobState(asked.ok_value.state))
-        stored = await self._patient.read(
+        stored = await self._retrying.read(
             lambda: self._read_state(name), request.deadline
         )
         if isinstance(stored, Err):
@@ -236,7 +236,7 @@
         request: CallerRequest,
         name: str,
     ) -> EntryAnswer:
-        submitted = await self._patient.read(
+        submitted = await self._retrying.read(
             lambda: self._read(make_spec_key(name)), request.deadline
         )
         if isinstance(submitted, Err):
@@ -248,7 +248,7 @@
             (Expectation(key, 0),),
             (Write(key, b''),),
         )
-        outcome = await self._patient.write(transaction, request.deadline)
+        outcome = await self._retrying.write(transaction, request.deadline)
         self._log.info('cancel answered', job=name, stored=outcome.is_ok())
         if isinstance(outcome, Ok) or isinstance(outcome.err_value, Conflict):
             return EntryAnswer(Status.OK)
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -14,7 +14,7 @@
 _PENDING: Final = 606
 _REQUEST: Final = 607
 _REPLY: Final = 608
-_BEAT: Final = 609
+_HEARTBEAT: Final = 609
 _RELAY_CALL: Final = 610
 _RELAY_ANSWER: Final = 611
 
@@ -125,9 +125,9 @@
 
 
 @final
-@register_message(_BEAT)
+@register_message(_HEARTBEAT)
 @dataclasses.dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """Heartbeat on a connection.
 
     :param relays: whether the sender carries calls for the leader.
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -8,7 +8,7 @@
 
 from verbenapost.daemon.timers import read_clock
 from verbenapost.scheduler.channels import (
-    BEAT_SECONDS,
+    HEARTBEAT_SECONDS,
     Answerer,
     Channel,
 )
@@ -62,7 +62,7 @@
         self._server = await loop.create_server(
             self._accept, host, port, backlog=BACKLOG
         )
-        self._tasks.add(self._beat())
+        self._tasks.add(self._send_heartbeats())
 
     async def stop(self) -> None:
         """Close every connection."""
@@ -105,15 +105,15 @@
         if found != self._relays:
             self._relays = found
 
-    async def _beat(self) -> None:
+    async def _send_heartbeats(self) -> None:
         while True:
             self._look_for_relays()
             for stream, channel in list(self._channels.items()):
                 if channel.silent:
                     stream.abort()
                 elif stream.peer:
-                    channel.beat(relays=False)
-            await asyncio.sleep(BEAT_SECONDS)
+                    channel.send_heartbeat(relays=False)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
 class LeaderClient:
@@ -147,7 +147,7 @@
         self._channel: Channel | None = None
         self._tasks = TaskSet()
         self._paused_until: float = 0
-        self._beat_at: float = 0
+        self._heartbeat_at: float = 0
 
     def start(self) -> None:
         """Begin to follow who leads."""
@@ -156,7 +156,7 @@
     def stop_relaying(self) -> None:
         """Ask the leader to send its calls by other daemons."""
         self.relays = False
-        self._beat_at = 0
+        self._heartbeat_at = 0
         self._look()
 
     async def ask(self, message: Any) -> Result[Any, str]:
@@ -195,7 +195,7 @@
             if leader is not None:
                 self._dial(leader)
         self._check_stream()
-        self._send_beat()
+        self._send_heartbeat()
 
     def _dial(self, leader: Leadership) -> None:
         host, _, port = leader.address.rpartition(':')
@@ -227,14 +227,17 @@
         if stream is not None:
             self._channel = Channel(stream.send, self._answer, self._tasks)
             self._paused_until = 0
-            self._beat_at = 0
+            self._heartbeat_at = 0
             self._log.info('leader connected', leader=stream.peer)
 
-    def _send_beat(self) -> None:
+    def _send_heartbeat(self) -> None:
         now = read_clock()
-        if self._channel is not None and now - self._beat_at >= BEAT_SECONDS:
-            self._beat_at = now
-            self._channel.beat(relays=self.relays)
+        if (
+            self._channel is not None
+            and now - self._heartbeat_at >= HEARTBEAT_SECONDS
+        ):
+            self._heartbeat_at = now
+            self._channel.send_heartbeat(relays=self.relays)
 
     def _deliver(self, _peer: str, message: Any) -> None:
         self._check_stream()
--- a/verbenapost/scheduler/patience.py
+++ b/verbenapost/scheduler/retries.py
@@ -25,7 +25,7 @@
 _Found = TypeVar('_Found')
 
 
-class PatientStore:
+class RetryingStore:
     """Repeats calls until they are settled or the caller's time is up.
 
     :param store: the store.
--- a/verbenapost/scheduler/tests/test_peers.py
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -16,7 +16,7 @@
 from verbenapost.scheduler.election import Leadership
 from verbenapost.scheduler.messages import (
     AskPending,
-    Beat,
+    Heartbeat,
     PendingAnswer,
     Reply,
     Request,
@@ -209,7 +209,7 @@
         await asyncio.sleep(0)
         channel.take(Request(1, body))
         channel.take(Reply(1, body))
-        channel.take(Beat(body))
+        channel.take(Heartbeat(body))
         answer = await asked
         # What can be decoded is an answer, whatever it is.
         readable = isinstance(answer, Ok)
