Take a key's prefix from the adapter in a test

Cause: the platform's name of the prefix stood in test_histories.py. Change: the constant of verbenapost/platform. The file's tests pass; nothing else changes.

--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -9,6 +9,7 @@
 from standins.fleet.world import World
 from standins.virtual import run_virtual
 from verbenapost.daemon import timers
+from verbenapost.platform.names import WORKER_PREFIX
 
 STEPS = [
     {'count': 3, 'cpu': 1000, 'mem_mb': 100},
@@ -247,7 +248,7 @@
                 await world.submit(name_job(number), STEPS)
             await asyncio.sleep(0.5)
             world.workers['w0'].crash()
-            world.store.remove('servers/w0')
+            world.store.remove(f'{WORKER_PREFIX}w0')
             await asyncio.sleep(20)
             return judge(world), set((await read_states(world)).values())
 
