--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -36,7 +36,8 @@
 #: has written before the others have read.
 CAMPAIGN_JITTER: Final = 0.15
 
-#: Cores that leading takes at the size of the users' second milestone.
+#: Cores below which a daemon leaves leading to others; the entry VMs of the
+#: users' grown sites have half a core or two.
 LEADER_CORES: Final = 1.0
 
 #: Seconds for which a daemon with less leaves the campaign to the others;
--- a/verbenapost/scheduler/relays.py
+++ b/verbenapost/scheduler/relays.py
@@ -17,8 +17,8 @@
 from verbenapost.scheduler.channels import Channel
 from verbenapost.scheduler.messages import RelayAnswer
 
-#: Workers up to which the leader sends all calls itself: one process holds so
-#: many with a tenth of a core.
+#: Workers up to which the leader sends all calls itself; the users' sites of
+#: today have 49.
 DIRECT_WORKERS: Final = 64
 
 #: Seconds beyond a call's own timeout for the way to the daemon and back.
