Requeue a request whose grant the entry returned

Cause: a daemon whose view of the members lacks the owner of a queue for some 0.2 s takes the queue over with a higher epoch and gives it up again. An entry that heard of it returns the grants of the lower epoch and keeps its requests pending, as reported to the later owner. The owner that stays had recorded them as ended, so the entry's report did not queue them again, and they waited until their deadline (504 after 30 s). Ruled out: acceptance of the lower epoch by the entry, which would let two owners grant the same slot. Change: a request that a report lists as waiting counts as ended only if it was refused. Test: test_a_request_survives_an_owner_that_takes_over_and_gives_up, failed before.

--- a/verbenapost/coordination/queue.py
+++ b/verbenapost/coordination/queue.py
@@ -203,7 +203,11 @@
         self.rebuild.mark_reported(message.entry)
         outgoing: list[QueueMessage] = []
         for row in message.waiting:
-            outgoing.extend(self.request_slot(now, SlotRequest(*row)))
+            slot_request = SlotRequest(*row)
+            # The entry has returned a grant that it did not use, since
+            # another daemon owned the queue for a moment.
+            self._requests.reopen(slot_request.slot_request_id)
+            outgoing.extend(self.request_slot(now, slot_request))
         return outgoing + self._dispatch(now)
 
     def _answer_repeat(
--- a/verbenapost/coordination/requesttable.py
+++ b/verbenapost/coordination/requesttable.py
@@ -72,6 +72,11 @@
         """Return whether a request ended recently."""
         return slot_request_id in self._closed
 
+    def reopen(self, slot_request_id: str) -> None:
+        """Forget that a request ended, unless it was refused."""
+        if self._closed.get(slot_request_id) is None:
+            self._closed.pop(slot_request_id, None)
+
     def get_refusal(self, slot_request_id: str) -> RefuseSlot | None:
         """Return the refusal of a recently ended request."""
         return self._closed.get(slot_request_id)
--- a/verbenapost/coordination/tests/test_fallback.py
+++ b/verbenapost/coordination/tests/test_fallback.py
@@ -186,3 +186,21 @@
             if isinstance(queue_message.message, ReleaseSlot):
                 queue.release(1, queue_message.message)
         assert queue.pool.get('vm-1').used + queue.pool.get('vm-2').used == 1
+
+    def test_a_request_survives_an_owner_that_takes_over_and_gives_up(self):
+        # A daemon whose view lacks the owner e-2 for a moment takes over with
+        # a higher epoch, so the entry returns the grant of e-2.
+        queue = ServiceQueue('booking', 5)
+        queue.set_targets(0, TARGETS)
+        entry = Entry()
+        entry.make_ready(5)
+        request = entry.send_request('a')[0].message
+        entry.request_report(9, owner='e-3')
+        granted = queue.request_slot(0, request)[0].message
+        for row in entry.client.accept_grant(0, 'e-2', granted):
+            queue.release(0, row.message)
+        reports = entry.request_report(5)
+        answers = [row.message for row in queue.report(1, reports[0].message)]
+        assert [row.slot_request_id for row in answers] == ['a']
+        entry.client.accept_grant(1, 'e-2', answers[0])
+        assert entry.take_granted() == ['a']
