Show a wave as completed only when each VM of the fleet has begun

Cause: whether a wave is complete was judged by the VMs without a pending order. A VM that one read of the pages leaves out counted as gone as well. Ruled out: a late write of a former leader, whose transaction expects the leader's revision. Change: the list of VMs is kept whole, a VM counts as gone after two reads without it, and moves are planned after the wave's orders have begun, so that no VM gets both.

--- /dev/null
+++ b/standins/fleet/cloud.py
@@ -0,0 +1,164 @@
+"""Simulated cloud that moves VMs between pools and maintains them."""
+
+import asyncio
+import dataclasses
+
+from result import Err, Ok
+
+from standins.fleet.workers import FleetWorker
+from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.state.workloads import FleetVm, FleetVmState
+
+#: Seconds for which a VM is unavailable while it moves.
+MOVE_SECONDS = 1.5
+
+#: Seconds for which a VM is unavailable during its maintenance.
+MAINTENANCE_SECONDS = 2.0
+
+#: Seconds for which the entry of an ended worker stays in the store.
+ENTRY_SECONDS = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Maintained:
+    """The maintenance of a VM began.
+
+    :param at: virtual seconds.
+    :param down: VMs that are in maintenance, this one included.
+    """
+
+    at: float
+    vm: str
+    wave: int
+    down: int
+
+
+class FleetCloudCore:
+    """The VMs of a world and the orders that were carried out.
+
+    :param world: the simulated deployment.
+    :param standby: name of the pool whose VMs are off.
+    :ivar maintained: maintenance of all VMs, in order.
+    :ivar hidden: VMs that the next read of the list leaves out.
+    """
+
+    def __init__(self, world, standby='spare'):
+        self.world = world
+        self.standby = standby
+        self.maintained = []
+        self.hidden = set()
+        self.token = 0
+        self._states = {}
+        self._pools = {}
+        self._workers = {}
+        for worker in world.workers.values():
+            self._pools[worker.vm] = worker.service
+            self._states[worker.vm] = FleetVmState.UP
+            self._workers[worker.vm] = worker
+
+    def list_vms(self):
+        """Return all VMs but the hidden ones."""
+        listed = [
+            self._make_row(name)
+            for name in self._pools
+            if name not in self.hidden
+        ]
+        self.hidden = set()
+        return listed
+
+    def add_standby(self, name, capacity):
+        """Add a VM that is off."""
+        worker = FleetWorker(self.world, name, self.standby, capacity)
+        self._pools[worker.vm] = self.standby
+        self._states[worker.vm] = FleetVmState.UP
+        self._workers[worker.vm] = worker
+
+    def move(self, vm, pool, token):
+        """Move a VM into another pool, or return why not."""
+        fault = self._check(vm, token)
+        if fault is None and self._pools[vm] != pool:
+            self._begin(vm, FleetVmState.MOVING, MOVE_SECONDS, pool)
+        return Ok(None) if fault is None else Err(fault)
+
+    def maintain(self, vm, wave, token):
+        """Begin the maintenance of a VM, or return why not."""
+        if any((row.vm, row.wave) == (vm, wave) for row in self.maintained):
+            return Ok(None)
+        fault = self._check(vm, token)
+        if fault is not None:
+            return Err(fault)
+        pool = self._pools[vm]
+        self._begin(vm, FleetVmState.MAINTENANCE, MAINTENANCE_SECONDS, pool)
+        down = sum(
+            state is FleetVmState.MAINTENANCE for state in self._states.values()
+        )
+        self.maintained.append(Maintained(self.world.now(), vm, wave, down))
+        return Ok(None)
+
+    def _check(self, vm, token):
+        if token < self.token:
+            return CallFault(CallFaultKind.FENCED, 'fence')
+        self.token = token
+        if self._states[vm] is not FleetVmState.UP:
+            return CallFault(CallFaultKind.BUSY, 'busy')
+        return None
+
+    def _begin(self, vm, state, seconds, pool):
+        self._states[vm] = state
+        self._pools[vm] = pool
+        worker = self._workers[vm]
+        if worker.name in self.world.workers:
+            worker.crash()
+            self._call_later(ENTRY_SECONDS, self._remove_entry, worker)
+        self._call_later(seconds, self._finish, vm)
+
+    def _finish(self, vm):
+        self._states[vm] = FleetVmState.UP
+        pool = self._pools[vm]
+        ended = self._workers[vm]
+        name = self.world.draw_worker_name()
+        worker = FleetWorker(self.world, name, pool, ended.capacity, vm)
+        self._workers[vm] = worker
+        if pool != self.standby:
+            self.world.add_worker(worker)
+
+    def _remove_entry(self, worker):
+        self.world.store.remove(f'servers/{worker.name}')
+
+    def _make_row(self, vm):
+        worker = self._workers[vm]
+        on = self._states[vm] is FleetVmState.UP
+        on = on and self._pools[vm] != self.standby
+        return FleetVm(
+            vm,
+            self._pools[vm],
+            self._states[vm],
+            worker.labels,
+            worker.capacity,
+            worker.name if on else '',
+        )
+
+    def _call_later(self, seconds, call, argument):
+        asyncio.get_running_loop().call_later(seconds, call, argument)
+
+
+class FleetCloud:
+    """Client of one daemon for the cloud, with the scheduler's interface."""
+
+    def __init__(self, world):
+        self.world = world
+
+    async def list_vms(self):
+        """Return the VM list."""
+        await asyncio.sleep(0.004)
+        return Ok(self.world.cloud.list_vms())
+
+    async def move(self, vm, pool, token):
+        """Move a VM into another pool."""
+        await asyncio.sleep(0.004)
+        return self.world.cloud.move(vm, pool, token)
+
+    async def maintain(self, vm, wave, token):
+        """Begin a VM's maintenance."""
+        await asyncio.sleep(0.004)
+        return self.world.cloud.maintain(vm, wave, token)
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -78,12 +78,14 @@
 class FleetWorker:
     """One simulated worker.
 
+    :param vm: name of its VM; by default one of the worker's own.
     :ivar incarnation: number of its incarnations so far.
     """
 
-    def __init__(self, world, name, service, capacity):
+    def __init__(self, world, name, service, capacity, vm=''):
         self.world = world
         self.name = name
+        self.vm = vm or f'vm-{name}'
         self.service = service
         self.capacity = capacity
         self.faults = WorkerFaults()
@@ -92,6 +94,11 @@
         self.incarnation = 0
         self._reset()
 
+    @property
+    def labels(self):
+        """Kind and rack of the worker's VM."""
+        return ('a', f'r{int(self.name[1:]) % 3}')
+
     def register(self):
         """Write the worker's entry into the store."""
         entry = {
@@ -106,8 +113,8 @@
                 'mem_mb': self.capacity.memory,
                 'gpu': self.capacity.gpus,
             },
-            'labels': ['a', f'r{int(self.name[1:]) % 3}'],
-            'machine': f'vm-{self.name}',
+            'labels': list(self.labels),
+            'machine': self.vm,
             'born': self.incarnation,
         }
         packed = json.dumps(entry).encode()
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from standins.fleet.cloud import FleetCloud, FleetCloudCore
 from standins.fleet.store import FleetStore, FleetStoreCore
 from standins.fleet.workers import FleetWorker, FleetWorkers
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
@@ -25,6 +26,7 @@
 HOST = 'host'
 PREFIX = '/plan/'
 SERVICE = 'routing'
+STANDBY = 'spare'
 WORKER_CAPACITY = Resources(8000, 8000)
 
 
@@ -70,7 +72,7 @@
             settings=settings,
             store=self.store,
             workers=self.workers,
-            cloud=None,
+            cloud=None if world.cloud is None else FleetCloud(world),
             advice=None,
             election=Election(self.store, settings, make_logger('election')),
             configuration=ConfigurationFollower(make_logger('configuration')),
@@ -101,10 +103,12 @@
 class World:
     """Store, workers, daemons and the run history of the workers.
 
+    :param standby_vms: VMs that are off, or ``None`` without a cloud.
     :ivar accepted: steps of the accepted jobs, by job.
+    :ivar cloud: the simulated cloud, if any.
     """
 
-    def __init__(self, now, seed=0, workers=4, daemons=3):
+    def __init__(self, now, seed=0, workers=4, daemons=3, standby_vms=None):
         self.now = now
         self.rng = random.Random(seed)
         self.history = []
@@ -118,6 +122,12 @@
             )
             for index in range(workers)
         }
+        self._worker_count = workers
+        self.cloud = None
+        if standby_vms is not None:
+            self.cloud = FleetCloudCore(self, STANDBY)
+            for _ in range(standby_vms):
+                self.cloud.add_standby(self.draw_worker_name(), WORKER_CAPACITY)
         self.configure()
         for worker in self.workers.values():
             worker.register()
@@ -130,6 +140,26 @@
         """Start a daemon, which replaces one of the same name."""
         self.daemons[name] = VirtualDaemon(self, name)
 
+    def add_worker(self, worker):
+        """Add the worker of a VM that has joined a pool."""
+        self.workers[worker.name] = worker
+        worker.register()
+
+    def draw_worker_name(self):
+        """Return the name of a further worker."""
+        self._worker_count += 1
+        return f'w{self._worker_count - 1}'
+
+    def request_wave(self, number, vms, duration, cap):
+        """Request the maintenance of VMs, as operators do."""
+        fields = {
+            'wave': number,
+            'machines': list(vms),
+            'duration_s': duration,
+            'cap': cap,
+        }
+        self.store.write(f'op/wave/{number}', json.dumps(fields).encode())
+
     def configure(self, version=1, max_attempts=3):
         """Write the operators' configuration."""
         route = {
@@ -145,7 +175,10 @@
         fields = {
             'version': version,
             'routes': [route],
-            'services': [{'name': SERVICE}],
+            'services': [
+                {'name': SERVICE},
+                {'name': STANDBY, 'standby': True},
+            ],
             'limits': {},
         }
         self.store.write('op/config', json.dumps(fields).encode())
--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -26,6 +26,10 @@
     plan,
     start_all,
 )
+from verbenapost.coordination.scheduling.vmlist import (
+    MIN_READS_WITHOUT_VM,
+    VmList,
+)
 from verbenapost.coordination.scheduling.waves import (
     WavePlanner,
     WaveProgress,
@@ -229,10 +233,19 @@
 
     def test_a_wave_is_complete_when_all_listed_vms_have_begun(self):
         planner, progress = self.make(2, cap=2)
-        views = [make_view('w0', 'spare')]
-        assert not progress.is_complete(views)
+        vm_list = VmList()
+        for _ in range(MIN_READS_WITHOUT_VM):
+            vm_list.replace([make_view('w0', 'spare').vm])
+        assert not progress.is_complete(vm_list)
         planner.note_begun(progress, 'w0', now=0)
-        assert progress.is_complete(views)
+        assert progress.is_complete(vm_list)
+
+    def test_a_vm_missing_in_one_read_still_counts(self):
+        _, progress = self.make(1, cap=1)
+        vm_list = VmList()
+        vm_list.replace([make_view('w0', 'spare').vm])
+        vm_list.replace([])
+        assert not progress.is_complete(vm_list)
 
     def test_busy_vms_are_emptied_gradually(self):
         planner, progress = self.make(8, cap=8)
--- /dev/null
+++ b/verbenapost/coordination/scheduling/vmlist.py
@@ -0,0 +1,55 @@
+"""The platform's list of VMs, as read so far."""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+from verbenapost.state.workloads import FleetVm
+
+#: Successive reads without a VM after which it counts as gone. The pages of
+#: one read are not a snapshot, so a VM may be missing in a single read.
+MIN_READS_WITHOUT_VM: Final = 2
+
+
+class VmList:
+    """The last read list of VMs and the VMs that have left it.
+
+    Examples
+    ========
+
+    >>> from verbenapost.state.workloads import FleetVmState, Resources
+    >>> vm = FleetVm('vm-1', 'routing', FleetVmState.UP, (), Resources(), '')
+    >>> vm_list = VmList()
+    >>> vm_list.replace([vm])
+    >>> vm_list.replace([])
+    >>> vm_list.has_left('vm-1')
+    False
+    >>> vm_list.replace([])
+    >>> vm_list.has_left('vm-1')
+    True
+    """
+
+    def __init__(self) -> None:
+        self._vms: dict[str, FleetVm] = {}
+        self._reads = 0
+        self._last_reads: dict[str, int] = {}
+
+    @property
+    def vms(self) -> Mapping[str, FleetVm]:
+        """VMs of the last read by name."""
+        return self._vms
+
+    def replace(self, vms: Iterable[FleetVm]) -> None:
+        """Store a read of the whole list."""
+        self._reads += 1
+        self._vms = {vm.vm: vm for vm in vms}
+        for name in self._vms:
+            self._last_reads[name] = self._reads
+
+    def update(self, vm: FleetVm) -> None:
+        """Store a change of one VM that the next read will show."""
+        self._vms[vm.vm] = vm
+
+    def has_left(self, name: str) -> bool:
+        """Return whether a VM is no longer part of the fleet."""
+        absences = self._reads - self._last_reads.get(name, 0)
+        return absences >= MIN_READS_WITHOUT_VM
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -6,6 +6,7 @@
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.capacity import VmView
+from verbenapost.coordination.scheduling.vmlist import VmList
 from verbenapost.state.workloads import FleetVmState, MaintenanceWave
 
 #: Estimated seconds of one VM's maintenance, from its selection until the VM
@@ -52,11 +53,13 @@
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
 
-    def is_complete(self, views: Sequence[VmView]) -> bool:
-        """Return whether maintenance has begun on every VM still listed."""
-        listed_vms = {view.vm.vm for view in views}
+    def is_complete(self, vm_list: VmList) -> bool:
+        """Return whether maintenance has begun on every VM of the fleet.
+
+        :param vm_list: all VMs, including those with a pending order.
+        """
         return all(
-            vm in self.begun or vm not in listed_vms for vm in self.wave.vms
+            vm in self.begun or vm_list.has_left(vm) for vm in self.wave.vms
         )
 
 
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import time
+from collections.abc import Sequence
 from typing import Any, Final, final
 
 from result import Err
@@ -22,6 +23,7 @@
 from verbenapost.coordination.scheduling.evacuation import evacuate
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.vmlist import VmList
 from verbenapost.coordination.scheduling.waves import (
     MaintainVm,
     WavePlanner,
@@ -102,7 +104,7 @@
         self._pool_states = pool_states
         self._fleet = fleet
         self._log = log
-        self._vms: dict[str, FleetVm] = {}
+        self._vm_list = VmList()
         self._capacity = CapacityPlanner(None)
         self._waves = WavePlanner(ports.settings.bounds.maintenance_s)
         self._progress: dict[int, WaveProgress] = {}
@@ -171,11 +173,11 @@
         now = read_clock()
         self._forget_joined(now)
         self._evacuate(now)
-        if not self._vms or not self._ports.election.holds_lease():
+        if not self._vm_list.vms or not self._ports.election.holds_lease():
             return
-        views = self._make_views()
-        await self._run_waves(views, now)
-        self._run_moves(views, now)
+        await self._run_waves(self._make_views(), now)
+        # The waves have begun orders, which exclude their VMs from moves.
+        self._run_moves(self._make_views(), now)
 
     def _mark_stale(self) -> None:
         self._stale = True
@@ -192,21 +194,23 @@
             return
         self._listed_at = read_clock()
         self._stale = False
-        found = {vm.vm: vm for vm in listed.ok_value}
-        for name, vm in found.items():
-            known = self._vms.get(name)
+        self._log_changes(listed.ok_value)
+        self._vm_list.replace(listed.ok_value)
+        self._fleet.end_replaced_incarnations(self._vm_list.vms, wall)
+
+    def _log_changes(self, listed: Sequence[FleetVm]) -> None:
+        for vm in listed:
+            known = self._vm_list.vms.get(vm.vm)
             if known is None or (known.pool, known.state) != (
                 vm.pool,
                 vm.state,
             ):
                 self._log.info(
                     'VM listed',
-                    vm=name,
+                    vm=vm.vm,
                     pool=vm.pool,
                     state=vm.state.value,
                 )
-        self._vms = found
-        self._fleet.end_replaced_incarnations(found, wall)
 
     def _make_views(self) -> list[VmView]:
         """Return the VMs without a pending order or move."""
@@ -214,7 +218,7 @@
         standby_pools = {row.name for row in services.values() if row.standby}
         return [
             VmView(vm, self._find_worker(vm), vm.pool in standby_pools)
-            for name, vm in self._vms.items()
+            for name, vm in self._vm_list.vms.items()
             if name not in self._orders.busy and name not in self._joining
         ]
 
@@ -264,7 +268,7 @@
                 self._orders.begin(
                     order.vm, self._maintain(order, progress), self._mark_stale
                 )
-            if progress.is_complete(views) and not progress.down:
+            if progress.is_complete(self._vm_list) and not progress.down:
                 await self._status.complete(number)
 
     async def _maintain(
@@ -325,7 +329,7 @@
         return PoolDemand(service, load.long_running + busy)
 
     async def _move(self, move: MoveVm) -> None:
-        vm = self._vms[move.vm]
+        vm = self._vm_list.vms[move.vm]
         join_seconds = self._ports.settings.bounds.move_s + JOIN_MARGIN
         if move.pool != self._capacity.standby:
             self._joining[move.vm] = _Joining(
@@ -338,8 +342,10 @@
             self._readmit_worker(move.vm, uncertain=uncertain)
             return
         self._end_incarnation(move.vm, 'its VM has moved')
-        self._vms[move.vm] = dataclasses.replace(
-            vm, pool=move.pool, state=FleetVmState.MOVING, worker=''
+        self._vm_list.update(
+            dataclasses.replace(
+                vm, pool=move.pool, state=FleetVmState.MOVING, worker=''
+            )
         )
 
     def _readmit_worker(self, vm: str, *, uncertain: bool) -> None:
--- /dev/null
+++ b/verbenapost/scheduler/tests/scenarios.py
@@ -0,0 +1,47 @@
+"""Steps that scenarios in virtual time share."""
+
+import asyncio
+
+from standins.fleet.rules import find_violations
+
+STEPS = [
+    {'count': 3, 'cpu': 1000, 'mem_mb': 100},
+    {'count': 2, 'cpu': 500, 'mem_mb': 100, 'after': [0]},
+]
+
+COMPLETED = '{"state":"completed"}'
+
+
+def name_job(number):
+    """Return the identity of a job that ends by itself."""
+    return f'{number:016x}'
+
+
+def name_long_running(number):
+    """Return the identity of a job that runs until it is cancelled."""
+    return f'1a57{number:012x}'
+
+
+async def wait_for_leader(world, seconds=20):
+    """Return the daemon that leads."""
+    for _ in range(seconds * 20):
+        leader = world.find_leader()
+        if leader is not None:
+            return leader
+        await asyncio.sleep(0.05)
+    raise AssertionError('nobody leads')
+
+
+async def read_states(world, daemon='d0'):
+    """Return the answers to a query of each accepted job."""
+    states = {}
+    for job in world.accepted:
+        answer = await world.call('GET', job, daemon=daemon)
+        states[job] = answer.body.decode()
+    return states
+
+
+def check_rules(world):
+    """Return the violations in the history of all runs."""
+    capacities = {name: row.capacity.cpu for name, row in world.workers.items()}
+    return find_violations(world.history, world.accepted, capacities)
--- a/verbenapost/scheduler/tests/test_cleanup.py
+++ b/verbenapost/scheduler/tests/test_cleanup.py
@@ -3,15 +3,12 @@
 import asyncio
 
 from verbenapost.scheduler.cleanup import EXTRA_RETENTION_SECONDS
-from verbenapost.scheduler.tests.test_histories import (
+from verbenapost.scheduler.tests.scenarios import (
     STEPS,
     name_job,
-    play,
     wait_for_leader,
 )
 
-__all__ = ('play',)
-
 STATUS_SECONDS = 120
 
 
--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -5,68 +5,15 @@
 
 import pytest
 
-from standins.fleet.rules import find_violations
-from standins.fleet.world import World
-from standins.virtualtime import run_virtual
-from verbenapost.daemon import timers
 from verbenapost.platform.names import WORKER_PREFIX
-
-STEPS = [
-    {'count': 3, 'cpu': 1000, 'mem_mb': 100},
-    {'count': 2, 'cpu': 500, 'mem_mb': 100, 'after': [0]},
-]
-
-
-@pytest.fixture
-def play(monkeypatch):
-    """Return a function that runs a scenario with virtual clocks."""
-
-    def run(scenario, **options):
-        async def start(now):
-            monkeypatch.setattr(timers, '_CLOCK_ID', 0)
-            monkeypatch.setattr(
-                timers.time, 'clock_gettime', lambda _clock: now() + 1000
-            )
-            monkeypatch.setattr(timers.time, 'time', lambda: now() + 5000)
-            random.seed(options.get('seed', 0))
-            world = World(now, **options)
-            try:
-                return await scenario(world)
-            finally:
-                await world.close()
-
-        return run_virtual(start)
-
-    return run
-
-
-def name_job(number):
-    return f'{number:016x}'
-
-
-async def wait_for_leader(world, seconds=20):
-    for _ in range(seconds * 20):
-        leader = world.find_leader()
-        if leader is not None:
-            return leader
-        await asyncio.sleep(0.05)
-    raise AssertionError('nobody leads')
-
-
-async def read_states(world, daemon='d0'):
-    states = {}
-    for job in world.accepted:
-        answer = await world.call('GET', job, daemon=daemon)
-        states[job] = answer.body.decode()
-    return states
-
-
-def check_rules(world):
-    capacities = {name: row.capacity.cpu for name, row in world.workers.items()}
-    return find_violations(world.history, world.accepted, capacities)
-
-
-COMPLETED = '{"state":"completed"}'
+from verbenapost.scheduler.tests.scenarios import (
+    COMPLETED,
+    STEPS,
+    check_rules,
+    name_job,
+    read_states,
+    wait_for_leader,
+)
 
 
 class TestWithoutFaults:
