Keep a place for each long-running task

Demand counted processors alone, so no VM was added, and evacuation stopped tasks without a look at where they could go. Change: a task that has to leave its VM is stopped only once capacity is reserved for it elsewhere; one that waits reserves the next capacity that a worker frees and goes before short tasks of any priority; tasks that fit nowhere add VMs to their pool, and the memory of long-running tasks counts as demand. The demand of pools has a module of its own.

--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -75,10 +75,26 @@
 
     :param service: name of the pool's service.
     :param cores: cores that the pool needs now or soon.
+    :param extra_vms: VMs needed for tasks that fit on none of the pool's VMs,
+        for lack of memory or because of their placement constraints.
     """
 
     service: str
     cores: float
+    extra_vms: int = 0
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncomingVms:
+    """VMs that are moving into a pool.
+
+    :param cores: sum of their cores.
+    :param count: number of VMs.
+    """
+
+    cores: float = 0
+    count: int = 0
 
 
 @final
@@ -107,6 +123,7 @@
         """Whether the pool needs another VM."""
         return (
             self.missing_cores > 0
+            or self.incoming_vms < self.demand.extra_vms
             or len(self.vms) + self.incoming_vms < MIN_VMS
         )
 
@@ -129,14 +146,14 @@
         self,
         demands: Sequence[PoolDemand],
         views: Sequence[VmView],
-        incoming: Mapping[str, float],
+        incoming: Mapping[str, IncomingVms],
         now: float,
     ) -> list[MoveVm]:
         """Return the moves to order now; marks the VMs to be emptied.
 
         :param demands: demands of all pools except the standby pool.
         :param views: VMs without a pending order.
-        :param incoming: cores of the VMs that are moving in, by pool.
+        :param incoming: VMs that are moving in, by pool.
         :param now: local seconds.
         """
         usable = [view for view in views if view.vm.state is FleetVmState.UP]
@@ -154,17 +171,14 @@
         self,
         demands: Sequence[PoolDemand],
         usable: Sequence[VmView],
-        incoming: Mapping[str, float],
+        incoming: Mapping[str, IncomingVms],
     ) -> dict[str, _Pool]:
-        pools = {
-            demand.service: _Pool(
-                demand,
-                [],
-                incoming.get(demand.service, 0),
-                int(incoming.get(demand.service, 0) > 0),
+        pools = {}
+        for demand in demands:
+            moving = incoming.get(demand.service, IncomingVms())
+            pools[demand.service] = _Pool(
+                demand, [], moving.cores, moving.count
             )
-            for demand in demands
-        }
         for view in usable:
             name = self.pending_moves.get(view.vm.vm, view.vm.pool)
             future_pool = pools.get(name)
--- a/verbenapost/coordination/scheduling/demand.py
+++ b/verbenapost/coordination/scheduling/demand.py
@@ -97,11 +97,14 @@
     """Load of a pool, in cores.
 
     :param long_running: cores of tasks that run until they are cancelled.
+    :param long_running_memory: memory in MB of those tasks, including the
+        best-effort ones.
     :param running: cores of other tasks that run or are being started.
     :param waiting: cores of other tasks that could start now.
     """
 
     long_running: float
+    long_running_memory: int
     running: float
     waiting: float
 
@@ -112,6 +115,7 @@
     :param wall: Unix seconds.
     """
     long_running = 0
+    memory = 0
     running = 0
     waiting = 0
     steps = [
@@ -120,6 +124,8 @@
         for step in job.find_open_steps(wall)
     ]
     for step in steps:
+        if step.spec.long_running:
+            memory += step.spec.size.memory * len(step.tasks)
         if step.spec.fills:
             continue
         states = collections.Counter(task.state for task in step.tasks)
@@ -130,4 +136,6 @@
         else:
             running += step.spec.size.cpu * placed_tasks
             waiting += step.spec.size.cpu * waiting_tasks
-    return Load(long_running / _MILLI, running / _MILLI, waiting / _MILLI)
+    return Load(
+        long_running / _MILLI, memory, running / _MILLI, waiting / _MILLI
+    )
--- a/verbenapost/coordination/scheduling/placement.py
+++ b/verbenapost/coordination/scheduling/placement.py
@@ -73,20 +73,34 @@
             heapq.heappush(self._ranked, row)
 
     def _is_allowed(self, worker: Worker) -> bool:
-        spec = self._step.spec
-        if not worker.has_capacity(self._size):
-            return False
         name = worker.entry.worker
-        if self._tickets is not None and name not in self._tickets:
-            return False
-        if spec.requires and spec.requires not in worker.entry.labels:
-            return False
-        limit = spec.anti_affinity
         return (
-            limit == _ANY_NUMBER or worker.count_step_tasks(self._step) < limit
+            worker.has_capacity(self._size)
+            and (self._tickets is None or name in self._tickets)
+            and is_permitted(self._step, worker)
         )
 
 
+def is_permitted(step: StepRun, worker: Worker) -> bool:
+    """Return whether a step's constraints permit one more task on a worker."""
+    spec = step.spec
+    if spec.requires and spec.requires not in worker.entry.labels:
+        return False
+    limit = spec.anti_affinity
+    return limit == _ANY_NUMBER or worker.count_step_tasks(step) < limit
+
+
+def filter_by_ticket(
+    workers: Iterable[Worker], tickets: Tickets | None
+) -> list[Worker]:
+    """Return the workers on which a queue's policy permits the step."""
+    return [
+        worker
+        for worker in workers
+        if tickets is None or worker.entry.worker in tickets
+    ]
+
+
 def has_constraints(step: StepRun) -> bool:
     """Return whether a step has placement constraints besides capacity."""
     spec = step.spec
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -10,6 +10,7 @@
 from verbenapost.coordination.scheduling.placement import (
     WorkerRanking,
     choose_gang_workers,
+    filter_by_ticket,
     has_constraints,
 )
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -55,9 +56,10 @@
     def plan(self) -> list[StartTask]:
         """Return the starts to order now; each one has been booked."""
         commands: list[StartTask] = []
-        if self._ready:
-            for step in self.find_waiting():
-                commands.extend(self._place_step(step))
+        self._pool_state.unplaced = []
+        self._pool_state.reservations.prune()
+        for step in self.find_waiting():
+            commands.extend(self._place_step(step))
         return commands
 
     def find_waiting(self) -> list[StepRun]:
@@ -84,12 +86,18 @@
             step.tasks[0].key, self._moment.now
         )
 
-    def _rank(self, step: StepRun) -> tuple[int, bool, float]:
+    def _rank(self, step: StepRun) -> tuple[bool, int, bool, float]:
         job = step.job
         objective = self._pool_state.estimate_objective(job)
         late = self._moment.now > job.arrived_at + objective
         route = self._pool_state.find_route(job)
-        return route.priority, late and not job.long_running, job.arrived_at
+        # A long-running job has to keep its tasks at any load.
+        return (
+            not job.long_running,
+            route.priority,
+            late and not job.long_running,
+            job.arrived_at,
+        )
 
     def _place_step(self, step: StepRun) -> Iterator[StartTask]:
         tickets = self._find_tickets(step)
@@ -102,6 +110,9 @@
         if step.spec.gang:
             yield from self._place_gang(step, waiting, tickets)
             return
+        if step.spec.long_running:
+            yield from self._place_long_running(step, waiting, tickets)
+            return
         size = compute_booking(step.spec)
         if any(found.fits(size) for found in self._unplaceable):
             return
@@ -115,6 +126,28 @@
             yield self._start(step, task, worker, tickets)
             ranking.reinsert(worker)
 
+    def _place_long_running(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        tickets: Tickets | None,
+    ) -> Iterator[StartTask]:
+        """Place the tasks that fit; reserve capacity for the others."""
+        reservations = self._pool_state.reservations
+        previous = {task.key: reservations.release(task) for task in waiting}
+        ranking = WorkerRanking(step, self._ready, tickets)
+        permitted = filter_by_ticket(self._ready, tickets)
+        for task in waiting:
+            worker = ranking.pop_best()
+            if worker is None:
+                self._pool_state.unplaced.append(task)
+                reservations.reserve_next(
+                    step, task, permitted, previous[task.key]
+                )
+                continue
+            yield self._start(step, task, worker, tickets)
+            ranking.reinsert(worker)
+
     def _place_gang(
         self,
         step: StepRun,
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -10,6 +10,7 @@
     Task,
     TaskState,
 )
+from verbenapost.coordination.scheduling.reservations import Reservations
 from verbenapost.coordination.scheduling.runtimes import RunTimes
 from verbenapost.coordination.scheduling.tickets import TicketCache
 from verbenapost.coordination.scheduling.workers import Worker
@@ -47,6 +48,7 @@
 
     :param service: name of the pool's service.
     :param token: fencing token of this leader.
+    :ivar unplaced: long-running tasks for which no worker has capacity.
     """
 
     def __init__(self, service: str, token: int) -> None:
@@ -54,6 +56,8 @@
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.routes: dict[str, Route] = {}
+        self.reservations = Reservations(self.workers)
+        self.unplaced: list[Task] = []
         self.run_times = RunTimes()
         self.tickets = TicketCache()
         self.recovering = False
@@ -111,6 +115,8 @@
         """End a job and return the stops of its placed tasks."""
         job.state = state
         self.mark_changed(job)
+        for waiting in job.tasks():
+            self.reservations.release(waiting)
         return [
             StopTask(task.worker, task, task.run)
             for task in job.tasks()
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_reservations.py
@@ -0,0 +1,132 @@
+"""Tests of the capacity that is kept for long-running tasks.
+
+The load: a burst keeps a pool full with short tasks, while a long-running
+task that is larger than each of them waits for a place.
+"""
+
+import random
+
+import pytest
+
+from verbenapost.coordination.scheduling.tests.sample import (
+    CAPACITY,
+    SMALL,
+    add_job,
+    end_run,
+    make_entry,
+    make_pool_state,
+    plan,
+    start_all,
+)
+from verbenapost.coordination.scheduling.workers import compute_booking
+from verbenapost.protocol.orders import RunEndKind
+from verbenapost.state.workloads import Resources, StepSpec
+
+LARGE = Resources(3000, 300)
+LASTING = '1a57000000000000'
+VMS = 5
+
+
+def make_full_pool():
+    """Return a pool full with short tasks, more of which wait."""
+    pool_state = make_pool_state(*(make_entry(f'w{row}') for row in range(VMS)))
+    add_job(pool_state, StepSpec(200, SMALL))
+    return pool_state, start_all(pool_state)
+
+
+def count_ends_until_start(pool_state, running):
+    """End the oldest short task until a long-running one starts.
+
+    :returns: number of ends.
+    """
+    for ends in range(1, 100):
+        end_run(pool_state, running.pop(0))
+        for start in plan(pool_state):
+            pool_state.note_started(start.task, start.run, 0)
+            if start.task.step.long_running:
+                return ends
+            running.append(start)
+    raise AssertionError('the long-running task has not started')
+
+
+class TestReservation:
+    @pytest.mark.parametrize('seed', range(20))
+    def test_a_large_task_starts_once_one_worker_has_drained(self, seed):
+        pool_state, running = make_full_pool()
+        add_job(pool_state, StepSpec(1, LARGE, long_running=True), job=LASTING)
+        plan(pool_state)
+        random.Random(seed).shuffle(running)
+        short_tasks = len(running)
+        assert count_ends_until_start(pool_state, running) <= short_tasks
+
+    def test_the_priority_of_short_jobs_does_not_matter(self):
+        pool_state = make_pool_state()
+        add_job(pool_state, StepSpec(9, SMALL))
+        lasting = add_job(
+            pool_state, StepSpec(1, SMALL, long_running=True), job=LASTING
+        )
+        lasting.arrived_at = 9
+        assert plan(pool_state)[0].task.step.long_running
+
+    def test_a_reservation_ends_with_its_job(self):
+        pool_state, running = make_full_pool()
+        add_job(pool_state, StepSpec(1, LARGE, long_running=True), job=LASTING)
+        plan(pool_state)
+        assert sum(row.reserved.cpu for row in pool_state.workers.values())
+        pool_state.cancel_job(LASTING)
+        end_run(pool_state, running[0])
+        assert len(plan(pool_state)) == 1
+        assert not any(row.reserved.cpu for row in pool_state.workers.values())
+
+
+class TestMix:
+    """Random stops, ends and leaving VMs, with room for all tasks."""
+
+    @pytest.mark.parametrize('seed', range(30))
+    def test_each_ended_run_is_placed_in_the_next_round(self, seed):
+        rng = random.Random(seed)
+        pool_state = make_pool_state(
+            *(make_entry(f'w{row}') for row in range(8))
+        )
+        add_job(pool_state, StepSpec(6, SMALL, long_running=True), job=LASTING)
+        add_job(pool_state, StepSpec(500, SMALL))
+        running = start_all(pool_state)
+        for now in range(1, 60):
+            for worker in pool_state.workers.values():
+                worker.leaving = rng.random() < 0.2
+            for _ in range(rng.randrange(4)):
+                kind = rng.choice((RunEndKind.STOPPED, RunEndKind.FAILED))
+                ended = running.pop(rng.randrange(len(running)))
+                if not ended.task.step.long_running:
+                    kind = RunEndKind.DONE
+                end_run(pool_state, ended, kind, now=now)
+            running.extend(start_all(pool_state, now))
+            free = find_free_workers(pool_state, now)
+            waiting = find_waiting(pool_state)
+            assert not (free and waiting)
+            assert_within_capacity(pool_state)
+
+
+def find_free_workers(pool_state, now):
+    return [
+        worker
+        for worker in pool_state.workers.values()
+        if worker.accepts_tasks(now)
+        and worker.used.plus(SMALL).fits(worker.entry.capacity)
+    ]
+
+
+def find_waiting(pool_state):
+    return [
+        task
+        for task in pool_state.jobs[LASTING].tasks()
+        if not task.state.placed
+    ]
+
+
+def assert_within_capacity(pool_state):
+    for worker in pool_state.workers.values():
+        used = Resources()
+        for task in worker.tasks.values():
+            used = used.plus(compute_booking(task.step))
+        assert used.fits(CAPACITY)
--- a/verbenapost/coordination/scheduling/vmlist.py
+++ b/verbenapost/coordination/scheduling/vmlist.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from verbenapost.state.workloads import FleetVm
+from verbenapost.state.workloads import FleetVm, Resources
 
 #: Successive reads without a VM after which it counts as gone. The pages of
 #: one read are not a snapshot, so a VM may be missing in a single read.
@@ -49,6 +49,15 @@
         """Store a change of one VM that the next read will show."""
         self._vms[vm.vm] = vm
 
+    def find_typical_capacity(self) -> Resources:
+        """Return the median capacity of a VM, by processors."""
+        capacities = sorted(
+            (vm.capacity for vm in self._vms.values()),
+            key=lambda capacity: capacity.cpu,
+        )
+        middle = len(capacities) // 2
+        return capacities[middle] if capacities else Resources()
+
     def has_left(self, name: str) -> bool:
         """Return whether a VM is no longer part of the fleet."""
         absences = self._reads - self._last_reads.get(name, 0)
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -36,6 +36,7 @@
     :param avoid_until: local seconds until which no task is started there.
     :param used: capacity that is booked.
     :param unbooked: capacity of reported runs that are not booked here.
+    :param reserved: capacity that is kept for tasks that have yet to start.
     :param has_unknown_runs: whether there are reported runs of unknown size.
     :param tasks: tasks that are booked.
     """
@@ -48,6 +49,7 @@
     avoid_until: float = 0
     used: Resources = dataclasses.field(default_factory=Resources)
     unbooked: Resources = dataclasses.field(default_factory=Resources)
+    reserved: Resources = dataclasses.field(default_factory=Resources)
     has_unknown_runs: bool = False
     tasks: dict[TaskKey, Task] = dataclasses.field(default_factory=dict)
 
@@ -75,13 +77,21 @@
         """Return whether a task of this size fits into the free capacity."""
         used = self.used
         unbooked = self.unbooked
+        reserved = self.reserved
         capacity = self.entry.capacity
+        # Called for each worker and step, so no Resources are created here.
         return (
-            used.cpu + unbooked.cpu + size.cpu <= capacity.cpu
-            and used.memory + unbooked.memory + size.memory <= capacity.memory
-            and used.gpus + unbooked.gpus + size.gpus <= capacity.gpus
+            used.cpu + unbooked.cpu + reserved.cpu + size.cpu <= capacity.cpu
+            and used.memory + unbooked.memory + reserved.memory + size.memory
+            <= capacity.memory
+            and used.gpus + unbooked.gpus + reserved.gpus + size.gpus
+            <= capacity.gpus
         )
 
+    def get_committed(self) -> Resources:
+        """Return the capacity that is used or reserved."""
+        return self.used.plus(self.unbooked).plus(self.reserved)
+
     def count_step_tasks(self, step: StepRun) -> int:
         """Return how many tasks of a step are booked."""
         return sum(
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -10,19 +10,12 @@
 
 from verbenapost.coordination.scheduling.capacity import (
     CapacityPlanner,
+    IncomingVms,
     MoveVm,
-    PoolDemand,
     VmView,
 )
-from verbenapost.coordination.scheduling.demand import (
-    BACKLOG_DRAIN_SECONDS,
-    WINDOW_SECONDS,
-    DemandMeter,
-    measure_load,
-)
+from verbenapost.coordination.scheduling.demand import WINDOW_SECONDS
 from verbenapost.coordination.scheduling.evacuation import evacuate
-from verbenapost.coordination.scheduling.jobs import Job
-from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.vmlist import VmList
 from verbenapost.coordination.scheduling.waves import (
     MaintainVm,
@@ -33,6 +26,7 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.protocol.orders import CallFaultKind
+from verbenapost.scheduler.demands import PoolDemands
 from verbenapost.scheduler.election import LEASE_SECONDS, RENEW_SECONDS
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.poolstates import PoolStateSet
@@ -57,9 +51,6 @@
 #: Seconds added to the wait for the previous leader's orders.
 PREDECESSOR_MARGIN: Final = 0.3
 
-#: Seconds between two log lines on a pool's demand.
-DEMAND_LOG_SECONDS: Final = 1.0
-
 _MILLI: Final = 1000
 
 
@@ -86,7 +77,7 @@
     :param pool_states: states of all pools.
     :param fleet: links to the workers.
     :param log: logger.
-    :ivar meters: demand meters by service.
+    :ivar demands: demand of each pool.
     """
 
     def __init__(
@@ -97,7 +88,7 @@
         fleet: WorkerFleet,
         log: Any,
     ) -> None:
-        self.meters: dict[str, DemandMeter] = {}
+        self.demands = PoolDemands(log)
         self._ports = ports
         self._cloud = cloud
         self._orders = VmOrders(cloud, ports.election, log)
@@ -111,7 +102,6 @@
         self._status = WaveStatus(ports.store, ports.election, log)
         self._joining: dict[str, _Joining] = {}
         self._listed_at: float = 0
-        self._demand_logged_at: dict[str, float] = {}
         self._stale = True
         self._started_at = read_clock()
         self._no_maintenance_before: float = 0
@@ -131,26 +121,12 @@
         finally:
             await self._orders.close()
 
-    def find_meter(self, service: str) -> DemandMeter:
-        """Return the demand meter of a service."""
-        return self.meters.setdefault(service, DemandMeter())
-
-    def note_job(self, pool_state: PoolState, job: Job) -> None:
-        """Count the demand of an added job, including inherited jobs."""
-        seconds = pool_state.run_times.estimate(job.spec.route)
-        cores = sum(
-            step.count * step.size.cpu / _MILLI
-            for step in job.spec.steps
-            if not step.long_running
-        )
-        meter = self.find_meter(pool_state.service)
-        meter.record_job(job.spec.job, cores * seconds, job.arrived_at)
-
-    def count_incoming(self, service: str) -> float:
-        """Return the cores of the VMs that are moving into a service's pool."""
-        return sum(
+    def find_incoming(self, service: str) -> IncomingVms:
+        """Return the VMs that are moving into a service's pool."""
+        cores = [
             row.cores for row in self._joining.values() if row.pool == service
-        )
+        ]
+        return IncomingVms(sum(cores), len(cores))
 
     async def _wait_for_predecessor(self) -> None:
         """Wait until the previous leader can't send orders any more.
@@ -247,9 +223,10 @@
                 for worker in pool_state.workers.values()
                 if worker.leaving or worker.entry.draining
             ]
-            commands = evacuate(pool_state, leaving, now)
-            if commands:
-                self._fleet.send(pool_state, commands)
+            evacuation = evacuate(pool_state, leaving, now)
+            self.demands.blocked[pool_state.service] = evacuation.blocked
+            if evacuation.commands:
+                self._fleet.send(pool_state, evacuation.commands)
 
     # Waves
 
@@ -294,17 +271,18 @@
         services = self._ports.configuration.find_services()
         standby = [row.name for row in services.values() if row.standby]
         self._capacity.standby = standby[0] if standby else None
+        if not self.demands.has_demand:
+            return
+        vm_capacity = self._vm_list.find_typical_capacity()
         demands = [
-            self._measure_demand(name, now)
+            self.demands.measure(self._pool_states.find(name), vm_capacity, now)
             for name, row in services.items()
             if not row.standby
         ]
-        if not any(meter.has_demand for meter in self.meters.values()):
-            return
         uncertain = self._orders.find_uncertain(now)
         free = [view for view in views if view.vm.vm not in uncertain]
         incoming = {
-            demand.service: self.count_incoming(demand.service)
+            demand.service: self.find_incoming(demand.service)
             for demand in demands
         }
         self._capacity.may_release = now - self._started_at > WINDOW_SECONDS
@@ -312,22 +290,6 @@
             self._log.info('VM moves', vm=move.vm, pool=move.pool)
             self._orders.begin(move.vm, self._move(move), self._mark_stale)
 
-    def _measure_demand(self, service: str, now: float) -> PoolDemand:
-        load = measure_load(self._pool_states.find(service), time.time())
-        rate = self.find_meter(service).read_rate(now)
-        busy = rate + load.waiting / BACKLOG_DRAIN_SECONDS
-        if now - self._demand_logged_at.get(service, 0) >= DEMAND_LOG_SECONDS:
-            self._demand_logged_at[service] = now
-            self._log.info(
-                'demand',
-                pool=service,
-                rate=round(rate, 1),
-                lasting=load.long_running,
-                running=load.running,
-                waiting=load.waiting,
-            )
-        return PoolDemand(service, load.long_running + busy)
-
     async def _move(self, move: MoveVm) -> None:
         vm = self._vm_list.vms[move.vm]
         join_seconds = self._ports.settings.bounds.move_s + JOIN_MARGIN
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -142,10 +142,10 @@
             work = request.task_cores * pool_state.run_times.estimate(
                 route.name
             )
-            self._controller.find_meter(request.service).record_job(
-                request.job, work, now
+            self._controller.demands.record_job(
+                request.service, request.job, work, now
             )
-            incoming = self._controller.count_incoming(request.service)
+            incoming = self._controller.find_incoming(request.service).cores
         demand = JobDemand(route, request.steps)
         wait = self._wait_estimates.get_wait(pool_state, incoming, now)
         decision = decide_admission(pool_state, demand, wait)
@@ -171,7 +171,7 @@
         await self._read_progress()
         self.jobs.inheriting = token > 1
         if self._controller is not None:
-            self.jobs.notify = self._controller.note_job
+            self.jobs.notify = self._controller.demands.note_job
         self._tasks.add(self._recorder.run())
         await self._follow(SUBMITTED_PREFIX, self.jobs.apply_change)
         await self._follow(WORKER_PREFIX, self._fleet.apply_change)
