Scan only jobs with waiting tasks, and shorten log lines' work

Change: a job without waiting tasks is left out of the rounds until one of its tasks changes; a field name is looked at once; loggers keep the configuration of the process; a task tells its position itself. Tests: TestIdleJobs guards against a job that is left out for too long.

--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -102,6 +102,10 @@
             return 0
         return spec.start_at + self.occurrence * spec.interval
 
+    def has_waiting(self) -> bool:
+        """Return whether a task waits to start."""
+        return any(task.state is TaskState.WAITING for task in self.tasks)
+
     def is_open(self) -> bool:
         """Return whether all prerequisite steps are complete."""
         occurrence_steps = self.job.occurrences[self.occurrence]
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -64,11 +64,7 @@
 
     def find_waiting(self) -> list[StepRun]:
         """Return the steps with startable tasks, most urgent first."""
-        found = [
-            step
-            for step in self._pool_state.find_startable_steps(self._moment.wall)
-            if any(task.state is TaskState.WAITING for task in step.tasks)
-        ]
+        found = self._pool_state.find_waiting_steps(self._moment.wall)
         found.sort(key=self._rank)
         return found
 
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -1,6 +1,6 @@
 """The leader's state of one pool: its workers, jobs and tasks."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
@@ -64,6 +64,8 @@
         self.first_run_number = (token - 1) * RUN_NUMBERS_PER_TOKEN + 1
         self._changed_jobs: set[str] = set()
         self._open_jobs: dict[str, Job] = {}
+        # Jobs without a task to start, until one of their tasks changes.
+        self._idle_jobs: set[str] = set()
 
     def set_worker(self, entry: WorkerEntry) -> Worker:
         """Store a worker's entry; a new worker has yet to be reconciled."""
@@ -103,6 +105,7 @@
         self.jobs.pop(name, None)
         self.routes.pop(name, None)
         self._open_jobs.pop(name, None)
+        self._idle_jobs.discard(name)
 
     def cancel_job(self, name: str) -> list[Command]:
         """Cancel a job; a job that has ended keeps its state."""
@@ -144,14 +147,22 @@
         """Return the jobs that have not ended."""
         return self._open_jobs.values()
 
-    def find_startable_steps(self, wall: float) -> Iterator[StepRun]:
-        """Yield the steps whose tasks may start.
+    def find_waiting_steps(self, wall: float) -> list[StepRun]:
+        """Return the steps with tasks that may start now.
 
         :param wall: Unix seconds.
         """
-        for job in self._open_jobs.values():
-            if not (job.inherited and self.recovering):
-                yield from job.find_open_steps(wall)
+        found: list[StepRun] = []
+        for name, job in self._open_jobs.items():
+            if name in self._idle_jobs or (job.inherited and self.recovering):
+                continue
+            steps = [
+                step for step in job.find_open_steps(wall) if step.has_waiting()
+            ]
+            if not steps and not job.spec.repetitions:
+                self._idle_jobs.add(name)
+            found.extend(steps)
+        return found
 
     def estimate_objective(self, job: Job) -> float:
         """Return the seconds within which a job should be completed."""
@@ -168,6 +179,7 @@
     def mark_changed(self, job: Job) -> None:
         """Mark a job's record as changed."""
         self._changed_jobs.add(job.spec.job)
+        self._idle_jobs.discard(job.spec.job)
         if job.state.ended:
             self._open_jobs.pop(job.spec.job, None)
 
@@ -176,6 +188,7 @@
         self.release(task)
         if task.state is not TaskState.DONE:
             task.state = TaskState.WAITING
+            self._idle_jobs.discard(task.key.job)
 
     def release(self, task: Task) -> None:
         """Release the capacity that is booked for a task."""
--- a/verbenapost/coordination/scheduling/tests/test_planning.py
+++ b/verbenapost/coordination/scheduling/tests/test_planning.py
@@ -11,14 +11,19 @@
     WaitEstimateCache,
     estimate_wait,
 )
+from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.tests.sample import (
+    ROUTE,
     add_job,
+    end_run,
     make_entry,
     make_pool_state,
     plan,
+    start_all,
 )
 from verbenapost.coordination.scheduling.workers import Worker
-from verbenapost.state.workloads import Resources, StepSpec
+from verbenapost.protocol.orders import RunEndKind
+from verbenapost.state.workloads import JobSpec, Resources, StepSpec
 
 VMS = 180
 JOBS = 300
@@ -84,3 +89,44 @@
         assert cache.get_wait(pool_state, 0, now=0.05) == estimate_wait(
             pool_state, 0, 0.05
         )
+
+
+class TestIdleJobs:
+    """Jobs whose tasks all run are not scanned in each round."""
+
+    def test_a_job_is_scanned_again_once_a_task_waits(self):
+        pool_state = make_pool_state()
+        add_job(pool_state, StepSpec(2, Resources(1000, 100)))
+        start, _ = start_all(pool_state)
+        assert pool_state.find_waiting_steps(0) == []
+        end_run(pool_state, start, RunEndKind.FAILED)
+        assert [row.task for row in plan(pool_state)] == [start.task]
+
+    def test_a_step_opens_with_the_last_end_of_its_predecessor(self):
+        pool_state = make_pool_state()
+        first = StepSpec(1, Resources(1000, 100))
+        second = StepSpec(3, Resources(1000, 100), after=(0,))
+        add_job(pool_state, first, second)
+        (start,) = start_all(pool_state)
+        assert pool_state.find_waiting_steps(0) == []
+        end_run(pool_state, start)
+        assert len(plan(pool_state)) == 3
+
+    def test_an_occurrence_starts_at_its_time(self):
+        pool_state = make_pool_state()
+        spec = JobSpec(
+            'f' * 16,
+            ROUTE.name,
+            'text',
+            (StepSpec(1, Resources(1000, 100)),),
+            'routing',
+            repetitions=2,
+            start_at=10,
+            interval=10,
+        )
+        pool_state.add_job(Job(spec, 0), ROUTE)
+        assert [len(plan(pool_state, wall=wall)) for wall in (0, 10, 20)] == [
+            0,
+            1,
+            1,
+        ]
--- a/verbenapost/daemon/faults.py
+++ b/verbenapost/daemon/faults.py
@@ -1,6 +1,7 @@
 """Faults in a JSON document, each with its path, value and rule."""
 
 import dataclasses
+import functools
 import json
 from collections.abc import Iterable
 from typing import Any, final
@@ -13,6 +14,9 @@
 #: Largest number of characters of a value that a fault shows.
 MAX_SHOWN_CHARACTERS = 80
 
+#: Field names for which it is remembered whether they hold a secret.
+MAX_CACHED_NAMES = 1024
+
 _SECRET_PARTS = ('_key', 'token', 'secret', 'password', 'authorization')
 _ROOT = '(document)'
 _MISSING = '(missing)'
@@ -43,6 +47,7 @@
         return f'{self.path}: {self.value}: {self.rule}'
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
 def is_secret_name(name: str) -> bool:
     """Return whether a field of this name holds a secret.
 
--- a/verbenapost/daemon/logs.py
+++ b/verbenapost/daemon/logs.py
@@ -21,11 +21,15 @@
 def configure_logs(
     settings: LogSettings,
     stream: TextIO | BoundedStream = sys.stderr,
+    *,
+    final: bool = False,
 ) -> None:
     """Set the format and level of the log of this process.
 
     :param settings: format and level.
     :param stream: destination of the log lines.
+    :param final: whether the configuration will not change, so that loggers
+        may keep it.
     """
     renderer: Any = structlog.processors.JSONRenderer(default=str)
     if settings.format == 'console':
@@ -43,7 +47,7 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(file=cast(TextIO, stream)),
-        cache_logger_on_first_use=False,
+        cache_logger_on_first_use=final,
     )
 
 
--- a/verbenapost/scheduler/__main__.py
+++ b/verbenapost/scheduler/__main__.py
@@ -51,7 +51,7 @@
         sys.stderr.write(f'{loaded.err_value}\n')
         sys.exit(EXIT_SETTINGS)
     stream = BoundedStream(sys.stdout.fileno())
-    configure_logs(LogSettings(), stream)
+    configure_logs(LogSettings(), stream, final=True)
     asyncio.run(serve(loaded.ok_value, stream))
 
 
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -1,6 +1,5 @@
 """The workers of the leader, as registered in the store."""
 
-import dataclasses
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Any
@@ -78,7 +77,7 @@
                 'order',
                 kind=type(command).__name__,
                 job=command.task.key.job,
-                task=dataclasses.astuple(command.task.key)[1:],
+                task=command.task.key.position,
                 run=command.run,
                 worker=command.worker,
                 pool=pool_state.service,
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -1,7 +1,6 @@
 """The link to one worker: its leases, orders and reports."""
 
 import asyncio
-import dataclasses
 from collections.abc import Sequence
 from typing import Any, Final
 
@@ -244,7 +243,7 @@
         self._ports.log.info(
             'start not confirmed',
             job=command.task.key.job,
-            task=dataclasses.astuple(command.task.key)[1:],
+            task=command.task.key.position,
             run=command.run,
             worker=self.name,
             fault=fault.kind.value,
@@ -299,7 +298,7 @@
             self._ports.log.info(
                 'run ended',
                 job=end.task.job,
-                task=dataclasses.astuple(end.task)[1:],
+                task=end.task.position,
                 run=end.run,
                 worker=self.name,
                 kind=end.kind.value,
--- a/verbenapost/state/workloads.py
+++ b/verbenapost/state/workloads.py
@@ -137,6 +137,11 @@
     step: int
     index: int
 
+    @property
+    def position(self) -> tuple[int, int, int]:
+        """Place of the task within its job."""
+        return self.occurrence, self.step, self.index
+
 
 @enum.unique
 class CallerJobState(enum.StrEnum):
