--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -109,6 +109,15 @@
         return known.seconds
 
 
+def count_waiting_tasks(pool_state: PoolState) -> int:
+    """Return the number of tasks that wait to start, due or not."""
+    return sum(
+        task.state is TaskState.WAITING
+        for job in pool_state.list_open_jobs()
+        for task in job.tasks()
+    )
+
+
 def estimate_wait(pool_state: PoolState, incoming: float, now: float) -> float:
     """Return the seconds until the current backlog has started.
 
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import sys
 from collections.abc import Iterator
 from typing import final
 
@@ -53,13 +54,19 @@
         # Sizes for which no worker has capacity left in this round.
         self._unplaceable: list[Resources] = []
 
-    def plan(self) -> list[StartTask]:
-        """Return the starts to order now; each one has been booked."""
+    def plan(self, limit: int = sys.maxsize) -> list[StartTask]:
+        """Return the starts to order now; each one has been booked.
+
+        :param limit: number of starts after which no further one is planned;
+            a gang may exceed it, since its tasks start together.
+        """
         commands: list[StartTask] = []
         self._pool_state.unplaced = []
         self._pool_state.reservations.prune()
         for step in self.find_waiting():
-            commands.extend(self._place_step(step))
+            commands.extend(self._place_step(step, limit - len(commands)))
+            if len(commands) >= limit:
+                break
         return commands
 
     def find_waiting(self) -> list[StepRun]:
@@ -95,7 +102,7 @@
             job.arrived_at,
         )
 
-    def _place_step(self, step: StepRun) -> Iterator[StartTask]:
+    def _place_step(self, step: StepRun, limit: int) -> Iterator[StartTask]:
         tickets = self._find_tickets(step)
         advised = self._pool_state.find_route(step.job).advice is not None
         if advised and tickets is None:
@@ -106,6 +113,7 @@
         if step.spec.gang:
             yield from self._place_gang(step, waiting, tickets)
             return
+        waiting = waiting[:limit]
         if step.spec.long_running:
             yield from self._place_long_running(step, waiting, tickets)
             return
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -9,9 +9,12 @@
 from verbenapost.coordination.scheduling.admission import (
     JobDemand,
     WaitEstimateCache,
+    count_waiting_tasks,
     decide_admission,
 )
+from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.planning import Moment, StartPlanner
+from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
@@ -63,6 +66,10 @@
         self._wake = asyncio.Event()
         self._tasks = TaskSet()
         self._round_seconds: float = 0
+        self._window = OrderWindow()
+        self._first_pool = 0
+        # Starts of this round, which are sent after it.
+        self._planned = 0
         self._wait_estimates = WaitEstimateCache(WAIT_CACHE_SECONDS)
 
         def send(pool_state: Any, commands: Any) -> None:
@@ -88,6 +95,7 @@
                 ports.settings.bounds.hold_seconds,
                 self._wake.set,
                 ports.metrics,
+                self._window,
                 send,
                 make_logger('worker'),
             ),
@@ -147,7 +155,10 @@
             )
             incoming = self._controller.find_incoming(request.service).cores
         demand = JobDemand(route, request.steps)
-        wait = self._wait_estimates.get_wait(pool_state, incoming, now)
+        wait = max(
+            self._wait_estimates.get_wait(pool_state, incoming, now),
+            self._estimate_order_wait(now),
+        )
         decision = decide_admission(pool_state, demand, wait)
         self._log.info(
             'job admitted' if decision.accepted else 'job refused',
@@ -163,6 +174,13 @@
             wait=decision.wait,
         )
 
+    def _estimate_order_wait(self, now: float) -> float:
+        """Return the seconds until the waiting tasks of all pools are sent."""
+        if not self._window.is_exhausted(now):
+            return 0
+        waiting = sum(map(count_waiting_tasks, self._pool_states))
+        return self._window.estimate_wait(waiting, now)
+
     async def _take_over(self) -> None:
         token = self._ports.election.token
         self._log.info('takeover begins', term=token)
@@ -241,16 +259,32 @@
     def _run_round(self) -> None:
         started_at = read_clock()
         self._wake.clear()
+        self._planned = 0
         if self._ports.relays is not None:
             self._ports.relays.set_worker_count(self._fleet.count_live())
         moment = Moment(read_clock(), time.time())
-        for pool_state in self._pool_states:
+        for pool_state in self._rotate_pools():
             if end_inherited_pause(
                 pool_state, moment.now - self._started_at, self._longest_lease
             ):
                 self._log.info('pool settled', pool=pool_state.service)
-            self._fleet.send(
-                pool_state, StartPlanner(pool_state, moment).plan()
-            )
+            self._plan_starts(pool_state, moment)
             self._recorder.mark_dirty(pool_state.pop_dirty_jobs())
         self._round_seconds = read_clock() - started_at
+
+    def _rotate_pools(self) -> list[PoolState]:
+        """Return the pools, another one first in each round."""
+        pool_states = list(self._pool_states)
+        self._first_pool = (self._first_pool + 1) % max(len(pool_states), 1)
+        return [
+            *pool_states[self._first_pool :],
+            *pool_states[: self._first_pool],
+        ]
+
+    def _plan_starts(self, pool_state: PoolState, moment: Moment) -> None:
+        free = self._window.free - self._planned
+        starts = StartPlanner(pool_state, moment).plan(free)
+        self._planned += len(starts)
+        if len(starts) >= free:
+            self._window.note_exhausted(moment.now)
+        self._fleet.send(pool_state, starts)
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -61,7 +61,9 @@
         self._settings = settings
         self._log = make_logger('daemon')
         self._http = HttpTransport()
-        self._relays = RelayTransport(self._http, self._find_relays)
+        self._relays = RelayTransport(
+            self._http, self._find_relays, settings.processor.cores
+        )
         self._ports = _make_ports(settings, self._http, self._relays)
         self._core = Core(self._ports)
         incarnation = self._ports.election.incarnation
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -5,6 +5,7 @@
 from typing import Any, final
 
 from verbenapost.coordination.scheduling.commands import Command
+from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.platform.advice import AdviceClient
@@ -62,6 +63,7 @@
     :param hold_seconds: longest lease of a run in seconds.
     :param wake: triggers a planning round.
     :param metrics: metrics of the daemon.
+    :param window: limit of unanswered starts.
     :param send: sends commands to workers.
     :param log: logger.
     """
@@ -72,5 +74,6 @@
     hold_seconds: float
     wake: Callable[[], None]
     metrics: SchedulerMetrics
+    window: OrderWindow
     send: Callable[[PoolState, Sequence[Command]], None]
     log: Any
--- a/verbenapost/scheduler/relays.py
+++ b/verbenapost/scheduler/relays.py
@@ -17,9 +17,9 @@
 from verbenapost.scheduler.channels import Channel
 from verbenapost.scheduler.messages import RelayAnswer
 
-#: Workers up to which the leader sends all calls itself; the users' present
-#: sites have 49.
-MAX_DIRECT_WORKERS: Final = 64
+#: Workers for each core of the leader's VM up to which the leader sends all
+#: calls itself.
+DIRECT_WORKERS_PER_CORE: Final = 60
 
 #: Seconds beyond a call's own timeout for the round trip to the relay.
 RELAY_OVERHEAD_SECONDS: Final = 0.15
@@ -41,13 +41,16 @@
 
     :param local: transport of this process.
     :param find_relays: returns the channels of the relays by daemon name.
+    :param cores: processor capacity of this daemon in cores.
     """
 
     def __init__(
         self,
         local: Transport,
         find_relays: Callable[[], Mapping[str, Channel]],
+        cores: float = 1,
     ) -> None:
+        self._max_direct_workers = cores * DIRECT_WORKERS_PER_CORE
         self._local = local
         self._find_relays = find_relays
         self._relaying = False
@@ -60,7 +63,7 @@
 
         :param workers: number of workers.
         """
-        self._relaying = workers > MAX_DIRECT_WORKERS
+        self._relaying = workers > self._max_direct_workers
         if not self._relaying:
             self._rank_offsets.clear()
 
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from verbenapost.coordination.scheduling.jobs import TaskState
+from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.tests.sample import (
     SMALL,
     add_job,
@@ -100,6 +101,7 @@
         HOLD_SECONDS,
         lambda: None,
         SchedulerMetrics(),
+        OrderWindow(),
         lambda _pool_state, _commands: None,
         make_logger('worker'),
     )
--- a/verbenapost/scheduler/tests/test_peers.py
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -23,7 +23,7 @@
 )
 from verbenapost.scheduler.peers import LeaderClient, PeerServer
 from verbenapost.scheduler.relays import (
-    MAX_DIRECT_WORKERS,
+    DIRECT_WORKERS_PER_CORE,
     RelayHandler,
     RelayTransport,
 )
@@ -239,9 +239,9 @@
         transport = RelayTransport(local, site.server.find_relays)
         async with site.run():
             await wait_until(site.server.find_relays)
-            transport.set_worker_count(MAX_DIRECT_WORKERS)
+            transport.set_worker_count(DIRECT_WORKERS_PER_CORE)
             direct = await transport.send(CALL)
-            transport.set_worker_count(MAX_DIRECT_WORKERS + 1)
+            transport.set_worker_count(DIRECT_WORKERS_PER_CORE + 1)
             relayed = await transport.send(CALL)
             site.client.stop_relaying()
             await wait_until(lambda: not site.server.find_relays())
@@ -249,11 +249,22 @@
         assert relayed == site.worker.answer
         assert site.worker.calls == [CALL]
 
+    async def test_a_leader_on_a_small_vm_relays_earlier(self):
+        site = Site()
+        local = Worker(Ok(None))
+        transport = RelayTransport(local, site.server.find_relays, cores=0.1)
+        async with site.run():
+            await wait_until(site.server.find_relays)
+            transport.set_worker_count(DIRECT_WORKERS_PER_CORE // 10 + 1)
+            relayed = await transport.send(CALL)
+        assert relayed == site.worker.answer
+        assert not local.calls
+
     async def test_relayed_fault_is_preserved(self):
         site = Site()
         site.worker.answer = Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
         transport = RelayTransport(Worker(Ok(None)), site.server.find_relays)
-        transport.set_worker_count(MAX_DIRECT_WORKERS + 1)
+        transport.set_worker_count(DIRECT_WORKERS_PER_CORE + 1)
         async with site.run():
             await wait_until(site.server.find_relays)
             answer = await transport.send(CALL)
@@ -282,7 +293,7 @@
         }
         relays = {name: make_relay(row) for name, row in workers.items()}
         transport = RelayTransport(Worker(Ok(None)), lambda: relays)
-        transport.set_worker_count(MAX_DIRECT_WORKERS + 1)
+        transport.set_worker_count(DIRECT_WORKERS_PER_CORE + 1)
         for _ in relays:
             await transport.send(CALL)
         assert [len(row.calls) for row in workers.values()] == [1, 1, 1]
@@ -295,5 +306,5 @@
     async def test_leader_sends_calls_without_relays(self):
         local = Worker(Ok(EncodedAnswer(200, b'{}')))
         transport = RelayTransport(local, dict)
-        transport.set_worker_count(MAX_DIRECT_WORKERS + 1)
+        transport.set_worker_count(DIRECT_WORKERS_PER_CORE + 1)
         assert await transport.send(CALL) == local.answer
