--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -157,22 +157,6 @@
         self.clock.observe(answer.ok_value, sent_at, now)
         self._pool_state.note_started(task, command.run, now)
 
-    async def _send_start(
-        self, order: RunStart, sent_at: float
-    ) -> Result[int, CallFault]:
-        window = self._ports.window
-        window.begin()
-        try:
-            answer = await self._ports.client.start(self.worker.entry, order)
-        finally:
-            now = read_clock()
-            window.end(now - sent_at, now)
-        self._count_call('start', answer)
-        self._ports.metrics.order_seconds.observe({}, now - sent_at)
-        if window.is_exhausted(now):
-            self._ports.wake()
-        return answer
-
     async def stop(self, command: StopTask) -> None:
         """Send a stop until it is acknowledged, out of attempts or obsolete."""
         for _ in range(STOP_ATTEMPTS):
@@ -234,6 +218,22 @@
         )
         self._ports.wake()
 
+    async def _send_start(
+        self, order: RunStart, sent_at: float
+    ) -> Result[int, CallFault]:
+        window = self._ports.window
+        window.begin()
+        try:
+            answer = await self._ports.client.start(self.worker.entry, order)
+        finally:
+            now = read_clock()
+            window.end(now - sent_at, now)
+        self._count_call('start', answer)
+        self._ports.metrics.order_seconds.observe({}, now - sent_at)
+        if window.is_exhausted(now):
+            self._ports.wake()
+        return answer
+
     def _count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
         outcome = 'ok'
         if isinstance(answer, Err):
