Reach the store through another daemon when it turns this one away

Each time the lease ran out and nothing started for 1.5 to 1.7 s, cloud orders waited 2.2 s more and maintenance 4 s, although the leader reached its workers and the other daemons all the while. Ruled out: a shorter lease, which a store that answers slowly would end. Change: after two refusals or one silent call, the calls go through a connected daemon that has shown an answer of the store; the direct way is tried twice a second. A call with an unknown outcome is not repeated there. A store that answers neither way is asked directly as before. The creation of the core's dependencies has a module of its own. Tests: test_storetransport.py (the module is new); TestLease failed before, as renewals had one way only.

--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -19,7 +19,13 @@
     read_rows,
     read_text,
 )
-from verbenapost.platform.http import Answer, Call, HttpClient
+from verbenapost.platform.http import (
+    Answer,
+    Call,
+    EncodedAnswer,
+    EncodedCall,
+    HttpClient,
+)
 from verbenapost.protocol.orders import (
     CallFault,
     CallFaultKind,
@@ -54,6 +60,7 @@
 _LIMITED = 429
 _UNAVAILABLE = 503
 _MISSING: Final = CallFault(CallFaultKind.NOT_FOUND)
+_REFUSED: Final = frozenset((_LIMITED, _UNAVAILABLE))
 _NOT_PROCESSED: Final = frozenset(
     (CallFaultKind.NOT_DONE, CallFaultKind.UNKNOWN, CallFaultKind.LIMITED)
 )
@@ -61,6 +68,25 @@
 _Decoded = TypeVar('_Decoded')
 
 
+def is_processed(answer: Result[EncodedAnswer, CallFault]) -> bool:
+    """Return whether the store has processed a call.
+
+    :param answer: answer of the store.
+    """
+    return isinstance(answer, Ok) and answer.ok_value.status not in _REFUSED
+
+
+def make_probe(address: str, timeout: float) -> EncodedCall:
+    """Return a call without an effect that each store answers at once.
+
+    :param address: ``IP:port`` of the store.
+    :param timeout: timeout of the call in seconds.
+    """
+    query = urlencode({'key': names.CONFIGURATION_KEY, 'serializable': 1})
+    path = f'{names.KEY_PATH}?{query}'
+    return EncodedCall('GET', address, path, None, {}, timeout)
+
+
 def _ignore(_answered: bool) -> None:  # noqa: FBT001
     """Ignore the outcome of a call."""
 
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -4,26 +4,19 @@
 from collections.abc import Callable, Mapping
 from typing import Final
 
-from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.daemon.web import WebAddress, WebServer
-from verbenapost.platform.advice import AdviceClient
-from verbenapost.platform.cloud import CloudClient
-from verbenapost.platform.http import HttpClient, HttpTransport
-from verbenapost.platform.store import PlatformStore
-from verbenapost.platform.workers import WorkerClient
+from verbenapost.platform.http import HttpTransport
 from verbenapost.scheduler.applications import CallerApp, MetricsApp, ProbeApp
+from verbenapost.scheduler.assembly import make_ports
 from verbenapost.scheduler.channels import Channel
-from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.core import Core
-from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.entry import Entry
-from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.peers import LeaderClient, PeerServer
-from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.relays import RelayHandler, RelayTransport
 from verbenapost.scheduler.settings import SchedulerSettings
+from verbenapost.scheduler.storetransport import StoreTransport
 from verbenapost.transport.peers import Identity
 
 #: Connections that may wait to be accepted.
@@ -64,7 +57,15 @@
         self._relays = RelayTransport(
             self._http, self._find_relays, settings.processor.cores
         )
-        self._ports = _make_ports(settings, self._http, self._relays)
+        self._store_transport = StoreTransport(
+            self._http,
+            settings.store.address,
+            self._find_relays,
+            make_logger('store'),
+        )
+        self._ports = make_ports(
+            settings, self._http, self._relays, self._store_transport
+        )
         self._core = Core(self._ports)
         incarnation = self._ports.election.incarnation
         identity = Identity(settings.daemon, incarnation, incarnation)
@@ -125,6 +126,7 @@
         await self._core.close()
         await self._peers.close()
         await self._peer_server.stop()
+        await self._store_transport.close()
         await self._http.close()
         self._log.info('stopped', seconds=round(read_clock() - began, 2))
 
@@ -151,36 +153,6 @@
         )
 
 
-def _make_ports(
-    settings: SchedulerSettings,
-    transport: HttpTransport,
-    relays: RelayTransport,
-) -> LeaderPorts:
-    http = HttpClient(transport)
-    outage_detector = StoreOutageDetector()
-
-    def observe(answered: bool) -> None:  # noqa: FBT001
-        outage_detector.record_call(answered=answered, now=read_clock())
-
-    store = PlatformStore(http, settings.store.address, observe)
-    cloud = settings.cloud
-    advice = settings.advice_address
-    return LeaderPorts(
-        settings=settings,
-        store=store,
-        workers=WorkerClient(HttpClient(relays)),
-        cloud=(
-            CloudClient(http, cloud.address, settings.daemon) if cloud else None
-        ),
-        advice=AdviceClient(http, advice) if advice else None,
-        election=Election(store, settings, make_logger('election')),
-        configuration=ConfigurationFollower(make_logger('configuration')),
-        metrics=SchedulerMetrics(),
-        relays=relays,
-        outage_detector=outage_detector,
-    )
-
-
 def _parse(address: str) -> WebAddress:
     host, _, port = address.rpartition(':')
     return WebAddress(host, int(port), BACKLOG)
--- a/verbenapost/scheduler/relays.py
+++ b/verbenapost/scheduler/relays.py
@@ -75,11 +75,10 @@
         relay = self._choose_relay(call.address) if self._relaying else None
         if relay is None:
             return await self._local.send(call)
-        answer = await relay.ask(call, call.timeout + RELAY_OVERHEAD_SECONDS)
-        decoded = answer.and_then(_read_answer)
-        if isinstance(decoded, Err):
+        answer = await relay_call(relay, call)
+        if isinstance(answer, Err):
             self._rank_offsets[call.address] += 1
-        return decoded
+        return answer
 
     def _choose_relay(self, address: str) -> Channel | None:
         relays = self._find_relays()
@@ -124,6 +123,20 @@
         return RelayAnswer(found.status, found.payload)
 
 
+async def relay_call(
+    relay: Channel, call: EncodedCall
+) -> Result[EncodedAnswer, CallFault]:
+    """Send a call through another daemon.
+
+    :param relay: connection to the daemon.
+    :param call: the call.
+    :returns: the answer with any status, or a fault that tells whether the
+        call may have had an effect.
+    """
+    answer = await relay.ask(call, call.timeout + RELAY_OVERHEAD_SECONDS)
+    return answer.and_then(_read_answer)
+
+
 def _read_answer(answer: RelayAnswer) -> Result[EncodedAnswer, CallFault]:
     if answer.fault:
         return Err(CallFault(CallFaultKind(answer.fault), answer.detail))
