Wait for listed workers whose entries have lapsed before inherited tasks start

The next leader listed the few workers that had registered again, heard all of these, ended the pause of inherited jobs and started tasks of the absent workers elsewhere, while those ran on and came back within two seconds. Ruled out: leases of the runs (10 s, not over), a frozen former leader. Change: the pause also lasts until each worker that the platform's list of VMs shows in the pool has an entry, at most 2.5 s after the takeover; without a list, for these 2.5 s. The pause has a module of its own.

--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -128,6 +128,19 @@
         ]
         return IncomingVms(sum(cores), len(cores))
 
+    def find_listed_workers(self, service: str) -> set[str] | None:
+        """Return the workers of a pool that the list of VMs shows.
+
+        :returns: names of the workers, or ``None`` while the list is not read.
+        """
+        if not self._vm_list.vms:
+            return None
+        return {
+            vm.worker
+            for vm in self._vm_list.vms.values()
+            if vm.pool == service and vm.worker and vm.state is FleetVmState.UP
+        }
+
     async def _wait_for_predecessor(self) -> None:
         """Wait until the previous leader can't send orders any more.
 
--- /dev/null
+++ b/verbenapost/scheduler/inheritance.py
@@ -0,0 +1,63 @@
+"""The pause of jobs that a former leader may have started.
+
+Load pattern: a leader is replaced while tasks run. The store may have been away
+before; leases expire meanwhile, so that entries of live workers are missing for
+some seconds. A task that such a worker still runs must not start elsewhere.
+"""
+
+import dataclasses
+from collections.abc import Collection
+from typing import Final, final
+
+from verbenapost.coordination.scheduling.poolstate import PoolState
+
+#: Multiple of the longest lease to wait for an unreachable worker. More than 1,
+#: since its clock may run slow and orders take time to arrive.
+PAUSE_FACTOR: Final = 1.05
+
+#: Seconds after a takeover until a worker without an entry counts as gone. Live
+#: workers whose entries expired have registered again by then.
+REGISTRATION_SECONDS: Final = 2.5
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """What is known about a takeover when a pause may end.
+
+    :param passed: seconds since the takeover.
+    :param longest_lease: longest lease of a run in seconds.
+    :param listed: workers of the pool that the platform's list of VMs shows,
+        or ``None`` while the list has not been read.
+    """
+
+    passed: float
+    longest_lease: float
+    listed: Collection[str] | None
+
+
+def end_inherited_pause(pool_state: PoolState, takeover: Takeover) -> bool:
+    """End the pause of jobs that a former leader may have started.
+
+    The pause ends once every worker has reported its runs, or once every lease
+    that the former leader may have granted has expired.
+
+    :param pool_state: state of the pool.
+    :param takeover: what is known about the takeover.
+    :returns: whether this call ended the pause.
+    """
+    if not pool_state.recovering:
+        return False
+    lapsed = takeover.passed > takeover.longest_lease * PAUSE_FACTOR
+    if lapsed or _have_all_reported(pool_state, takeover):
+        pool_state.recovering = False
+    return not pool_state.recovering
+
+
+def _have_all_reported(pool_state: PoolState, takeover: Takeover) -> bool:
+    if not all(worker.reconciled for worker in pool_state.workers.values()):
+        return False
+    if takeover.passed > REGISTRATION_SECONDS:
+        return True
+    listed = takeover.listed
+    return listed is not None and pool_state.workers.keys() >= set(listed)
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -23,10 +23,11 @@
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.follower import PrefixFollower
+from verbenapost.scheduler.inheritance import Takeover, end_inherited_pause
 from verbenapost.scheduler.intake import JobIntake
 from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
 from verbenapost.scheduler.messages import AdmissionRequest, AdmissionResponse
-from verbenapost.scheduler.poolstates import PoolStateSet, end_inherited_pause
+from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LeaderPorts, LinkPorts
 from verbenapost.scheduler.recorder import Recorder
 from verbenapost.scheduler.tasks import TaskSet
@@ -264,14 +265,23 @@
             self._ports.relays.set_worker_count(self._fleet.count_live())
         moment = Moment(read_clock(), time.time())
         for pool_state in self._rotate_pools():
-            if end_inherited_pause(
-                pool_state, moment.now - self._started_at, self._longest_lease
-            ):
-                self._log.info('pool settled', pool=pool_state.service)
+            self._end_inherited_pause(pool_state, moment.now)
             self._plan_starts(pool_state, moment)
             self._recorder.mark_dirty(pool_state.pop_dirty_jobs())
         self._round_seconds = read_clock() - started_at
 
+    def _end_inherited_pause(self, pool_state: PoolState, now: float) -> None:
+        listed = None
+        if self._controller is not None and pool_state.recovering:
+            listed = self._controller.find_listed_workers(pool_state.service)
+        takeover = Takeover(now - self._started_at, self._longest_lease, listed)
+        if end_inherited_pause(pool_state, takeover):
+            self._log.info(
+                'pool settled',
+                pool=pool_state.service,
+                seconds=round(takeover.passed, 2),
+            )
+
     def _rotate_pools(self) -> list[PoolState]:
         """Return the pools, another one first in each round."""
         pool_states = list(self._pool_states)
--- a/verbenapost/scheduler/poolstates.py
+++ b/verbenapost/scheduler/poolstates.py
@@ -1,38 +1,9 @@
 """The scheduling states of all pools."""
 
 from collections.abc import Iterator
-from typing import Final
 
 from verbenapost.coordination.scheduling.poolstate import PoolState
 
-#: Multiple of the longest lease to wait for an unreachable worker after a
-#: takeover. More than 1, since its clock may run slow and orders take time to
-#: arrive.
-PAUSE_FACTOR: Final = 1.05
-
-
-def end_inherited_pause(
-    pool_state: PoolState, passed: float, longest_lease: float
-) -> bool:
-    """End the pause of jobs that a previous leader may have started.
-
-    The pause ends once every worker has reported its runs, or once every lease
-    that the previous leader may have granted has expired.
-
-    :param pool_state: state of the pool.
-    :param passed: seconds since the takeover.
-    :param longest_lease: longest lease of a run in seconds.
-    :returns: whether this call ended the pause.
-    """
-    if not pool_state.recovering:
-        return False
-    all_reported = all(
-        worker.reconciled for worker in pool_state.workers.values()
-    )
-    if all_reported or passed > longest_lease * PAUSE_FACTOR:
-        pool_state.recovering = False
-    return not pool_state.recovering
-
 
 class PoolStateSet:
     """Creates the state of each pool on first use.
--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -6,6 +6,7 @@
 import pytest
 
 from verbenapost.platform.names import WORKER_PREFIX
+from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     STEPS,
@@ -254,6 +255,40 @@
         assert play(scenario) == ([], {COMPLETED})
 
 
+class TestLapsedEntries:
+    """Leases expire while the store is away; live workers register again."""
+
+    async def play_outage(self, world, returned):
+        """Let all leases expire; some workers register again at once."""
+        await wait_for_leader(world)
+        long_running = [{'count': 8, 'cpu': 2000, 'long_running': True}]
+        await world.submit('1a57000000000000', long_running)
+        await asyncio.sleep(2)
+        world.store.faults.silent = True
+        await asyncio.sleep(3)
+        for name in world.workers:
+            world.store.remove(f'{WORKER_PREFIX}{name}')
+        world.store.remove(LEADER_KEY)
+        world.store.faults.silent = False
+        for name, worker in world.workers.items():
+            if name not in returned:
+                await asyncio.sleep(0.45)
+            worker.register()
+        await asyncio.sleep(12)
+        running = sum(len(row.runs) for row in world.workers.values())
+        return check_rules(world), running
+
+    @pytest.mark.parametrize('returned', [(), ('w1',), ('w0', 'w2', 'w3')])
+    @pytest.mark.parametrize('standby', [0, None])
+    def test_runs_of_absent_workers_do_not_start_again(
+        self, play, returned, standby
+    ):
+        async def scenario(world):
+            return await self.play_outage(world, returned)
+
+        assert play(scenario, standby_vms=standby) == ([], 8)
+
+
 class TestRandomHistories:
     async def inject_fault(self, world, rng):
         """Inject one random fault and end it again."""
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -25,9 +25,10 @@
 from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.fleet import WorkerFleet
+from verbenapost.scheduler.inheritance import Takeover, end_inherited_pause
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
-from verbenapost.scheduler.poolstates import PoolStateSet, end_inherited_pause
+from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.state.workloads import (
     FleetVm,
@@ -166,12 +167,12 @@
     def test_inherited_jobs_of_the_pool_continue_at_once(self, monkeypatch):
         pool_state, fleet, link = self.make_fleet(monkeypatch)
         assert not end_inherited_pause(
-            pool_state, passed=0.1, longest_lease=HOLD_SECONDS
+            pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
         fleet.end_replaced_incarnations(self.list_vm('standby'), wall=100)
         assert link.ended
         assert end_inherited_pause(
-            pool_state, passed=0.1, longest_lease=HOLD_SECONDS
+            pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
 
     def test_reachable_worker_is_kept(self, monkeypatch):
@@ -185,7 +186,7 @@
         fleet.end_replaced_incarnations(self.list_vm('routing'), wall=100)
         assert not link.ended
         assert not end_inherited_pause(
-            pool_state, passed=0.1, longest_lease=HOLD_SECONDS
+            pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
 
 
