Read the percent of a run as its progress, and move the next task sooner

Change: progress and pace are two fields; a task is available once a report shows 100 and a load; while an evacuation waits for it, reports are requested every 0.4 s. The pace that a former leader may have set is unknown. A job of long-running tasks counts as demand, so that VMs are added for its evacuation. The stand-ins' tasks start up.

--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -18,6 +18,12 @@
 #: Longest lease of a run in seconds.
 MAX_LEASE_SECONDS = 6.0
 
+#: Seconds from the start of a long-running task until it is at work.
+STARTUP_SECONDS = 0.7
+
+#: Thousandths of a core that each run at work uses.
+LOAD = 1000
+
 
 @dataclasses.dataclass
 class WorkerFaults:
@@ -73,6 +79,13 @@
     run: int
     ends_at: float
     kind: RunEndKind
+    started_at: float = 0
+
+    def list(self, task, now):
+        """Return the run as its worker lists it."""
+        seconds = min(self.ends_at - self.started_at, STARTUP_SECONDS)
+        progress = min(100, round((now - self.started_at) / seconds * 100))
+        return ListedRun(task, self.run, '', progress, LOAD)
 
 
 class FleetWorker:
@@ -169,7 +182,7 @@
         self.deadline = max(self.deadline, order.deadline)
         seconds, kind = self.world.draw_run(self, order.task)
         ends_at = self.world.now() + seconds
-        self.runs[order.task] = _Run(order.run, ends_at, kind)
+        self.runs[order.task] = _Run(order.run, ends_at, kind, self.world.now())
         self.world.history.append(
             RunStarted(self.world.now(), self.name, order.task, order.run),
         )
@@ -201,9 +214,9 @@
 
     def report(self):
         """Return the running tasks and the unacknowledged ends."""
+        now = self.world.now()
         running = [
-            ListedRun(task, task_run.run, '', 100, 0)
-            for task, task_run in self.runs.items()
+            task_run.list(task, now) for task, task_run in self.runs.items()
         ]
         return WorkerReport(
             self.read_clock(), running, list(self.ends), self.incarnation
--- a/verbenapost/coordination/scheduling/demand.py
+++ b/verbenapost/coordination/scheduling/demand.py
@@ -66,10 +66,10 @@
         :param core_seconds: expected work of the job.
         :param now: local seconds.
         """
+        self.has_demand = True
         if job in self._recorded_jobs or not core_seconds:
             return
         self._recorded_jobs[job] = None
-        self.has_demand = True
         if len(self._recorded_jobs) > MAX_REMEMBERED:
             self._recorded_jobs.popitem(last=False)
         self._arrivals.append(_Arrival(now, core_seconds))
--- a/verbenapost/coordination/scheduling/evacuation.py
+++ b/verbenapost/coordination/scheduling/evacuation.py
@@ -2,20 +2,17 @@
 
 import dataclasses
 from collections.abc import Collection
-from typing import Final, final
+from typing import final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
-from verbenapost.coordination.scheduling.jobs import Task, TaskState
+from verbenapost.coordination.scheduling.jobs import (
+    FULL_PROGRESS,
+    Task,
+    TaskState,
+)
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
 
-#: Seconds after its start from which a long-running task counts as available;
-#: workers don't report when its startup has finished.
-STARTUP_SECONDS: Final = 2.0
-
-#: Percent of its full speed at which a task counts as available.
-FULL_PERCENT: Final = 100
-
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +40,7 @@
     A stopped task starts on another worker in the next round, where capacity
     has been reserved for it. ``may_miss`` is the step's disruption budget: the
     number of its tasks that may be unavailable at the same time. A stopped
-    task counts as unavailable until it has finished its startup again. Budget
+    task counts as unavailable until a report shows it at work again. Budget
     and capacity are ignored on a draining worker, whose tasks have to end in
     any case.
 
@@ -106,29 +103,38 @@
     unavailable = sum(
         1
         for other in step.tasks
-        if other is not task and not is_available(pool_state, other, now)
+        if other is not task and not is_available(pool_state, other)
     )
     return unavailable < step.spec.may_miss
 
 
-def is_available(pool_state: PoolState, task: Task, now: float) -> bool:
-    """Return whether a task is reachable and has finished its startup."""
+def delays_evacuation(pool_state: PoolState, task: Task) -> bool:
+    """Return whether stops of other tasks wait until a task is at work."""
+    return (
+        task.step.may_miss > 0
+        and task.state is TaskState.RUNNING
+        and not is_available(pool_state, task)
+        and any(not worker.staying for worker in pool_state.workers.values())
+    )
+
+
+def is_available(pool_state: PoolState, task: Task) -> bool:
+    """Return whether a task is reachable and at work."""
     worker = pool_state.workers.get(task.worker)
     if worker is None or not worker.reachable:
         return False
     return (
         task.state is TaskState.RUNNING
-        and _makes_progress(task)
-        and task.percent == FULL_PERCENT
-        and now - task.started_at >= STARTUP_SECONDS
+        and task.progress >= FULL_PROGRESS
+        and _uses_processors(task)
     )
 
 
-def _makes_progress(task: Task) -> bool:
-    """Return whether a task makes progress.
+def _uses_processors(task: Task) -> bool:
+    """Return whether a task is not stalled.
 
     The load of a stalled task is 0. For a task with a latency target, the
-    load is the tail of its response times, so it says nothing about progress.
+    load is the tail of its response times, so it doesn't show a stall.
     """
     return bool(task.step.target) or task.load > 0
 
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -15,6 +15,12 @@
     TaskKey,
 )
 
+#: Percent of full speed at which a run starts.
+FULL_PACE: Final = 100
+
+#: Percent of progress at which a long-running task is at work.
+FULL_PROGRESS: Final = 100
+
 
 @enum.unique
 class TaskState(enum.StrEnum):
@@ -48,7 +54,10 @@
     :param failed_runs: numbers of the runs that have failed.
     :param checkpoint: checkpoint from which the next run resumes.
     :param started_at: local seconds of the last start.
-    :param percent: percentage of full speed that the task is allowed.
+    :param pace: percent of full speed that the task is allowed; ``None`` when
+        a former leader may have set it.
+    :param progress: percent of the task's work that the worker last reported
+        as done, or of its startup if it is long-running.
     :param load: load that the worker last reported for the task.
     :param seen_at: local seconds at which the worker last confirmed the task.
     :param stop_requested_at: local seconds at which a stop was last requested.
@@ -63,7 +72,8 @@
     failed_runs: tuple[int, ...] = ()
     checkpoint: str = ''
     started_at: float = 0
-    percent: int = 100
+    pace: int | None = FULL_PACE
+    progress: int = 0
     load: float = 0
     seen_at: float = 0
     stop_requested_at: float = -math.inf
--- a/verbenapost/coordination/scheduling/pacing.py
+++ b/verbenapost/coordination/scheduling/pacing.py
@@ -10,7 +10,11 @@
 import dataclasses
 from typing import Final, final
 
-from verbenapost.coordination.scheduling.jobs import Task, TaskState
+from verbenapost.coordination.scheduling.jobs import (
+    FULL_PACE,
+    Task,
+    TaskState,
+)
 from verbenapost.coordination.scheduling.workers import Worker
 
 #: Share of its latency target from which a serving task is close to missing
@@ -24,7 +28,6 @@
 #: Percent of full speed that a report of low latency gives back.
 SPEED_UP_PERCENT: Final = 20
 
-_FULL: Final = 100
 _MS: Final = 1000
 
 
@@ -35,12 +38,12 @@
 
     :param task: the task.
     :param run: number of the run.
-    :param percent: percentage of full speed.
+    :param pace: percent of full speed.
     """
 
     task: Task
     run: int
-    percent: int
+    pace: int
 
 
 def pace_worker(worker: Worker) -> list[PaceTask]:
@@ -58,10 +61,10 @@
         return []
     latency_share = _find_highest_latency(worker)
     return [
-        PaceTask(task, task.run, percent)
+        PaceTask(task, task.run, pace)
         for task in best_effort
-        if (percent := _choose_percent(latency_share, task.percent))
-        != task.percent
+        if (pace := _choose_pace(latency_share, task.pace)) is not None
+        and pace != task.pace
     ]
 
 
@@ -77,11 +80,12 @@
     )
 
 
-def _choose_percent(latency_share: float, percent: int) -> int:
+def _choose_pace(latency_share: float, pace: int | None) -> int | None:
+    known = FULL_PACE if pace is None else pace
     if latency_share >= 1:
         return 0
     if latency_share >= SLOW_DOWN_SHARE:
-        return percent // 2
+        return known // 2
     if latency_share <= SPEED_UP_SHARE:
-        return min(_FULL, percent + SPEED_UP_PERCENT)
-    return percent
+        return min(FULL_PACE, known + SPEED_UP_PERCENT)
+    return pace
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -7,7 +7,12 @@
 from typing import final
 
 from verbenapost.coordination.scheduling.commands import StartTask
-from verbenapost.coordination.scheduling.jobs import StepRun, Task, TaskState
+from verbenapost.coordination.scheduling.jobs import (
+    FULL_PACE,
+    StepRun,
+    Task,
+    TaskState,
+)
 from verbenapost.coordination.scheduling.placement import (
     WorkerRanking,
     choose_gang_workers,
@@ -185,7 +190,9 @@
         task.started_at = self._moment.now
         task.stop_acknowledged = False
         task.stop_requested_at = -math.inf
-        task.percent = 100
+        task.pace = FULL_PACE
+        task.progress = 0
+        task.load = 0
         worker.book(task)
         ticket = '' if tickets is None else tickets.get(name, '')
         return StartTask(name, task, task.run, step.job.spec.payload, ticket)
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -90,6 +90,8 @@
             task.worker = name
             task.run = row.run
             task.started_at = self._now
+            # A former leader may have slowed it down.
+            task.pace = None
             self._worker.book(task)
             return self._confirm(task, row)
         size = compute_booking(task.step)
@@ -115,7 +117,7 @@
 
     def _confirm(self, task: Task, row: ListedRun) -> list[Command]:
         task.checkpoint = row.checkpoint or task.checkpoint
-        task.percent = row.percent
+        task.progress = row.progress
         task.load = row.load
         if self._is_ended(task):
             task.seen_at = self._now
--- a/verbenapost/coordination/scheduling/tests/sample.py
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -1,6 +1,6 @@
 """Sample jobs and workers for the scheduling tests."""
 
-from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.coordination.scheduling.jobs import FULL_PROGRESS, Job
 from verbenapost.coordination.scheduling.planning import Moment, StartPlanner
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.reports import ReportReconciler
@@ -75,10 +75,16 @@
     starts = plan(pool_state, now, wall)
     for start in starts:
         pool_state.note_started(start.task, start.run, now)
-        start.task.load = 1
+        start_up(start)
     return starts
 
 
+def start_up(start):
+    """Show a started task at work."""
+    start.task.load = 1
+    start.task.progress = FULL_PROGRESS
+
+
 def end_run(pool_state, start, kind=RunEndKind.DONE, now=1.0, checkpoint=''):
     """Report the end of a start's run and return the commands."""
     end = RunEnd(1, start.task.key, start.run, kind, checkpoint)
@@ -86,8 +92,8 @@
     return ReportReconciler(pool_state, worker, now).apply_end(end)
 
 
-def make_row(start, checkpoint='', load=0.0):
-    return ListedRun(start.task.key, start.run, checkpoint, 100, load)
+def make_row(start, checkpoint='', load=0.0, progress=FULL_PROGRESS):
+    return ListedRun(start.task.key, start.run, checkpoint, progress, load)
 
 
 def report(pool_state, name, running=(), ends=(), sent=0.0, now=1.0):
--- a/verbenapost/coordination/scheduling/tests/test_evacuation.py
+++ b/verbenapost/coordination/scheduling/tests/test_evacuation.py
@@ -4,10 +4,7 @@
 
 import pytest
 
-from verbenapost.coordination.scheduling.evacuation import (
-    STARTUP_SECONDS,
-    evacuate,
-)
+from verbenapost.coordination.scheduling.evacuation import evacuate
 from verbenapost.coordination.scheduling.tests.sample import (
     CAPACITY,
     SMALL,
@@ -15,7 +12,9 @@
     end_run,
     make_entry,
     make_pool_state,
+    make_row,
     plan,
+    report,
     start_all,
 )
 from verbenapost.protocol.orders import RunEndKind
@@ -42,7 +41,7 @@
         start_all(pool_state)
         leaving = list(pool_state.workers.values())
         add_worker(pool_state, 'w2')
-        assert len(stop(pool_state, leaving, STARTUP_SECONDS)) == stopped
+        assert len(stop(pool_state, leaving, now=9)) == stopped
 
     def test_the_next_task_stops_once_the_previous_one_is_available(self):
         pool_state = make_pool_state(make_entry('w0'), make_entry('w1'))
@@ -54,10 +53,16 @@
         (stopped,) = stop(pool_state, [leaving], now=9)
         (first,) = [row for row in starts if row.task is stopped.task]
         end_run(pool_state, first, RunEndKind.STOPPED, now=9)
-        (again,) = start_all(pool_state, now=9)
+        (again,) = plan(pool_state, now=9)
+        pool_state.note_started(again.task, again.run, now=9)
         assert again.worker != leaving.entry.worker
-        assert stop(pool_state, [leaving], now=9.5) == []
-        assert len(stop(pool_state, [leaving], now=9 + STARTUP_SECONDS)) == 1
+        for progress, load in ((60, 0), (100, 0)):
+            row = make_row(again, load=load, progress=progress)
+            report(pool_state, again.worker, [row], now=19)
+            assert stop(pool_state, [leaving], now=19) == []
+        row = make_row(again, load=1)
+        report(pool_state, again.worker, [row], now=20)
+        assert len(stop(pool_state, [leaving], now=20)) == 1
 
     def test_unreachable_tasks_count_as_unavailable(self):
         pool_state = make_pool_state(make_entry('w0'), make_entry('w1'))
--- a/verbenapost/platform/workers.py
+++ b/verbenapost/platform/workers.py
@@ -218,7 +218,7 @@
         task=decode_task(fields[0]),
         run=int(fields[1]),
         checkpoint=str(fields.get(2) or ''),
-        percent=int(fields.get(3, 100)),
+        progress=int(fields.get(3, 100)),
         load=float(fields.get(4) or 0),
     )
 
--- a/verbenapost/protocol/orders.py
+++ b/verbenapost/protocol/orders.py
@@ -189,7 +189,8 @@
     :param task: the task.
     :param run: number of the run.
     :param checkpoint: last checkpoint, or empty.
-    :param percent: percentage of its full speed that the run may use.
+    :param progress: percent of the run's work that is done; for a long-running
+        task, percent of its startup, so that it is at work from 100 on.
     :param load: tail of the response times in milliseconds for a serving
         task, else the processors in use in thousandths of a core.
     """
@@ -197,7 +198,7 @@
     task: TaskKey
     run: int
     checkpoint: str
-    percent: int
+    progress: int
     load: float
 
 
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -25,6 +25,7 @@
     WorkerReport,
 )
 from verbenapost.scheduler.ports import LinkPorts
+from verbenapost.scheduler.startups import follow_startup
 from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds that a worker may wait for an ended run before it answers. Leases
@@ -156,6 +157,7 @@
         now = read_clock()
         self.clock.observe(answer.ok_value, sent_at, now)
         self._pool_state.note_started(task, command.run, now)
+        await follow_startup(self, self._pool_state, task)
 
     async def stop(self, command: StopTask) -> None:
         """Send a stop until it is acknowledged, out of attempts or obsolete."""
@@ -336,20 +338,20 @@
                 self.worker.entry,
                 order.task.key,
                 order.run,
-                order.percent,
+                order.pace,
                 self._ports.election.token,
             )
             self._ports.log.info(
                 'task paced',
                 job=order.task.key.job,
                 worker=self.name,
-                percent=order.percent,
+                percent=order.pace,
                 outcome=str(answer.err()),
             )
             if isinstance(answer, Err):
                 self._handle_final_fault(answer.err_value)
             else:
-                order.task.percent = order.percent
+                order.task.pace = order.pace
 
     async def _store_ends(
         self,
--- a/verbenapost/scheduler/tests/test_waves.py
+++ b/verbenapost/scheduler/tests/test_waves.py
@@ -11,6 +11,7 @@
     STEPS,
     check_rules,
     name_job,
+    name_long_running,
     wait_for_leader,
 )
 from verbenapost.state.workloads import FleetVmState
@@ -73,3 +74,28 @@
 
         found = play(scenario, seed=seed, workers=4, standby_vms=4)
         assert found == (set(), True, [])
+
+
+class TestLongRunningTasks:
+    """A wave empties VMs of tasks of which one may be unavailable at a time."""
+
+    DURATION = 14
+
+    def test_the_next_task_moves_as_soon_as_the_last_one_is_at_work(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            step = {
+                'count': 8,
+                'cpu': 2000,
+                'long_running': True,
+                'may_miss': 1,
+            }
+            await world.submit(name_long_running(1), [step])
+            await asyncio.sleep(4)
+            vms = [row.vm for row in world.workers.values()]
+            world.request_wave(1, vms, duration=self.DURATION, cap=CAP)
+            await asyncio.sleep(self.DURATION)
+            return read_wave_state(world), check_rules(world)
+
+        found = play(scenario, workers=2, standby_vms=2)
+        assert found == ('completed', [])
