Try a read before a write while the store may be away

Each of 97 entries learned of the outage alone, from three failed calls of its own, and a silent store fails a call after 1 s or more. Ruled out: an answer before the deadline (an unanswered write may be carried out later, so a refusal would not be true). Change: a call without an answer for 0.4 s, or one failed call, makes the store suspect; the leader, which calls all the time, tells it with each admission. An entry then sends two reads at once before it writes, and refuses truly if neither is answered. A slow store answers in less. Tests: test_outcomes_stay_known_soon_after_the_outage_begins (the silent case failed before with 504), doctest of the detector.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -17,6 +17,12 @@
     TransactionConflict,
 )
 
+#: Seconds after which a call without an answer fails.
+TIMEOUT_SECONDS = 1.0
+
+#: The same for a probe.
+PROBE_SECONDS = 0.5
+
 
 @dataclasses.dataclass
 class FleetStoreFaults:
@@ -152,12 +158,12 @@
 class FleetStore:
     """Store client of one daemon, with the scheduler's interface.
 
-    :param observe: called after each call with whether the store answered.
+    :param observer: observes each call.
     """
 
-    def __init__(self, core, observe):
+    def __init__(self, core, observer):
         self.core = core
-        self.observe = observe
+        self.observer = observer
         self.faults = FleetStoreFaults()
         self.calls = Counter()
 
@@ -210,10 +216,10 @@
             delay = self.core.rng.uniform(1, 6)
             loop = asyncio.get_running_loop()
             loop.call_later(delay, self.core.apply, transaction)
-            return await self._time_out()
+            return await self._lose_answer()
         answer = self.core.apply(transaction)
         if draw < late + lose:
-            return await self._time_out()
+            return await self._lose_answer()
         return answer
 
     async def grant_lease(self, ttl):
@@ -245,20 +251,33 @@
             return Err(CallFault(CallFaultKind.NOT_FOUND))
         return Ok(None)
 
-    async def _call(self, kind):
+    async def probe(self):
+        """Return whether the store answers."""
+        return await self._call('probe', timeout=PROBE_SECONDS) is None
+
+    async def _lose_answer(self):
+        number = self.observer.begin(0)
+        fault = await self._time_out()
+        self.observer.end(number, answered=False)
+        return fault
+
+    async def _call(self, kind, wait=0, timeout=TIMEOUT_SECONDS):
         self.calls[kind] += 1
         self.core.calls[kind] += 1
+        number = self.observer.begin(wait)
+        fault = await self._find_fault(timeout)
+        self.observer.end(number, answered=fault is None)
+        return fault
+
+    async def _find_fault(self, timeout):
         await asyncio.sleep(self.faults.latency + self.core.faults.latency)
         self.core.expire()
         if self.faults.silent or self.core.faults.silent:
-            return await self._time_out()
+            return await self._time_out(timeout)
         if self.faults.down or self.core.faults.down:
-            self.observe(False)  # noqa: FBT003
             return Err(CallFault(CallFaultKind.NOT_DONE, 'down'))
-        self.observe(True)  # noqa: FBT003
         return None
 
-    async def _time_out(self):
-        await asyncio.sleep(1)
-        self.observe(False)  # noqa: FBT003
+    async def _time_out(self, timeout=TIMEOUT_SECONDS):
+        await asyncio.sleep(timeout)
         return Err(CallFault(CallFaultKind.UNKNOWN, 'no answer'))
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -11,7 +11,6 @@
 from standins.fleet.workers import FleetWorker, FleetWorkers
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
-from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import RunEndKind
 from verbenapost.scheduler.answers import EntryRequest
 from verbenapost.scheduler.configuration import ConfigurationFollower
@@ -21,6 +20,7 @@
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.settings import SchedulerSettings
+from verbenapost.scheduler.storecalls import StoreCallObserver
 from verbenapost.state.workloads import Resources
 
 HOST = 'host'
@@ -60,12 +60,7 @@
         self.name = name
         self.alive = True
         outage_detector = StoreOutageDetector()
-        self.store = FleetStore(
-            world.store,
-            lambda answered: outage_detector.record_call(
-                answered=answered, now=read_clock()
-            ),
-        )
+        self.store = FleetStore(world.store, StoreCallObserver(outage_detector))
         self.workers = FleetWorkers(world)
         settings = make_settings(name)
         self.ports = LeaderPorts(
--- a/verbenapost/coordination/scheduling/outages.py
+++ b/verbenapost/coordination/scheduling/outages.py
@@ -6,6 +6,8 @@
 was attempted gets an uncertain answer.
 """
 
+import itertools
+import math
 from typing import Final
 
 #: Consecutive failures before the store counts as unavailable: single answers
@@ -16,6 +18,10 @@
 #: doesn't count as an outage.
 MIN_FAILURE_SECONDS: Final = 0.3
 
+#: Seconds after which a call without an answer makes the store suspect, unless
+#: another call has been answered meanwhile. A slow store answers in less.
+SUSPECT_SECONDS: Final = 0.4
+
 #: Retry-After as a share of the outage's age: an outage that has lasted for
 #: long tends to continue for long, and a caller's few retries have to outlast
 #: it.
@@ -47,11 +53,35 @@
     >>> detector.record_call(answered=True, now=12)
     >>> detector.is_unavailable(13)
     False
+    >>> call = detector.begin_call(13)
+    >>> detector.is_suspect(13.1), detector.is_suspect(13.5)
+    (False, True)
+    >>> detector.end_call(call)
+    >>> detector.is_suspect(13.5)
+    False
     """
 
     def __init__(self) -> None:
         self._failures = 0
         self._failing_since: float = 0
+        self._answered_at = -math.inf
+        self._numbers = itertools.count()
+        # Local seconds at which the answer to each open call is expected.
+        self._open_calls: dict[int, float] = {}
+
+    def begin_call(self, expected_at: float) -> int:
+        """Record that a call is sent.
+
+        :param expected_at: local seconds at which a healthy store answers it.
+        :returns: number of the call for :meth:`end_call`.
+        """
+        number = next(self._numbers)
+        self._open_calls[number] = expected_at
+        return number
+
+    def end_call(self, number: int) -> None:
+        """Record that a call is over, with any outcome."""
+        self._open_calls.pop(number, None)
 
     def record_call(self, *, answered: bool, now: float) -> None:
         """Record the outcome of a call.
@@ -61,6 +91,7 @@
         """
         if answered:
             self._failures = 0
+            self._answered_at = now
             return
         if not self._failures:
             self._failing_since = now
@@ -71,6 +102,15 @@
         lasted = now - self._failing_since
         return self._failures >= MIN_FAILURES and lasted >= MIN_FAILURE_SECONDS
 
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the store may be unavailable.
+
+        :param now: local seconds.
+        """
+        oldest = min(self._open_calls.values(), default=math.inf)
+        silent_since = max(oldest, self._answered_at)
+        return self._failures > 0 or now - silent_since > SUSPECT_SECONDS
+
     def choose_retry_after(self, now: float, chance: float) -> float:
         """Return the seconds after which a refused caller may retry.
 
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -4,7 +4,7 @@
 import binascii
 from collections import Counter
 from collections.abc import Callable
-from typing import Final, TypeVar
+from typing import Final, Protocol, TypeVar
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
@@ -50,6 +50,9 @@
 #: Timeout of a lease renewal in seconds; short, to leave time for a retry.
 RENEW_TIMEOUT: Final = 0.5
 
+#: Timeout of a probe in seconds; a caller waits for it.
+PROBE_TIMEOUT: Final = 0.5
+
 #: Seconds that the answer to a watch may take beyond the watch's wait.
 WATCH_MARGIN: Final = 0.7
 
@@ -87,8 +90,22 @@
     return EncodedCall('GET', address, path, None, {}, timeout)
 
 
-def _ignore(_answered: bool) -> None:  # noqa: FBT001
-    """Ignore the outcome of a call."""
+class CallObserver(Protocol):
+    """Observes the calls to the store."""
+
+    def begin(self, wait: float) -> int:
+        """Record that a call is sent.
+
+        :param wait: seconds that the store may wait before it answers.
+        :returns: number of the call.
+        """
+
+    def end(self, number: int, *, answered: bool) -> None:
+        """Record the outcome of a call.
+
+        :param number: number of the call.
+        :param answered: whether the store has processed the call.
+        """
 
 
 class PlatformStore:
@@ -96,7 +113,7 @@
 
     :param http: HTTP client.
     :param address: ``IP:port`` of the store.
-    :param observe: called after each call with whether the store processed it.
+    :param observer: observes each call.
     :ivar calls: number of calls by kind and outcome.
     """
 
@@ -104,10 +121,10 @@
         self,
         http: HttpClient,
         address: str,
-        observe: Callable[[bool], None] = _ignore,
+        observer: CallObserver,
     ) -> None:
         self.calls: Counter[str] = Counter()
-        self._observe = observe
+        self._observer = observer
         self._http = http
         self._address = address
 
@@ -121,6 +138,16 @@
             return answer
         return _decode(answer.ok_value, _read_item)
 
+    async def probe(self) -> bool:
+        """Return whether the store answers a read without an effect."""
+        query = urlencode({'key': names.CONFIGURATION_KEY, 'serializable': 1})
+        path = f'{names.KEY_PATH}?{query}'
+        answer = await self._call('GET', path, timeout=PROBE_TIMEOUT)
+        return (
+            not isinstance(answer, Err)
+            or answer.err_value.kind is CallFaultKind.NOT_FOUND
+        )
+
     async def read_page(
         self,
         prefix: str,
@@ -180,6 +207,7 @@
             'GET',
             f'{names.WATCH_PATH}?{query}',
             timeout=wait + WATCH_MARGIN,
+            wait=wait,
         )
         if isinstance(answer, Err):
             return answer
@@ -249,16 +277,23 @@
         path: str,
         body: Fields | None = None,
         timeout: float = CALL_TIMEOUT,
+        wait: float = 0,
     ) -> Result[Answer, CallFault]:
-        call = Call(method, self._address, path, body, timeout=timeout)
-        answer = await self._http.exchange(call)
-        kind = path.partition('?')[0].split('/')[2]
-        checked = answer.and_then(_check_status)
+        number = self._observer.begin(wait)
+        checked = await self._exchange(method, path, body, timeout)
         outcome = checked.err_value.kind if isinstance(checked, Err) else 'ok'
-        self._observe(outcome not in _NOT_PROCESSED)
+        self._observer.end(number, answered=outcome not in _NOT_PROCESSED)
+        kind = path.partition('?')[0].split('/')[2]
         self.calls[f'{kind} {outcome}'] += 1
         return checked
 
+    async def _exchange(
+        self, method: str, path: str, body: Fields | None, timeout: float
+    ) -> Result[Answer, CallFault]:
+        call = Call(method, self._address, path, body, timeout=timeout)
+        answer = await self._http.exchange(call)
+        return answer.and_then(_check_status)
+
 
 def _check_status(answer: Answer) -> Result[Answer, CallFault]:
     """Return the fault that a status stands for, or the answer."""
--- a/verbenapost/platform/tests/test_formats.py
+++ b/verbenapost/platform/tests/test_formats.py
@@ -188,6 +188,14 @@
         assert 'odd' in decoded.err_value
 
 
+class IgnoredCalls:
+    def begin(self, _wait):
+        return 0
+
+    def end(self, _number, *, answered):
+        pass
+
+
 class OneAnswer:
     """Returns the same answer to every call."""
 
@@ -199,7 +207,9 @@
 
 
 def make_store(status, fields=None):
-    return PlatformStore(OneAnswer(status, fields or {}), '127.0.0.1:1')
+    return PlatformStore(
+        OneAnswer(status, fields or {}), '127.0.0.1:1', IgnoredCalls()
+    )
 
 
 class TestStoreAnswers:
--- a/verbenapost/scheduler/assembly.py
+++ b/verbenapost/scheduler/assembly.py
@@ -2,7 +2,6 @@
 
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
-from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.advice import AdviceClient
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.platform.http import HttpClient, HttpTransport
@@ -14,6 +13,7 @@
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.relays import RelayTransport
 from verbenapost.scheduler.settings import SchedulerSettings
+from verbenapost.scheduler.storecalls import StoreCallObserver
 from verbenapost.scheduler.storetransport import StoreTransport
 
 
@@ -32,12 +32,10 @@
     """
     http = HttpClient(transport)
     outage_detector = StoreOutageDetector()
-
-    def observe(answered: bool) -> None:  # noqa: FBT001
-        outage_detector.record_call(answered=answered, now=read_clock())
-
     store = PlatformStore(
-        HttpClient(store_transport), settings.store.address, observe
+        HttpClient(store_transport),
+        settings.store.address,
+        StoreCallObserver(outage_detector),
     )
     cloud = settings.cloud
     advice = settings.advice_address
--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -1,9 +1,11 @@
 """The daemon without its HTTP servers: configuration, election, leading."""
 
 import asyncio
+import dataclasses
 from typing import Any, Final
 
 from verbenapost.daemon.logs import make_logger
+from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import OPERATOR_PREFIX
 from verbenapost.scheduler.channels import RequestHandler
 from verbenapost.scheduler.election import Election, Leadership
@@ -112,7 +114,10 @@
         if leader is None:
             raise ValueError('this daemon does not lead')
         if isinstance(message, AdmissionRequest):
-            return leader.check_admission(message)
+            suspect = self._ports.outage_detector.is_suspect(read_clock())
+            return dataclasses.replace(
+                leader.check_admission(message), store_suspect=suspect
+            )
         if isinstance(message, StateRequest):
             state = leader.jobs.read_state(message.job)
             return StateResponse('' if state is None else state.value)
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests."""
 
+import asyncio
 import dataclasses
 import random
 import time
@@ -146,12 +147,17 @@
                 _count_steps(spec),
             ),
         )
+        suspect = False
         if isinstance(admission, Err):
             self._log.info(
                 'admission request failed', job=name, reason=admission.err_value
             )
-        elif not admission.ok_value.accepted:
+        elif admission.ok_value.accepted:
+            suspect = admission.ok_value.store_suspect
+        else:
             return await self._refuse_full(name, admission.ok_value.retry_after)
+        if not await self._reaches_store(suspect=suspect):
+            return self._refuse_unavailable(name)
         answer = await self._store_job(spec, request.deadline)
         if answer.status is Status.UNAVAILABLE:
             return self._refuse_unavailable(name)
@@ -164,6 +170,21 @@
         )
         return answer
 
+    async def _reaches_store(self, *, suspect: bool) -> bool:
+        """Return whether a write may be tried.
+
+        A write without an answer leaves its outcome open, so that the caller
+        can't try again elsewhere; a read is tried first while the store may be
+        unavailable. Two reads, since a single answer may be lost.
+
+        :param suspect: whether the leader takes the store for suspect.
+        """
+        if not suspect and not self._outage_detector.is_suspect(read_clock()):
+            return True
+        return any(
+            await asyncio.gather(self._store.probe(), self._store.probe())
+        )
+
     def _refuse_unavailable(self, name: str) -> EntryAnswer:
         """Refuse a job of which nothing was written to the store."""
         retry = self._outage_detector.choose_retry_after(
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -55,12 +55,14 @@
     :param known: whether the job was already accepted.
     :param retry_after: seconds after which the job may be accepted.
     :param wait: expected wait of the job in seconds.
+    :param store_suspect: whether the store may be unavailable.
     """
 
     accepted: bool
     known: bool = False
     retry_after: float = 0
     wait: float = 0
+    store_suspect: bool = False
 
 
 @final
--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -183,6 +183,28 @@
 
         assert play(scenario) == ([], 15, True, {COMPLETED})
 
+    @pytest.mark.parametrize('fault', ['silent', 'down'])
+    def test_outcomes_stay_known_soon_after_the_outage_begins(
+        self, play, fault
+    ):
+        """Callers of a silent store hear that nothing was written."""
+
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            others = [name for name in world.daemons if name != leader.name]
+            await asyncio.sleep(2)
+            setattr(world.store.faults, fault, True)
+            await asyncio.sleep(1)
+            answers = await asyncio.gather(
+                *(
+                    world.submit(name_job(number), STEPS, daemon)
+                    for number, daemon in enumerate(others)
+                )
+            )
+            return {answer.status for answer in answers}
+
+        assert play(scenario) == {503}
+
     def test_silent_store_delays_only_the_first_calls(self, play):
         async def scenario(world):
             found = await self.submit_through(world, 'silent')
--- a/verbenapost/scheduler/tests/test_storetransport.py
+++ b/verbenapost/scheduler/tests/test_storetransport.py
@@ -9,11 +9,13 @@
 import pytest
 from result import Err, Ok
 
+from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
 from verbenapost.platform.http import EncodedAnswer, EncodedCall, HttpClient
 from verbenapost.platform.store import PlatformStore
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.messages import RelayAnswer
+from verbenapost.scheduler.storecalls import StoreCallObserver
 from verbenapost.scheduler.storetransport import StoreTransport
 
 ADDRESS = '10.0.0.8:1'
@@ -138,7 +140,11 @@
 class TestLease:
     async def test_a_lease_is_renewed_through_another_daemon(self):
         transport = make_transport(Direct(LOST, seconds=0.45), Relay())
-        store = PlatformStore(HttpClient(transport), ADDRESS)
+        store = PlatformStore(
+            HttpClient(transport),
+            ADDRESS,
+            StoreCallObserver(StoreOutageDetector()),
+        )
         first = await store.renew_lease(7)
         second = await store.renew_lease(7)
         await transport.close()
--- a/verbenapost/scheduler/tests/test_takeover.py
+++ b/verbenapost/scheduler/tests/test_takeover.py
@@ -5,6 +5,7 @@
 
 from standins.fleet.world import make_settings
 from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
 from verbenapost.platform.http import Answer
 from verbenapost.platform.store import PAGE_ATTEMPTS, PlatformStore
@@ -13,10 +14,16 @@
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.recorder import strip_spec
 from verbenapost.scheduler.settings import Processor
+from verbenapost.scheduler.storecalls import StoreCallObserver
 from verbenapost.state.submissions import pack_job, unpack_job
 from verbenapost.state.workloads import CallerJobState, JobSpec, StepSpec
 
 
+def make_store(http):
+    observer = StoreCallObserver(StoreOutageDetector())
+    return PlatformStore(http, '127.0.0.1:1', observer)
+
+
 class Pages:
     """Answers range reads page by page; the calls in ``failing`` fail."""
 
@@ -47,14 +54,14 @@
 class TestPages:
     async def test_only_the_failed_page_is_read_again(self):
         http = Pages(PAGES, failing={2})
-        found = await PlatformStore(http, '127.0.0.1:1').read_range('p/')
+        found = await make_store(http).read_range('p/')
         assert [item.key for item in found.ok_value.items] == ['p/a', 'p/b']
         assert len(http.asked) == 3
 
     async def test_page_that_keeps_failing_ends_the_read(self):
         failing = set(range(2, 2 + PAGE_ATTEMPTS))
         http = Pages(PAGES, failing=failing)
-        found = await PlatformStore(http, '127.0.0.1:1').read_range('p/')
+        found = await make_store(http).read_range('p/')
         assert found.err_value.kind is CallFaultKind.UNKNOWN
 
 
