Give starts and stops of runs a module of their own

Cause: link.py had grown to 400 lines with two jobs, the renewal of leases with its reports and the orders for runs. Change: RunOrders sends starts and stops over a link; nothing else changes. Ruled out: a base class for links, which would share state both ways.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -83,9 +83,9 @@
                 pool=pool_state.service,
             )
             if isinstance(command, StartTask):
-                self.tasks.add(link.start(command))
+                self.tasks.add(link.orders.start(command))
             else:
-                self.tasks.add(link.stop(command))
+                self.tasks.add(link.orders.stop(command))
 
     def count_live(self) -> int:
         """Return the number of workers whose incarnation has not ended."""
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -1,4 +1,4 @@
-"""The link to one worker: its leases, orders and reports."""
+"""The link to one worker: its leases and reports."""
 
 import asyncio
 from collections.abc import Sequence
@@ -6,10 +6,6 @@
 
 from result import Err, Result
 
-from verbenapost.coordination.scheduling.commands import (
-    StartTask,
-    StopTask,
-)
 from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -21,11 +17,10 @@
     CallFault,
     CallFaultKind,
     RunEnd,
-    RunStart,
     WorkerReport,
 )
 from verbenapost.scheduler.ports import LinkPorts
-from verbenapost.scheduler.startups import follow_startup
+from verbenapost.scheduler.runorders import RunOrders
 from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds that a worker may wait for an ended run before it answers. Leases
@@ -40,17 +35,6 @@
 #: Seconds between two attempts to reach a worker.
 RETRY_SECONDS: Final = 0.25
 
-#: Seconds within which a start has to reach its worker; the worker refuses a
-#: start that arrives later.
-START_DEADLINE_SECONDS: Final = 1.5
-
-#: Seconds between two attempts to stop a run.
-STOP_RETRY_SECONDS: Final = 0.3
-
-#: Attempts to stop a run; after them the worker's next report shows whether
-#: the run still has to be stopped.
-STOP_ATTEMPTS: Final = 5
-
 
 class WorkerLink:
     """Renews the leases of one worker incarnation and reads its reports.
@@ -60,6 +44,7 @@
     :param ports: dependencies of the link.
     :ivar ended: whether the incarnation has ended.
     :ivar clock: leases granted, and the offset of the worker's clock.
+    :ivar orders: sends starts and stops to the worker.
     """
 
     def __init__(
@@ -69,8 +54,9 @@
         self.clock = LeaseClock()
         self.worker = worker
         self._started_at_ms = worker.entry.started_at_ms
-        self._pool_state = pool_state
-        self._ports = ports
+        self.pool_state = pool_state
+        self.ports = ports
+        self.orders = RunOrders(self)
         self._ends = RunEndTracker()
         self._last_clock = 0
         # A worker that doesn't answer gets no further lease, since its leases
@@ -88,7 +74,7 @@
         """Renew the leases until the task is cancelled or the worker ends."""
         while not self.ended:
             renewed = (
-                self._ports.election.holds_lease()
+                self.ports.election.holds_lease()
                 and await self.renew_leases(self._choose_wait())
             )
             if not renewed:
@@ -104,17 +90,17 @@
         deadline = None
         if self.clock.known and self._answered:
             deadline = self.clock.make_deadline(
-                sent_at, self._ports.hold_seconds, latest=True
+                sent_at, self.ports.hold_seconds, latest=True
             )
             self.clock.note_lease(deadline)
-        answer = await self._ports.client.hold(
+        answer = await self.ports.client.hold(
             self.worker.entry,
-            self._ports.election.token,
+            self.ports.election.token,
             self._ends.acknowledged,
             deadline,
             wait,
         )
-        self._count_call('hold', answer)
+        self.count_call('hold', answer)
         if self.ended:
             # The incarnation ended during the call and its tasks are already
             # freed, so the answer is ignored.
@@ -126,60 +112,6 @@
         await self._apply_report(answer.ok_value, sent_at)
         return True
 
-    async def start(self, command: StartTask) -> None:
-        """Send a start and record its outcome."""
-        task = command.task
-        if not self.clock.known or not self._ports.election.holds_lease():
-            self._fail_start(
-                command, CallFault(CallFaultKind.NOT_DONE, 'not sent')
-            )
-            return
-        deadline = self.clock.make_deadline(
-            read_clock(), START_DEADLINE_SECONDS
-        )
-        self.clock.note_lease(deadline)
-        order = RunStart(
-            task.key,
-            command.run,
-            command.payload,
-            deadline,
-            self._ports.election.token,
-            task.checkpoint,
-            command.ticket,
-        )
-        sent_at = read_clock()
-        answer = await self._send_start(order, sent_at)
-        if isinstance(answer, Err):
-            self._fail_start(command, answer.err_value)
-            if answer.err_value.kind is CallFaultKind.UNKNOWN:
-                await self._resolve_unknown_start(command)
-            return
-        now = read_clock()
-        self.clock.observe(answer.ok_value, sent_at, now)
-        self._pool_state.note_started(task, command.run, now)
-        await follow_startup(self, self._pool_state, task)
-
-    async def stop(self, command: StopTask) -> None:
-        """Send a stop until it is acknowledged, out of attempts or obsolete."""
-        for _ in range(STOP_ATTEMPTS):
-            if self.ended or not self._ports.election.holds_lease():
-                return
-            answer = await self._ports.client.stop(
-                self.worker.entry,
-                command.task.key,
-                command.run,
-                self._ports.election.token,
-            )
-            self._count_call('stop', answer)
-            if not isinstance(answer, Err):
-                self._pool_state.note_stopped(
-                    command.task, command.run, read_clock()
-                )
-                return
-            if self._handle_final_fault(answer.err_value):
-                return
-            await asyncio.sleep(STOP_RETRY_SECONDS)
-
     def is_same_incarnation(self, entry: WorkerEntry) -> bool:
         """Return whether an entry is of this link's incarnation."""
         known = self.worker.entry
@@ -194,7 +126,7 @@
         self.worker.entry = entry
         self.worker.listed = True
         if entry.draining != known.draining:
-            self._ports.log.info(
+            self.ports.log.info(
                 'worker draining changed',
                 worker=self.name,
                 draining=entry.draining,
@@ -204,7 +136,7 @@
         """Record that the entry was removed; the worker's runs go on."""
         if self.worker.listed:
             self.worker.listed = False
-            self._ports.log.info('worker entry removed', worker=self.name)
+            self.ports.log.info('worker entry removed', worker=self.name)
 
     def end_incarnation(self, reason: str) -> None:
         """End the incarnation and free its tasks.
@@ -214,69 +146,26 @@
         if self.ended:
             return
         self.ended = True
-        lost = self._pool_state.remove_worker(self.name)
-        self._ports.log.warning(
+        lost = self.pool_state.remove_worker(self.name)
+        self.ports.log.warning(
             'worker lost', worker=self.name, reason=reason, tasks=len(lost)
         )
-        self._ports.wake()
+        self.ports.wake()
 
-    async def _send_start(
-        self, order: RunStart, sent_at: float
-    ) -> Result[int, CallFault]:
-        window = self._ports.window
-        window.begin()
-        try:
-            answer = await self._ports.client.start(self.worker.entry, order)
-        finally:
-            now = read_clock()
-            window.end(now - sent_at, now)
-        self._count_call('start', answer)
-        self._ports.metrics.order_seconds.observe({}, now - sent_at)
-        if window.is_exhausted(now):
-            self._ports.wake()
-        return answer
-
-    def _count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
+    def count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
+        """Count a call to the worker by its kind and outcome."""
         outcome = 'ok'
         if isinstance(answer, Err):
             outcome = answer.err_value.kind.value
-        self._ports.metrics.orders.inc({'kind': kind, 'outcome': outcome})
-
-    async def _resolve_unknown_start(self, command: StartTask) -> None:
-        """Stop a run whose start got no answer, then check whether it runs."""
-        task = command.task
-        task.stop_requested_at = read_clock()
-        await self.stop(StopTask(self.name, task, command.run))
-        if (
-            task.stop_acknowledged
-            and not self.ended
-            and self._ports.election.holds_lease()
-        ):
-            await self.renew_leases(0)
-
-    def _fail_start(self, command: StartTask, fault: CallFault) -> None:
-        self._ports.log.info(
-            'start not confirmed',
-            job=command.task.key.job,
-            task=command.task.key.position,
-            run=command.run,
-            worker=self.name,
-            fault=fault.kind.value,
-            detail=fault.detail,
-        )
-        self._pool_state.note_start_failed(
-            command.task, command.run, fault.kind, read_clock()
-        )
-        self._handle_final_fault(fault)
-        self._ports.wake()
+        self.ports.metrics.orders.inc({'kind': kind, 'outcome': outcome})
 
-    def _handle_final_fault(self, fault: CallFault) -> bool:
+    def handle_final_fault(self, fault: CallFault) -> bool:
         """Handle a fault that ends the leadership or the incarnation.
 
         :returns: whether the fault is of this kind.
         """
         if fault.kind is CallFaultKind.FENCED:
-            self._ports.election.lose('a worker has seen a higher token')
+            self.ports.election.lose('a worker has seen a higher token')
             return True
         if fault.kind is CallFaultKind.OTHER_INCARNATION:
             self.end_incarnation('another incarnation answers')
@@ -306,11 +195,11 @@
             return
         worker = self.worker
         if not worker.reachable:
-            self._ports.log.info('worker reached', worker=self.name)
+            self.ports.log.info('worker reached', worker=self.name)
         worker.reachable = True
         ends = self._ends.filter_new(report.ends)
         for end in ends:
-            self._ports.log.info(
+            self.ports.log.info(
                 'run ended',
                 job=end.task.job,
                 task=end.task.position,
@@ -319,29 +208,29 @@
                 kind=end.kind.value,
                 number=end.number,
             )
-        reconciler = ReportReconciler(self._pool_state, worker, now)
+        reconciler = ReportReconciler(self.pool_state, worker, now)
         commands = reconciler.apply(report, ends, sent_at)
         worker.reconciled = True
         # No await may come between the report and this line, since another
         # task could collect the changes.
-        written = self._ports.recorder.mark_dirty(
-            self._pool_state.pop_dirty_jobs()
+        written = self.ports.recorder.mark_dirty(
+            self.pool_state.pop_dirty_jobs()
         )
-        self._ports.send(self._pool_state, commands)
-        self._ports.wake()
+        self.ports.send(self.pool_state, commands)
+        self.ports.wake()
         await self._pace()
         await self._store_ends(ends, written)
 
     async def _pace(self) -> None:
         for order in pace_worker(self.worker):
-            answer = await self._ports.client.pace(
+            answer = await self.ports.client.pace(
                 self.worker.entry,
                 order.task.key,
                 order.run,
                 order.pace,
-                self._ports.election.token,
+                self.ports.election.token,
             )
-            self._ports.log.info(
+            self.ports.log.info(
                 'task paced',
                 job=order.task.key.job,
                 worker=self.name,
@@ -349,7 +238,7 @@
                 outcome=str(answer.err()),
             )
             if isinstance(answer, Err):
-                self._handle_final_fault(answer.err_value)
+                self.handle_final_fault(answer.err_value)
             else:
                 order.task.pace = order.pace
 
@@ -363,11 +252,11 @@
             self._ends.note_stored(ends)
 
     def _note_unreachable(self, fault: CallFault) -> None:
-        if self._handle_final_fault(fault):
+        if self.handle_final_fault(fault):
             return
         worker = self.worker
         if worker.reachable:
-            self._ports.log.warning(
+            self.ports.log.warning(
                 'worker not reached',
                 worker=self.name,
                 fault=fault.kind.value,
@@ -382,9 +271,9 @@
             self.end_incarnation('its leases expired and its entry was removed')
 
     def _free_lapsed_tasks(self) -> None:
-        lost = self._pool_state.free_tasks(self.worker)
+        lost = self.pool_state.free_tasks(self.worker)
         if lost:
-            self._ports.log.warning(
+            self.ports.log.warning(
                 'leases lapsed', worker=self.name, tasks=len(lost)
             )
-            self._ports.wake()
+            self.ports.wake()
--- /dev/null
+++ b/verbenapost/scheduler/runorders.py
@@ -0,0 +1,168 @@
+"""Orders to one worker: starts and stops of its runs."""
+
+import asyncio
+from typing import Any, Final, Protocol
+
+from result import Err, Result
+
+from verbenapost.coordination.scheduling.commands import StartTask, StopTask
+from verbenapost.coordination.scheduling.leases import LeaseClock
+from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.workers import Worker
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol.orders import CallFault, CallFaultKind, RunStart
+from verbenapost.scheduler.ports import LinkPorts
+from verbenapost.scheduler.startups import follow_startup
+
+#: Seconds within which a start has to reach its worker; the worker refuses a
+#: start that arrives later.
+START_DEADLINE_SECONDS: Final = 1.5
+
+#: Seconds between two attempts to stop a run.
+STOP_RETRY_SECONDS: Final = 0.3
+
+#: Attempts to stop a run; after them the worker's next report shows whether
+#: the run still has to be stopped.
+STOP_ATTEMPTS: Final = 5
+
+
+class OrderedLink(Protocol):
+    """Link over which orders are sent.
+
+    :ivar ended: whether the worker's incarnation has ended.
+    :ivar clock: leases granted, and the offset of the worker's clock.
+    :ivar worker: the worker.
+    :ivar pool_state: state of the worker's pool.
+    :ivar ports: dependencies of the link.
+    """
+
+    ended: bool
+    clock: LeaseClock
+    worker: Worker
+    pool_state: PoolState
+    ports: LinkPorts
+
+    @property
+    def name(self) -> str:
+        """Identity of the worker."""
+
+    async def renew_leases(self, wait: float) -> bool:
+        """Renew the leases and apply the worker's report."""
+
+    def count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
+        """Count a call by its outcome."""
+
+    def handle_final_fault(self, fault: CallFault) -> bool:
+        """Handle a fault that ends the leadership or the incarnation."""
+
+
+class RunOrders:
+    """Sends starts and stops to one worker incarnation.
+
+    :param link: link to the worker.
+    """
+
+    def __init__(self, link: OrderedLink) -> None:
+        self._link = link
+        self._ports = link.ports
+        self._pool_state = link.pool_state
+
+    async def start(self, command: StartTask) -> None:
+        """Send a start and record its outcome."""
+        task = command.task
+        if not self._link.clock.known or not self._ports.election.holds_lease():
+            self._fail_start(
+                command, CallFault(CallFaultKind.NOT_DONE, 'not sent')
+            )
+            return
+        deadline = self._link.clock.make_deadline(
+            read_clock(), START_DEADLINE_SECONDS
+        )
+        self._link.clock.note_lease(deadline)
+        order = RunStart(
+            task.key,
+            command.run,
+            command.payload,
+            deadline,
+            self._ports.election.token,
+            task.checkpoint,
+            command.ticket,
+        )
+        sent_at = read_clock()
+        answer = await self._send_start(order, sent_at)
+        if isinstance(answer, Err):
+            self._fail_start(command, answer.err_value)
+            if answer.err_value.kind is CallFaultKind.UNKNOWN:
+                await self._resolve_unknown_start(command)
+            return
+        now = read_clock()
+        self._link.clock.observe(answer.ok_value, sent_at, now)
+        self._pool_state.note_started(task, command.run, now)
+        await follow_startup(self._link, self._pool_state, task)
+
+    async def stop(self, command: StopTask) -> None:
+        """Send a stop until it is acknowledged, out of attempts or obsolete."""
+        for _ in range(STOP_ATTEMPTS):
+            if self._link.ended or not self._ports.election.holds_lease():
+                return
+            answer = await self._ports.client.stop(
+                self._link.worker.entry,
+                command.task.key,
+                command.run,
+                self._ports.election.token,
+            )
+            self._link.count_call('stop', answer)
+            if not isinstance(answer, Err):
+                self._pool_state.note_stopped(
+                    command.task, command.run, read_clock()
+                )
+                return
+            if self._link.handle_final_fault(answer.err_value):
+                return
+            await asyncio.sleep(STOP_RETRY_SECONDS)
+
+    async def _send_start(
+        self, order: RunStart, sent_at: float
+    ) -> Result[int, CallFault]:
+        window = self._ports.window
+        window.begin()
+        try:
+            answer = await self._ports.client.start(
+                self._link.worker.entry, order
+            )
+        finally:
+            now = read_clock()
+            window.end(now - sent_at, now)
+        self._link.count_call('start', answer)
+        self._ports.metrics.order_seconds.observe({}, now - sent_at)
+        if window.is_exhausted(now):
+            self._ports.wake()
+        return answer
+
+    async def _resolve_unknown_start(self, command: StartTask) -> None:
+        """Stop a run whose start got no answer, then check whether it runs."""
+        task = command.task
+        task.stop_requested_at = read_clock()
+        await self.stop(StopTask(self._link.name, task, command.run))
+        if (
+            task.stop_acknowledged
+            and not self._link.ended
+            and self._ports.election.holds_lease()
+        ):
+            await self._link.renew_leases(0)
+
+    def _fail_start(self, command: StartTask, fault: CallFault) -> None:
+        self._ports.log.info(
+            'start not confirmed',
+            job=command.task.key.job,
+            task=command.task.key.position,
+            run=command.run,
+            worker=self._link.name,
+            fault=fault.kind.value,
+            detail=fault.detail,
+        )
+        self._pool_state.note_start_failed(
+            command.task, command.run, fault.kind, read_clock()
+        )
+        self._link.handle_final_fault(fault)
+        self._ports.wake()
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -154,7 +154,7 @@
         fleet = WorkerFleet(
             PoolStateSet(2),
             ConfigurationFollower(make_logger('configuration')),
-            link._ports,
+            link.ports,
             make_logger('fleet'),
         )
         fleet.links['w0'] = link
