Count occurrences of scheduled jobs when they are due

Change: an occurrence belongs to the backlog if it is due before the rest has started; a scheduled job is judged by the wait at its due time; an occurrence ranks by its own due time; its work is recorded a VM's joining time ahead. Admission has a module of its own, so has the time of a decision.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -6,9 +6,12 @@
 """
 
 import dataclasses
+import math
+from collections.abc import Iterator
 from typing import Final, final
 
-from verbenapost.coordination.scheduling.jobs import TaskState
+from verbenapost.coordination.scheduling.jobs import StepRun, TaskState
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.state.workloads import Route
 
@@ -30,10 +33,12 @@
 
     :param route: route on which the job came in.
     :param steps: number of steps in the job's longest chain.
+    :param due_in: seconds until the job's first occurrence is due.
     """
 
     route: Route
     steps: int = 1
+    due_in: float = 0
 
 
 @final
@@ -70,6 +75,7 @@
     :param wait: seconds until the current backlog has started.
     """
     route = demand.route
+    wait = max(0, wait - demand.due_in)
     chain = demand.steps * pool_state.run_times.estimate(route.name)
     limit = MAX_WAIT_SHARE * (
         (route.slack_factor - 1) * chain + route.target_latency
@@ -95,16 +101,17 @@
         self._estimates: dict[str, _Wait] = {}
 
     def get_wait(
-        self, pool_state: PoolState, incoming: float, now: float
+        self, pool_state: PoolState, incoming: float, moment: Moment
     ) -> float:
         """Return the seconds until the current backlog has started.
 
         :param incoming: cores of the VMs that are moving into the pool.
-        :param now: local seconds.
+        :param moment: time of the request.
         """
+        now = moment.now
         known = self._estimates.get(pool_state.service)
         if known is None or now - known.estimated_at > self._lifetime:
-            known = _Wait(estimate_wait(pool_state, incoming, now), now)
+            known = _Wait(estimate_wait(pool_state, incoming, moment), now)
             self._estimates[pool_state.service] = known
         return known.seconds
 
@@ -118,27 +125,48 @@
     )
 
 
-def estimate_wait(pool_state: PoolState, incoming: float, now: float) -> float:
+def estimate_wait(
+    pool_state: PoolState, incoming: float, moment: Moment
+) -> float:
     """Return the seconds until the current backlog has started.
 
+    An occurrence of a scheduled job belongs to the backlog if it becomes due
+    before the rest has started.
+
     :param incoming: cores of the VMs that are moving into the pool.
-    :param now: local seconds.
+    :param moment: time of the estimate.
     """
     cores: float = sum(
         worker.entry.capacity.cpu
         for worker in pool_state.workers.values()
-        if worker.accepts_tasks(now) or not worker.reconciled
+        if worker.accepts_tasks(moment.now) or not worker.reconciled
     )
     cores += incoming * _MILLI
-    waiting = sum(
-        task.step.size.cpu * pool_state.run_times.estimate(job.spec.route)
-        for job in pool_state.list_open_jobs()
-        if not job.long_running
-        for task in job.tasks()
-        if task.state is TaskState.WAITING
-    )
-    if not waiting:
-        return 0
-    if not cores:
-        return float('inf')
-    return waiting / cores
+    wait: float = 0
+    for step in sorted(_find_waiting(pool_state), key=_get_due_time):
+        if step.due_at > moment.wall + wait:
+            break
+        if not cores:
+            return math.inf
+        wait += _estimate_work(pool_state, step) / cores
+    return wait
+
+
+def _find_waiting(pool_state: PoolState) -> Iterator[StepRun]:
+    for job in pool_state.list_open_jobs():
+        if job.long_running:
+            continue
+        for step in job.steps():
+            if step.has_waiting():
+                yield step
+
+
+def _get_due_time(step: StepRun) -> float:
+    return step.due_at
+
+
+def _estimate_work(pool_state: PoolState, step: StepRun) -> float:
+    """Return the work of a step's waiting tasks in millicore-seconds."""
+    waiting = sum(task.state is TaskState.WAITING for task in step.tasks)
+    seconds = pool_state.run_times.estimate(step.job.spec.route)
+    return waiting * step.spec.size.cpu * seconds
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.workloads import (
     CallerJobState,
     JobSpec,
@@ -112,6 +113,15 @@
             return 0
         return spec.start_at + self.occurrence * spec.interval
 
+    def find_arrival(self, moment: Moment) -> float:
+        """Return the local seconds from which on the tasks may start.
+
+        That is the arrival of the job, or the time at which its occurrence is
+        due if that is later.
+        """
+        due_in = self.due_at - moment.wall
+        return max(self.job.arrived_at, moment.now + due_in)
+
     def has_waiting(self) -> bool:
         """Return whether a task waits to start."""
         return any(task.state is TaskState.WAITING for task in self.tasks)
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -1,10 +1,8 @@
 """Planning of task starts: which waiting tasks start now, and where."""
 
-import dataclasses
 import math
 import sys
 from collections.abc import Iterator
-from typing import final
 
 from verbenapost.coordination.scheduling.commands import StartTask
 from verbenapost.coordination.scheduling.jobs import (
@@ -13,6 +11,7 @@
     Task,
     TaskState,
 )
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.placement import (
     WorkerRanking,
     choose_gang_workers,
@@ -28,19 +27,6 @@
 from verbenapost.state.workloads import Resources
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Moment:
-    """Time of a decision on both clocks.
-
-    :param now: local seconds.
-    :param wall: Unix seconds.
-    """
-
-    now: float
-    wall: float
-
-
 class StartPlanner:
     """Plans one round of starts in a pool.
 
@@ -97,14 +83,15 @@
     def _rank(self, step: StepRun) -> tuple[bool, int, bool, float]:
         job = step.job
         objective = self._pool_state.estimate_objective(job)
-        late = self._moment.now > job.arrived_at + objective
+        arrived_at = step.find_arrival(self._moment)
+        late = self._moment.now > arrived_at + objective
         route = self._pool_state.find_route(job)
         # A long-running job has to keep its tasks at any load.
         return (
             not job.long_running,
             route.priority,
             late and not job.long_running,
-            job.arrived_at,
+            arrived_at,
         )
 
     def _place_step(self, step: StepRun, limit: int) -> Iterator[StartTask]:
--- a/verbenapost/coordination/scheduling/tests/sample.py
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -1,7 +1,8 @@
 """Sample jobs and workers for the scheduling tests."""
 
 from verbenapost.coordination.scheduling.jobs import FULL_PROGRESS, Job
-from verbenapost.coordination.scheduling.planning import Moment, StartPlanner
+from verbenapost.coordination.scheduling.moment import Moment
+from verbenapost.coordination.scheduling.planning import StartPlanner
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.reports import ReportReconciler
 from verbenapost.protocol.orders import (
--- a/verbenapost/coordination/scheduling/tests/test_planning.py
+++ b/verbenapost/coordination/scheduling/tests/test_planning.py
@@ -12,6 +12,7 @@
     estimate_wait,
 )
 from verbenapost.coordination.scheduling.jobs import Job
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.tests.sample import (
     ROUTE,
     add_job,
@@ -83,11 +84,12 @@
     def test_a_burst_of_requests_uses_one_estimate(self):
         pool_state = make_backlog()
         cache = WaitEstimateCache(lifetime=0.03)
-        first = cache.get_wait(pool_state, 0, now=0)
+        first = cache.get_wait(pool_state, 0, Moment(0, 0))
         plan(pool_state)
-        assert cache.get_wait(pool_state, 0, now=0.02) == first
-        assert cache.get_wait(pool_state, 0, now=0.05) == estimate_wait(
-            pool_state, 0, 0.05
+        assert cache.get_wait(pool_state, 0, Moment(0.02, 0)) == first
+        later = Moment(0.05, 0)
+        assert cache.get_wait(pool_state, 0, later) == estimate_wait(
+            pool_state, 0, later
         )
 
 
--- a/verbenapost/scheduler/advisor.py
+++ b/verbenapost/scheduler/advisor.py
@@ -1,18 +1,17 @@
 """Requests to the policy service for workers that may run a step."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Any, Final
 
 from result import Err
 
 from verbenapost.coordination.scheduling.jobs import StepRun
-from verbenapost.coordination.scheduling.planning import Moment, StartPlanner
+from verbenapost.coordination.scheduling.planning import StartPlanner
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
-from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.advice import MAX_WORKERS, AdviceClient
+from verbenapost.scheduler.clock import read_moment
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.poolstates import PoolStateSet
 
@@ -73,7 +72,7 @@
     async def _request_for_pool(self, pool_state: PoolState) -> bool:
         if not self._election.holds_lease():
             return False
-        moment = Moment(read_clock(), time.time())
+        moment = read_moment()
         waiting = StartPlanner(pool_state, moment).find_awaiting_advice()
         if not waiting:
             return False
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -88,7 +88,8 @@
         fleet: WorkerFleet,
         log: Any,
     ) -> None:
-        self.demands = PoolDemands(log)
+        self._join_seconds = ports.settings.bounds.move_s + JOIN_MARGIN
+        self.demands = PoolDemands(self._join_seconds, log)
         self._ports = ports
         self._cloud = cloud
         self._orders = VmOrders(cloud, ports.election, log)
@@ -286,12 +287,14 @@
         self._capacity.standby = standby[0] if standby else None
         if not self.demands.has_demand:
             return
-        vm_capacity = self._vm_list.find_typical_capacity()
-        demands = [
-            self.demands.measure(self._pool_states.find(name), vm_capacity, now)
-            for name, row in services.items()
-            if not row.standby
-        ]
+        demands = self.demands.measure_all(
+            [
+                self._pool_states.find(name)
+                for name, row in services.items()
+                if not row.standby
+            ],
+            self._vm_list.find_typical_capacity(),
+        )
         uncertain = self._orders.find_uncertain(now)
         free = [view for view in views if view.vm.vm not in uncertain]
         incoming = {
@@ -305,10 +308,11 @@
 
     async def _move(self, move: MoveVm) -> None:
         vm = self._vm_list.vms[move.vm]
-        join_seconds = self._ports.settings.bounds.move_s + JOIN_MARGIN
         if move.pool != self._capacity.standby:
             self._joining[move.vm] = _Joining(
-                move.pool, vm.capacity.cpu / _MILLI, read_clock() + join_seconds
+                move.pool,
+                vm.capacity.cpu / _MILLI,
+                read_clock() + self._join_seconds,
             )
         answer = await self._orders.move(move.vm, move.pool)
         if isinstance(answer, Err):
--- a/verbenapost/scheduler/demands.py
+++ b/verbenapost/scheduler/demands.py
@@ -1,7 +1,6 @@
 """The demand of each pool, as the leader measures it."""
 
-import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 from verbenapost.coordination.scheduling.capacity import PoolDemand
@@ -12,8 +11,10 @@
     measure_load,
 )
 from verbenapost.coordination.scheduling.jobs import Job, Task
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.packing import count_vms
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.scheduler.clock import read_moment
 from verbenapost.state.workloads import Resources
 
 #: Seconds between two log lines on a pool's demand.
@@ -25,14 +26,17 @@
 class PoolDemands:
     """Measures the demand of each pool from its jobs and its load.
 
+    :param lead_seconds: seconds ahead of their due time at which occurrences
+        of scheduled jobs count: those that a VM needs to join a pool.
     :param log: logger.
     :ivar blocked: tasks that stay on VMs that should leave, by service.
     """
 
-    def __init__(self, log: Any) -> None:
+    def __init__(self, lead_seconds: float, log: Any) -> None:
         self.blocked: dict[str, list[Task]] = {}
         self._meters: dict[str, DemandMeter] = {}
         self._logged_at: dict[str, float] = {}
+        self._lead_seconds = lead_seconds
         self._log = log
 
     @property
@@ -54,27 +58,43 @@
 
     def note_job(self, pool_state: PoolState, job: Job) -> None:
         """Record the demand of an added job, including inherited jobs."""
-        seconds = pool_state.run_times.estimate(job.spec.route)
-        cores = sum(
-            step.count * step.size.cpu / _MILLI
-            for step in job.spec.steps
-            if not step.long_running
-        )
+        if job.spec.repetitions:
+            # Its occurrences are recorded as they become due.
+            return
         self.record_job(
-            pool_state.service, job.spec.job, cores * seconds, job.arrived_at
+            pool_state.service,
+            job.spec.job,
+            _estimate_work(pool_state, job),
+            job.arrived_at,
         )
 
+    def measure_all(
+        self, pool_states: Iterable[PoolState], vm_capacity: Resources
+    ) -> list[PoolDemand]:
+        """Return the current demand of each pool.
+
+        :param pool_states: states of the pools.
+        :param vm_capacity: capacity of a typical VM.
+        """
+        moment = read_moment()
+        return [
+            self.measure(pool_state, vm_capacity, moment)
+            for pool_state in pool_states
+        ]
+
     def measure(
-        self, pool_state: PoolState, vm_capacity: Resources, now: float
+        self, pool_state: PoolState, vm_capacity: Resources, moment: Moment
     ) -> PoolDemand:
         """Return the demand of a pool.
 
         :param pool_state: state of the pool.
         :param vm_capacity: capacity of a typical VM.
-        :param now: local seconds.
+        :param moment: time of the measurement.
         """
         service = pool_state.service
-        load = measure_load(pool_state, time.time())
+        now = moment.now
+        self._record_due(pool_state, moment)
+        load = measure_load(pool_state, moment.wall + self._lead_seconds)
         rate = self._find_meter(service).read_rate(now)
         lasting = _convert_long_running(load, vm_capacity)
         unplaced = [*pool_state.unplaced, *self.blocked.get(service, ())]
@@ -85,6 +105,21 @@
             count_vms(unplaced, vm_capacity),
         )
 
+    def _record_due(self, pool_state: PoolState, moment: Moment) -> None:
+        """Record the occurrences of scheduled jobs that are due soon."""
+        first = moment.wall
+        last = first + self._lead_seconds
+        for job in pool_state.list_open_jobs():
+            spec = job.spec
+            for number in range(spec.repetitions):
+                if first < spec.start_at + number * spec.interval <= last:
+                    self.record_job(
+                        pool_state.service,
+                        f'{spec.job}/{number}',
+                        _estimate_work(pool_state, job),
+                        moment.now,
+                    )
+
     def _find_meter(self, service: str) -> DemandMeter:
         return self._meters.setdefault(service, DemandMeter())
 
@@ -111,6 +146,16 @@
         )
 
 
+def _estimate_work(pool_state: PoolState, job: Job) -> float:
+    """Return the work of one occurrence of a job in core-seconds."""
+    cores = sum(
+        step.count * step.size.cpu / _MILLI
+        for step in job.spec.steps
+        if not step.long_running
+    )
+    return cores * pool_state.run_times.estimate(job.spec.route)
+
+
 def _convert_long_running(load: Load, vm_capacity: Resources) -> float:
     """Return the cores of the VMs that the long-running tasks fill."""
     if not vm_capacity.memory:
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -145,6 +145,7 @@
                 route.service,
                 _count_cores(spec),
                 _count_steps(spec),
+                _get_due_in(spec),
             ),
         )
         suspect = False
@@ -327,6 +328,13 @@
     )
 
 
+def _get_due_in(spec: JobSpec) -> float:
+    """Return the seconds until the first occurrence is due."""
+    if not spec.repetitions:
+        return 0
+    return max(0, spec.start_at - spec.submitted_at)
+
+
 def _count_steps(spec: JobSpec) -> int:
     """Return the number of steps in the longest dependency chain."""
     depths: list[int] = []
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -1,25 +1,20 @@
 """The leader, which plans jobs and sends orders to workers."""
 
 import asyncio
-import time
 from typing import Any, Final
 
 from result import Err
 
-from verbenapost.coordination.scheduling.admission import (
-    JobDemand,
-    WaitEstimateCache,
-    count_waiting_tasks,
-    decide_admission,
-)
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
-from verbenapost.coordination.scheduling.planning import Moment, StartPlanner
+from verbenapost.coordination.scheduling.planning import StartPlanner
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
+from verbenapost.scheduler.admission import Admission
 from verbenapost.scheduler.advisor import Advisor
 from verbenapost.scheduler.cleanup import Cleanup
+from verbenapost.scheduler.clock import read_moment
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.follower import PrefixFollower
@@ -42,9 +37,6 @@
 #: Fraction of the time that rounds may use; the rest is for sending the orders.
 MAX_ROUND_SHARE: Final = 0.2
 
-#: Seconds for which a pool's estimated wait is reused.
-WAIT_CACHE_SECONDS: Final = 0.03
-
 #: Seconds between two attempts to read the store at takeover.
 RETRY_SECONDS: Final = 0.2
 
@@ -71,7 +63,6 @@
         self._first_pool = 0
         # Starts of this round, which are sent after it.
         self._planned = 0
-        self._wait_estimates = WaitEstimateCache(WAIT_CACHE_SECONDS)
 
         def send(pool_state: Any, commands: Any) -> None:
             # The fleet is created after the objects that send through it.
@@ -111,6 +102,13 @@
                 self._fleet,
                 make_logger('keeper'),
             )
+        self._admission = Admission(
+            ports.configuration,
+            self._pool_states,
+            self._controller,
+            self._window,
+            self._log,
+        )
 
     async def run(self) -> None:
         """Take over and lead until the leadership is lost."""
@@ -141,46 +139,7 @@
         """Return whether a job may be accepted now."""
         if request.job in self.jobs:
             return AdmissionResponse(accepted=True, known=True)
-        route = self._ports.configuration.find_route(request.route)
-        if route is None:
-            return AdmissionResponse(accepted=True)
-        pool_state = self._pool_states.find(request.service)
-        now = read_clock()
-        incoming: float = 0
-        if self._controller is not None:
-            work = request.task_cores * pool_state.run_times.estimate(
-                route.name
-            )
-            self._controller.demands.record_job(
-                request.service, request.job, work, now
-            )
-            incoming = self._controller.find_incoming(request.service).cores
-        demand = JobDemand(route, request.steps)
-        wait = max(
-            self._wait_estimates.get_wait(pool_state, incoming, now),
-            self._estimate_order_wait(now),
-        )
-        decision = decide_admission(pool_state, demand, wait)
-        self._log.info(
-            'job admitted' if decision.accepted else 'job refused',
-            job=request.job,
-            route=request.route,
-            wait=round(decision.wait, 3),
-            limit=round(decision.limit, 3),
-            retry_after=round(decision.retry_after, 2),
-        )
-        return AdmissionResponse(
-            decision.accepted,
-            retry_after=decision.retry_after,
-            wait=decision.wait,
-        )
-
-    def _estimate_order_wait(self, now: float) -> float:
-        """Return the seconds until the waiting tasks of all pools are sent."""
-        if not self._window.is_exhausted(now):
-            return 0
-        waiting = sum(map(count_waiting_tasks, self._pool_states))
-        return self._window.estimate_wait(waiting, now)
+        return self._admission.check(request)
 
     async def _take_over(self) -> None:
         token = self._ports.election.token
@@ -263,10 +222,9 @@
         self._planned = 0
         if self._ports.relays is not None:
             self._ports.relays.set_worker_count(self._fleet.count_live())
-        moment = Moment(read_clock(), time.time())
         for pool_state in self._rotate_pools():
-            self._end_inherited_pause(pool_state, moment.now)
-            self._plan_starts(pool_state, moment)
+            self._end_inherited_pause(pool_state, started_at)
+            self._plan_starts(pool_state)
             self._recorder.mark_dirty(pool_state.pop_dirty_jobs())
         self._round_seconds = read_clock() - started_at
 
@@ -291,7 +249,8 @@
             *pool_states[: self._first_pool],
         ]
 
-    def _plan_starts(self, pool_state: PoolState, moment: Moment) -> None:
+    def _plan_starts(self, pool_state: PoolState) -> None:
+        moment = read_moment()
         free = self._window.free - self._planned
         starts = StartPlanner(pool_state, moment).plan(free)
         self._planned += len(starts)
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -36,6 +36,7 @@
     :param service: service that runs the job.
     :param task_cores: total cores of the tasks, without long-running ones.
     :param steps: steps of the longest dependency chain.
+    :param due_in: seconds until the first occurrence is due.
     """
 
     job: str
@@ -43,6 +44,7 @@
     service: str
     task_cores: float
     steps: int
+    due_in: float = 0
 
 
 @final
