Stop an evacuated run again when its stop got lost

The tasks stayed 'stopping' while they ran on for 18 s, until the next leader; meanwhile they used up the disruption budgets of their steps. Ruled out: capacity elsewhere (reserved), the cap of the wave. Change: a report that shows a task with an unacknowledged stop still running repeats the stop, once a second and within the disruption budget; no round evacuates without a lease.

--- a/verbenapost/coordination/scheduling/evacuation.py
+++ b/verbenapost/coordination/scheduling/evacuation.py
@@ -54,7 +54,7 @@
         for task in movable:
             if worker.entry.draining:
                 evacuation.commands.append(_stop(task, now))
-            elif may_stop(pool_state, task, now):
+            elif may_stop(pool_state, task):
                 _evacuate_task(pool_state, task, staying, evacuation, now)
     return evacuation
 
@@ -92,7 +92,7 @@
     return StopTask(task.worker, task, task.run)
 
 
-def may_stop(pool_state: PoolState, task: Task, now: float) -> bool:
+def may_stop(pool_state: PoolState, task: Task) -> bool:
     """Return whether a step's disruption budget allows stopping a task.
 
     A budget of 0 sets no limit.
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
+from verbenapost.coordination.scheduling.evacuation import may_stop
 from verbenapost.coordination.scheduling.jobs import Task, TaskState
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import (
@@ -124,9 +125,16 @@
             task.state = TaskState.STOPPING
             self._worker.book(task)
             return self._stop(task)
-        if task.state is not TaskState.STOPPING:
-            self._worker.book(task)
-            self._pool_state.note_running(task, self._now)
+        if task.state is TaskState.STOPPING:
+            return self._repeat_evacuation(task)
+        self._worker.book(task)
+        self._pool_state.note_running(task, self._now)
+        return []
+
+    def _repeat_evacuation(self, task: Task) -> list[Command]:
+        """Return the stop of an evacuated task once more if it got lost."""
+        if self._worker.entry.draining or may_stop(self._pool_state, task):
+            return self._stop(task)
         return []
 
     def _stop_unresolved(self) -> list[Command]:
--- a/verbenapost/coordination/scheduling/tests/test_evacuation.py
+++ b/verbenapost/coordination/scheduling/tests/test_evacuation.py
@@ -84,6 +84,52 @@
         assert len(stop(pool_state, workers, now=0.1)) == 3
 
 
+class TestLostStop:
+    """A leader without its lease drops the stops that it has planned."""
+
+    def lose_stop(self):
+        """Return a task whose stop at second 9 never reached its worker."""
+        pool_state = make_pool_state(make_entry('w0'), make_entry('w1'))
+        spec = StepSpec(2, SMALL, long_running=True, may_miss=1)
+        add_job(pool_state, dataclasses.replace(spec, anti_affinity=1))
+        starts = start_all(pool_state)
+        add_worker(pool_state, 'w2')
+        leaving = pool_state.workers['w0']
+        leaving.leaving = True
+        (stopped,) = stop(pool_state, [leaving], now=9)
+        (start,) = [row for row in starts if row.task is stopped.task]
+        return pool_state, start
+
+    def list_again(self, pool_state, start, now):
+        row = make_row(start, load=1)
+        return report(pool_state, 'w0', [row], sent=now - 0.1, now=now)
+
+    def test_a_run_that_goes_on_is_stopped_again(self):
+        pool_state, start = self.lose_stop()
+        assert self.list_again(pool_state, start, now=9.5) == []
+        (again,) = self.list_again(pool_state, start, now=10.1)
+        assert again.task is start.task
+        assert self.list_again(pool_state, start, now=10.2) == []
+
+    def test_an_acknowledged_stop_is_not_repeated(self):
+        pool_state, start = self.lose_stop()
+        pool_state.note_stopped(start.task, start.run, now=9.1)
+        assert self.list_again(pool_state, start, now=11) == []
+
+    def test_the_disruption_budget_holds_for_the_repeated_stop(self):
+        pool_state, start = self.lose_stop()
+        pool_state.workers['w1'].reachable = False
+        assert self.list_again(pool_state, start, now=11) == []
+        pool_state.workers['w1'].reachable = True
+        assert len(self.list_again(pool_state, start, now=12)) == 1
+
+    def test_a_draining_worker_is_stopped_again_in_any_case(self):
+        pool_state, start = self.lose_stop()
+        pool_state.workers['w1'].reachable = False
+        pool_state.set_worker(make_entry('w0', draining=True))
+        assert len(self.list_again(pool_state, start, now=11)) == 1
+
+
 class TestCapacity:
     """A wave empties VMs of a pool whose memory is full."""
 
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -162,8 +162,10 @@
             await self._read_list()
         now = read_clock()
         self._forget_joined(now)
+        if not self._ports.election.holds_lease():
+            return
         self._evacuate(now)
-        if not self._vm_list.vms or not self._ports.election.holds_lease():
+        if not self._vm_list.vms:
             return
         await self._run_waves(self._make_views(), now)
         # The waves have begun orders, which exclude their VMs from moves.
