End young incarnations by a list that is newer than their entries

The controller also stopped three long-running tasks of a paused pool, which could start again two seconds later only. Ruled out: a list that lags. Change: the list ends a young incarnation too if it was requested half a second after the entry was first read; a VM that isn't listed still has to be old, since it may have just been added. The list is read in each round while a pool is paused, also while cloud orders wait for the predecessor. A paused inherited task is not evacuated. The check that a young incarnation is never ended is replaced by one that a list which may be older than its worker ends nothing.

--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 
 from result import Err, Ok
 
@@ -92,7 +93,7 @@
     """One simulated worker.
 
     :param vm: name of its VM; by default one of the worker's own.
-    :ivar incarnation: number of its incarnations so far.
+    :ivar incarnation: Unix milliseconds of its last start.
     """
 
     def __init__(self, world, name, service, capacity, vm=''):
@@ -231,7 +232,8 @@
         self._lost_end_count = self._end_count
 
     def _reset(self):
-        self.incarnation += 1
+        started_at_ms = round(time.time() * 1000)
+        self.incarnation = max(self.incarnation + 1, started_at_ms)
         self.runs = {}
         self.ends = []
         self.token = 0
--- a/verbenapost/coordination/scheduling/evacuation.py
+++ b/verbenapost/coordination/scheduling/evacuation.py
@@ -93,11 +93,15 @@
 
 
 def may_stop(pool_state: PoolState, task: Task) -> bool:
-    """Return whether a step's disruption budget allows stopping a task.
+    """Return whether a task may stop and start elsewhere now.
 
-    A budget of 0 sets no limit.
+    A step's disruption budget has to allow it; a budget of 0 sets no limit.
+    While the inherited jobs of a pool are paused, their tasks could not start.
     """
-    step = pool_state.jobs[task.key.job].find_step(task.key)
+    job = pool_state.jobs[task.key.job]
+    if job.inherited and pool_state.recovering:
+        return False
+    step = job.find_step(task.key)
     if step is None or not step.spec.may_miss:
         return True
     unavailable = sum(
--- a/verbenapost/coordination/scheduling/incarnations.py
+++ b/verbenapost/coordination/scheduling/incarnations.py
@@ -9,13 +9,17 @@
 
 from typing import Final
 
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.workloads import FleetVm, FleetVmState, WorkerEntry
 
-#: Age in seconds below which an incarnation never counts as ended: the
-#: list lags by about one second, and the wall clocks of two VMs may differ by
-#: some seconds.
+#: Age in seconds from which on an incarnation is older than any list; the
+#: wall clocks of two VMs may differ by some seconds.
 MIN_AGE_SECONDS: Final = 6.0
 
+#: Seconds for which an entry must have been known when the list is requested.
+#: Such a list shows the VM as it is after the worker has registered.
+MIN_KNOWN_SECONDS: Final = 0.5
+
 _MILLI: Final = 1000
 _ENDING_STATES: Final = frozenset(
     (FleetVmState.MOVING, FleetVmState.MAINTENANCE)
@@ -25,7 +29,8 @@
 def has_incarnation_ended(
     entry: WorkerEntry,
     vm: FleetVm | None,
-    wall: float,
+    known_since: float,
+    requested: Moment,
 ) -> bool:
     """Return whether the VM list shows that an incarnation has ended.
 
@@ -33,18 +38,22 @@
     ===========
 
     A move or a maintenance ends all processes on a VM at once, and another
-    worker incarnation starts afterwards. A VM that isn't listed has been
-    removed. A list that is older than the worker would still show the
-    previous worker, so a young incarnation is never reported as ended.
+    worker incarnation starts afterwards. A list that is older than the worker
+    would still show the previous worker, so the entry has to be older than the
+    list: by the time for which it has been known here, or by its age. A VM that
+    isn't listed has been removed, unless it is so young that it was just added.
 
     :param entry: registration of the worker.
     :param vm: the worker's VM as the platform lists it, if listed.
-    :param wall: Unix seconds at which the list was requested.
+    :param known_since: local seconds at which the entry was first read.
+    :param requested: time at which the list was requested.
     """
-    if wall - entry.started_at_ms / _MILLI < MIN_AGE_SECONDS:
-        return False
+    age = requested.wall - entry.started_at_ms / _MILLI
     if vm is None:
-        return True
+        return age >= MIN_AGE_SECONDS
+    known = requested.now - known_since
+    if age < MIN_AGE_SECONDS and known < MIN_KNOWN_SECONDS:
+        return False
     if vm.state in _ENDING_STATES or vm.pool != entry.service:
         return True
     return vm.worker not in {'', entry.worker}
--- a/verbenapost/coordination/scheduling/tests/test_evacuation.py
+++ b/verbenapost/coordination/scheduling/tests/test_evacuation.py
@@ -74,6 +74,18 @@
         pool_state.workers['w1'].reachable = False
         assert stop(pool_state, [pool_state.workers['w0']], now=9) == []
 
+    def test_no_task_stops_that_could_not_start_elsewhere_yet(self):
+        pool_state = make_pool_state(make_entry('w0'))
+        spec = StepSpec(2, SMALL, long_running=True, may_miss=1)
+        add_job(pool_state, spec, inherited=True)
+        start_all(pool_state)
+        add_worker(pool_state, 'w1')
+        leaving = [pool_state.workers['w0']]
+        pool_state.recovering = True
+        assert stop(pool_state, leaving, now=9) == []
+        pool_state.recovering = False
+        assert len(stop(pool_state, leaving, now=9)) == 1
+
     def test_a_draining_worker_is_emptied_at_once(self):
         pool_state = make_pool_state(make_entry('w0'))
         spec = StepSpec(3, SMALL, long_running=True, may_miss=1)
--- a/verbenapost/coordination/scheduling/tests/test_incarnations.py
+++ b/verbenapost/coordination/scheduling/tests/test_incarnations.py
@@ -4,8 +4,10 @@
 
 from verbenapost.coordination.scheduling.incarnations import (
     MIN_AGE_SECONDS,
+    MIN_KNOWN_SECONDS,
     has_incarnation_ended,
 )
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.tests.sample import (
     CAPACITY,
     make_entry,
@@ -13,7 +15,15 @@
 from verbenapost.state.workloads import FleetVm, FleetVmState
 
 STARTED_AT_MS = 1_000_000
-NOW = STARTED_AT_MS / 1000 + MIN_AGE_SECONDS + 1
+OLD = STARTED_AT_MS / 1000 + MIN_AGE_SECONDS + 1
+YOUNG = STARTED_AT_MS / 1000 + MIN_AGE_SECONDS - 0.1
+
+
+def is_ended(vm, wall, known_seconds=0.0):
+    """Check an incarnation whose entry was known before the list."""
+    entry = make_entry(started_at_ms=STARTED_AT_MS)
+    requested = Moment(100 + known_seconds, wall)
+    return has_incarnation_ended(entry, vm, 100, requested)
 
 
 def make_vm(**changes):
@@ -44,21 +54,14 @@
     )
     def test_a_contradicting_vm_list_ends_an_incarnation(self, changes, ended):
         vm = make_vm(**changes)
-        assert (
-            has_incarnation_ended(
-                make_entry(started_at_ms=STARTED_AT_MS), vm, NOW
-            )
-            is ended
-        )
+        assert is_ended(vm, OLD) is ended
+        assert is_ended(vm, YOUNG, MIN_KNOWN_SECONDS) is ended
 
-    def test_a_vm_that_is_not_listed_was_removed(self):
-        entry = make_entry(started_at_ms=STARTED_AT_MS)
-        assert has_incarnation_ended(entry, None, NOW)
-        assert not has_incarnation_ended(entry, None, STARTED_AT_MS / 1000)
+    def test_a_vm_that_is_not_listed_was_removed_or_just_added(self):
+        assert is_ended(None, OLD)
+        assert not is_ended(None, YOUNG, known_seconds=5)
 
-    def test_a_young_incarnation_is_never_ended(self):
+    def test_a_list_that_may_be_older_than_the_worker_ends_nothing(self):
         vm = make_vm(worker='w9')
-        early = STARTED_AT_MS / 1000 + MIN_AGE_SECONDS - 0.1
-        assert not has_incarnation_ended(
-            make_entry(started_at_ms=STARTED_AT_MS), vm, early
-        )
+        assert not is_ended(vm, YOUNG)
+        assert not is_ended(vm, YOUNG, MIN_KNOWN_SECONDS - 0.1)
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import time
 from collections.abc import Sequence
 from typing import Any, Final, final
 
@@ -26,6 +25,7 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.protocol.orders import CallFaultKind
+from verbenapost.scheduler.clock import read_moment
 from verbenapost.scheduler.demands import PoolDemands
 from verbenapost.scheduler.election import LEASE_SECONDS, RENEW_SECONDS
 from verbenapost.scheduler.fleet import WorkerFleet
@@ -145,6 +145,7 @@
     async def _wait_for_predecessor(self) -> None:
         """Wait until the previous leader can't send orders any more.
 
+        The list of VMs is read meanwhile, since it ends the pauses of pools.
         Its lease had to expire before this takeover, and its last order may
         have been sent just after its last renewal but one.
         """
@@ -152,13 +153,17 @@
         if election.token > 1 and not election.predecessor_resigned:
             bound = self._ports.settings.bounds.lease_seconds
             passed = LEASE_SECONDS - RENEW_SECONDS
-            await asyncio.sleep(max(0, bound - passed) + PREDECESSOR_MARGIN)
+            until = read_clock() + max(0, bound - passed) + PREDECESSOR_MARGIN
+            while read_clock() < until:
+                await asyncio.sleep(min(ROUND_SECONDS, until - read_clock()))
+                if self._needs_list(read_clock()):
+                    await self._read_list()
 
     async def _run_round(self) -> None:
         now = read_clock()
         if not self._ports.election.holds_lease():
             return
-        if self._stale or now - self._listed_at > LIST_SECONDS:
+        if self._needs_list(now):
             await self._read_list()
         now = read_clock()
         self._forget_joined(now)
@@ -171,11 +176,19 @@
         # The waves have begun orders, which exclude their VMs from moves.
         self._run_moves(self._make_views(), now)
 
+    def _needs_list(self, now: float) -> bool:
+        """Return whether the list is old, or may end the pause of a pool."""
+        return (
+            self._stale
+            or now - self._listed_at > LIST_SECONDS
+            or any(pool_state.recovering for pool_state in self._pool_states)
+        )
+
     def _mark_stale(self) -> None:
         self._stale = True
 
     async def _read_list(self) -> None:
-        wall = time.time()
+        requested = read_moment()
         listed = await self._cloud.list_vms()
         if isinstance(listed, Err):
             self._log.warning(
@@ -188,7 +201,7 @@
         self._stale = False
         self._log_changes(listed.ok_value)
         self._vm_list.replace(listed.ok_value)
-        self._fleet.end_replaced_incarnations(self._vm_list.vms, wall)
+        self._fleet.end_replaced_incarnations(self._vm_list.vms, requested)
 
     def _log_changes(self, listed: Sequence[FleetVm]) -> None:
         for vm in listed:
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -10,6 +10,7 @@
 from verbenapost.coordination.scheduling.incarnations import (
     has_incarnation_ended,
 )
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.platform.records import decode_worker
@@ -92,18 +93,20 @@
         return sum(not link.ended for link in self.links.values())
 
     def end_replaced_incarnations(
-        self, vms: Mapping[str, FleetVm], wall: float
+        self, vms: Mapping[str, FleetVm], requested: Moment
     ) -> None:
         """End the unreachable incarnations that have ended by the VM list.
 
         :param vms: all VMs by name.
-        :param wall: Unix time in seconds at which the list was requested.
+        :param requested: time at which the list was requested.
         """
         for link in list(self.links.values()):
             if link.ended or link.worker.reachable:
                 continue
             entry = link.worker.entry
-            if has_incarnation_ended(entry, vms.get(entry.vm), wall):
+            if has_incarnation_ended(
+                entry, vms.get(entry.vm), link.known_since, requested
+            ):
                 link.end_incarnation('its VM is listed without it')
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -43,6 +43,7 @@
     :param pool_state: state of the worker's pool.
     :param ports: dependencies of the link.
     :ivar ended: whether the incarnation has ended.
+    :ivar known_since: local seconds at which the entry was first read.
     :ivar clock: leases granted, and the offset of the worker's clock.
     :ivar orders: sends starts and stops to the worker.
     """
@@ -51,6 +52,7 @@
         self, worker: Worker, pool_state: PoolState, ports: LinkPorts
     ) -> None:
         self.ended = False
+        self.known_since = read_clock()
         self.clock = LeaseClock()
         self.worker = worker
         self._started_at_ms = worker.entry.started_at_ms
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from verbenapost.coordination.scheduling.jobs import TaskState
+from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.tests.sample import (
     SMALL,
@@ -39,6 +40,9 @@
 
 HOLD_SECONDS = 6
 
+#: Request of a VM list long after the worker's start.
+OLD_ENTRY = Moment(now=100.0, wall=100.0)
+
 
 class Clock:
     def __init__(self):
@@ -169,7 +173,7 @@
         assert not end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
-        fleet.end_replaced_incarnations(self.list_vm('standby'), wall=100)
+        fleet.end_replaced_incarnations(self.list_vm('standby'), OLD_ENTRY)
         assert link.ended
         assert end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
@@ -178,12 +182,12 @@
     def test_reachable_worker_is_kept(self, monkeypatch):
         _, fleet, link = self.make_fleet(monkeypatch)
         link.worker.reachable = True
-        fleet.end_replaced_incarnations(self.list_vm('standby'), wall=100)
+        fleet.end_replaced_incarnations(self.list_vm('standby'), OLD_ENTRY)
         assert not link.ended
 
     def test_worker_of_an_unmoved_vm_is_kept(self, monkeypatch):
         pool_state, fleet, link = self.make_fleet(monkeypatch)
-        fleet.end_replaced_incarnations(self.list_vm('routing'), wall=100)
+        fleet.end_replaced_incarnations(self.list_vm('routing'), OLD_ENTRY)
         assert not link.ended
         assert not end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
