Log for which VMs a maintenance wave still waits

Change: every two seconds a line with up to five VMs and what keeps each from beginning: its state, its silence, or its tasks by kind and state.

--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -32,6 +32,7 @@
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.vmorders import VmOrders
+from verbenapost.scheduler.wavelog import WaveLog
 from verbenapost.scheduler.wavestatus import WaveStatus
 from verbenapost.state.workloads import FleetVm, FleetVmState
 
@@ -96,6 +97,7 @@
         self._pool_states = pool_states
         self._fleet = fleet
         self._log = log
+        self._wave_log = WaveLog(log)
         self._vm_list = VmList()
         self._capacity = CapacityPlanner(None)
         self._waves = WavePlanner(ports.settings.bounds.maintenance_s)
@@ -268,6 +270,7 @@
                 self._progress[number] = progress
             if self._status.is_complete(number):
                 continue
+            self._wave_log.note_waiting(progress, views, now)
             orders = self._waves.plan(progress, views, now)
             for order in orders:
                 self._waves.note_ordered(progress, order.vm)
