Send cloud orders as soon as the previous leader is known to be dead

Nothing that was stored told which process led last once the leader key had lapsed. Ruled out: a longer Term record, which older daemons could not read; a rule for young processes, since the predecessor may be a frozen one. Change: the last leader's record is also kept without a lease, under a key that older daemons ignore; it counts only with the token of the term. A VM runs one process at a time, so another process of the last leader's daemon that connects, or is this one, shows that it is dead. Used only where the platform checks fencing tokens, since a late order may still arrive. The records of the leadership have a module of their own. An entry whose leader does not answer now tries a read before it writes: with the store away the leader's lease lapses, so that it can't tell. The test of the suspect store showed 504 as soon as the campaign took one read more (by chance of the lease's phase); the check is unchanged and passes again.

--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -241,5 +241,6 @@
                 'internal_ports': [7060, 7075],
             },
             'store': {'address': '10.0.0.8:1'},
+            'bounds': {'fencing_required': True},
         },
     )
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -147,26 +147,27 @@
     async def _wait_for_predecessor(self) -> None:
         """Wait until the previous leader can't send orders any more.
 
-        The list of VMs is read meanwhile, since it ends the pauses of pools.
         Its lease had to expire before this takeover, and its last order may
-        have been sent just after its last renewal but one.
+        have been sent just after its last renewal but one. The list of VMs is
+        read meanwhile, since it ends the pauses of pools.
         """
         election = self._ports.election
-        if election.token > 1 and not election.predecessor_resigned:
-            bound = self._ports.settings.bounds.lease_seconds
-            passed = LEASE_SECONDS - RENEW_SECONDS
-            until = read_clock() + max(0, bound - passed) + PREDECESSOR_MARGIN
-            while read_clock() < until:
-                await asyncio.sleep(min(ROUND_SECONDS, until - read_clock()))
-                if self._needs_list(read_clock()):
-                    await self._read_list()
+        if election.token <= 1:
+            return
+        bounds = self._ports.settings.bounds
+        passed = LEASE_SECONDS - RENEW_SECONDS
+        seconds = max(0, bounds.lease_seconds - passed) + PREDECESSOR_MARGIN
+        await election.predecessor.wait_until_gone(seconds, self._refresh_list)
+
+    async def _refresh_list(self) -> None:
+        if self._needs_list(read_clock()):
+            await self._read_list()
 
     async def _run_round(self) -> None:
         now = read_clock()
         if not self._ports.election.holds_lease():
             return
-        if self._needs_list(now):
-            await self._read_list()
+        await self._refresh_list()
         now = read_clock()
         self._forget_joined(now)
         if not self._ports.election.holds_lease():
--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -8,10 +8,11 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import OPERATOR_PREFIX
 from verbenapost.scheduler.channels import RequestHandler
-from verbenapost.scheduler.election import Election, Leadership
+from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.follower import PrefixFollower
 from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.leader import Leader
+from verbenapost.scheduler.leadership import Leadership
 from verbenapost.scheduler.messages import (
     AdmissionRequest,
     PendingRequest,
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -1,12 +1,10 @@
 """Leader election by a leased key of the store."""
 
 import asyncio
-import dataclasses
 import random
 import secrets
-from typing import Any, Final, final
+from typing import Any, Final
 
-import msgpack
 from result import Err, Ok
 
 from verbenapost.daemon.timers import read_clock
@@ -18,7 +16,18 @@
     Transaction,
     Write,
 )
-from verbenapost.scheduler.keys import LEADER_KEY, TERM_KEY
+from verbenapost.scheduler.keys import (
+    LAST_LEADER_KEY,
+    LEADER_KEY,
+    TERM_KEY,
+)
+from verbenapost.scheduler.leadership import (
+    Leadership,
+    Term,
+    unpack_leadership,
+    unpack_term,
+)
+from verbenapost.scheduler.predecessor import Predecessor
 from verbenapost.scheduler.settings import SchedulerSettings
 
 #: Seconds of the leader's lease. A successor waits for its expiry, so it is
@@ -55,67 +64,6 @@
 RETRY_SECONDS: Final = 0.15
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Leadership:
-    """The daemon that leads, as stored in the leader key.
-
-    :param token: fencing token; increases with each leader.
-    :param daemon: name of the daemon.
-    :param incarnation: random identity of the process.
-    :param address: ``IP:port`` at which the daemon accepts peer streams.
-    """
-
-    token: int
-    daemon: str
-    incarnation: str
-    address: str
-
-    def pack(self) -> bytes:
-        """Return the bytes that the key holds."""
-        packed: bytes = msgpack.packb(dataclasses.astuple(self))
-        return packed
-
-
-def unpack_leadership(packed: bytes) -> Leadership:
-    """Return the leadership stored in the leader key.
-
-    :param packed: value of the key.
-    :raises ValueError: when the value can't be decoded.
-    """
-    try:
-        return Leadership(*msgpack.unpackb(packed))
-    except TypeError as fault:
-        raise ValueError(str(fault)) from fault
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Term:
-    """The last fencing token that was used, as stored in the term key.
-
-    :param token: the token.
-    :param resigned: whether its holder resigned in an orderly stop.
-    """
-
-    token: int
-    resigned: bool = False
-
-    def pack(self) -> bytes:
-        """Return the bytes that the key holds."""
-        packed: bytes = msgpack.packb(dataclasses.astuple(self))
-        return packed
-
-
-def unpack_term(packed: bytes) -> Term:
-    """Return the term stored in the term key.
-
-    >>> unpack_term(Term(3, resigned=True).pack())
-    Term(token=3, resigned=True)
-    """
-    return Term(*msgpack.unpackb(packed))
-
-
 class Election:
     """Campaigns while there is no leader and renews the lease while leading.
 
@@ -127,6 +75,7 @@
     :ivar lost: set after this daemon lost the leadership.
     :ivar revision: revision at which this daemon wrote the leader key.
     :ivar resigned: whether this daemon no longer campaigns.
+    :ivar predecessor: the previous leader.
     """
 
     def __init__(
@@ -140,8 +89,7 @@
         self.lost = asyncio.Event()
         self.revision = 0
         self.resigned = False
-        #: Whether the previous leader resigned, or ran on this VM and is dead.
-        self.predecessor_resigned = False
+        self.predecessor = Predecessor()
         self._started_at = read_clock()
         self._store = store
         self._settings = settings
@@ -182,6 +130,17 @@
         if own is not None and change.revision > self.revision:
             self.lose('the leader key was removed or replaced')
 
+    def note_process(self, daemon: str, incarnation: str) -> None:
+        """Record a process that runs now, which may show a dead predecessor.
+
+        Without fencing, an order of a dead process may still take effect.
+
+        :param daemon: name of its daemon.
+        :param incarnation: random identity of the process.
+        """
+        if self._settings.bounds.fencing_required:
+            self.predecessor.note_process(daemon, incarnation)
+
     def lose(self, reason: str) -> None:
         """Stop leading; the daemon then only serves callers.
 
@@ -247,7 +206,11 @@
         previous = Term(0) if last is None else unpack_term(last.value)
         # A leader key of this VM belongs to its previous process, which is
         # dead and sends no more orders.
-        self.predecessor_resigned = previous.resigned or replaced_revision > 0
+        self.predecessor = Predecessor(
+            await self._read_last_leader(previous.token),
+            gone=previous.resigned or replaced_revision > 0,
+        )
+        self.note_process(self._settings.daemon, self.incarnation)
         revision = 0 if last is None else last.revision
         await self._write_claim(
             previous.token + 1,
@@ -255,6 +218,17 @@
             ExpectedRevision(LEADER_KEY, replaced_revision),
         )
 
+    async def _read_last_leader(self, token: int) -> Leadership | None:
+        """Return the last leader, or ``None`` if it is not known.
+
+        A daemon of an older version leads without writing this key.
+        """
+        found = await self._store.read_key(LAST_LEADER_KEY)
+        if isinstance(found, Err) or found.ok_value is None:
+            return None
+        last = self._decode(found.ok_value.value)
+        return last if last is not None and last.token == token else None
+
     def _is_vacant(self) -> bool:
         """Return whether no daemon leads, or only a dead process of this VM."""
         current = self.current
@@ -295,6 +269,7 @@
             writes=(
                 Write(TERM_KEY, Term(token).pack()),
                 Write(LEADER_KEY, claim.pack(), lease.ok_value),
+                Write(LAST_LEADER_KEY, claim.pack()),
             ),
         )
         revision = await self._commit_claim(transaction, claim)
@@ -350,5 +325,5 @@
         try:
             return unpack_leadership(packed)
         except ValueError as fault:
-            self._log.warning('leader key not decodable', fault=str(fault))
+            self._log.warning('leadership not decodable', fault=str(fault))
             return None
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -148,7 +148,8 @@
                 _get_due_in(spec),
             ),
         )
-        suspect = False
+        # A leader that does not answer may have lost its lease with the store.
+        suspect = True
         if isinstance(admission, Err):
             self._log.info(
                 'admission request failed', job=name, reason=admission.err_value
--- a/verbenapost/scheduler/keys.py
+++ b/verbenapost/scheduler/keys.py
@@ -5,6 +5,7 @@
 
 TERM_KEY: Final = 'vp/term'
 LEADER_KEY: Final = 'vp/leader'
+LAST_LEADER_KEY: Final = 'vp/last'
 WAVE_PREFIX: Final = 'vp/wave/'
 SUBMITTED_PREFIX: Final = 'vp/in/'
 PROGRESS_PREFIX: Final = 'vp/at/'
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -72,6 +72,7 @@
         self._peer_server = PeerServer(
             identity,
             self._core.answer_peer,
+            self._ports.election.note_process,
             make_logger('peers'),
         )
         self._peers = LeaderClient(
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -12,7 +12,7 @@
     Channel,
     RequestHandler,
 )
-from verbenapost.scheduler.election import Leadership
+from verbenapost.scheduler.leadership import Leadership
 from verbenapost.scheduler.tasks import TaskSet
 from verbenapost.transport.peers import (
     AcceptedStream,
@@ -45,14 +45,21 @@
     :param identity: identity of this daemon. Its key is the incarnation,
         which the other daemons read in the leader key of the store.
     :param answer: handler of the other daemons' requests.
+    :param note_process: called with the name and the incarnation of each
+        daemon that connects.
     :param log: logger.
     """
 
     def __init__(
-        self, identity: Identity, answer: RequestHandler, log: Any
+        self,
+        identity: Identity,
+        answer: RequestHandler,
+        note_process: Callable[[str, str], None],
+        log: Any,
     ) -> None:
         self._identity = identity
         self._answer = answer
+        self._note_process = note_process
         self._log = log
         self._channels: dict[AcceptedStream, Channel] = {}
         self._tasks = TaskSet()
@@ -90,8 +97,13 @@
         channel = Channel(stream.send, self._answer, self._tasks)
         self._channels[stream] = channel
         stream.closed.add_done_callback(lambda _ended: self._drop(stream))
+        stream.ready.add_done_callback(lambda _ready: self._note(stream))
         return stream
 
+    def _note(self, stream: AcceptedStream) -> None:
+        if stream.peer:
+            self._note_process(stream.peer, stream.peer_incarnation)
+
     def _drop(self, stream: AcceptedStream) -> None:
         channel = self._channels.pop(stream, None)
         if channel is not None:
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -99,6 +99,7 @@
     move_s: float = 1.5
     maintenance_s: float = 2
     lease_ms: float = 3000
+    fencing_required: bool = False
     harm_ms: float = 4000
     ack_ms: float = 4000
 
--- a/verbenapost/scheduler/tests/test_applications.py
+++ b/verbenapost/scheduler/tests/test_applications.py
@@ -30,6 +30,9 @@
     async def commit(self, _transaction):
         return self.answer
 
+    async def probe(self):
+        return True
+
     async def read_key(self, _key):
         return Ok(None)
 
--- a/verbenapost/scheduler/tests/test_peers.py
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -13,7 +13,7 @@
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler import channels
 from verbenapost.scheduler.channels import Channel
-from verbenapost.scheduler.election import Leadership
+from verbenapost.scheduler.leadership import Leadership
 from verbenapost.scheduler.messages import (
     Heartbeat,
     PendingRequest,
@@ -76,9 +76,11 @@
     def __init__(self):
         self.worker = Worker(Ok(EncodedAnswer(200, b'{"clock_ms":1}')))
         self.answer = self.count
+        self.processes = []
         self.server = PeerServer(
             Identity('d0', 'first', 'first'),
             self.answer_by_test,
+            lambda *process: self.processes.append(process),
             make_logger('peers'),
         )
         self.leader = None
@@ -118,12 +120,19 @@
             answer = await site.client.ask(PendingRequest('four'))
         assert answer == Ok(PendingResponse(4))
 
+    async def test_leader_learns_the_incarnation_of_each_daemon(self):
+        site = Site()
+        async with site.run():
+            await wait_until(self.is_connected(site))
+        assert site.processes == [('d1', 'second')]
+
     async def test_client_with_a_wrong_key_is_rejected(self):
         site = Site()
         async with site.run(start='guessed'):
             await asyncio.sleep(0.3)
             answer = await site.client.ask(PendingRequest('four'))
         assert answer == Err('no connection to a leader')
+        assert site.processes == []
 
     async def test_daemon_that_does_not_lead_has_no_answer(self):
         site = Site()
