Give maintenance waves a module of their own

Change: WaveRunner plans, orders and stores waves; the fleet readmits a VM's worker and ends its incarnation. Behaviour is unchanged. Ruled out: one runner for each wave; the cap of each is judged with the same views.

--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -1,4 +1,4 @@
-"""Control of VM moves and VM maintenance."""
+"""Control of VM moves, and the rounds of VM maintenance."""
 
 import asyncio
 import dataclasses
@@ -16,11 +16,6 @@
 from verbenapost.coordination.scheduling.demand import WINDOW_SECONDS
 from verbenapost.coordination.scheduling.evacuation import evacuate
 from verbenapost.coordination.scheduling.vmlist import VmList
-from verbenapost.coordination.scheduling.waves import (
-    MaintainVm,
-    WavePlanner,
-    WaveProgress,
-)
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.cloud import CloudClient
@@ -32,8 +27,7 @@
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.vmorders import VmOrders
-from verbenapost.scheduler.wavelog import WaveLog
-from verbenapost.scheduler.wavestatus import WaveStatus
+from verbenapost.scheduler.waverunner import WaveRunner
 from verbenapost.state.workloads import FleetVm, FleetVmState
 
 #: Seconds between two rounds; a shift in demand lasts several seconds.
@@ -45,10 +39,6 @@
 #: Seconds beyond the platform's move time until a moved VM counts as joined.
 JOIN_MARGIN: Final = 1.0
 
-#: Seconds after a takeover during which no maintenance begins, since the VM
-#: list does not yet show all maintenance that the previous leader ordered.
-MAINTENANCE_DELAY: Final = 4.0
-
 #: Seconds added to the wait for the previous leader's orders.
 PREDECESSOR_MARGIN: Final = 0.3
 
@@ -97,19 +87,13 @@
         self._pool_states = pool_states
         self._fleet = fleet
         self._log = log
-        self._wave_log = WaveLog(log)
         self._vm_list = VmList()
         self._capacity = CapacityPlanner(None)
-        self._waves = WavePlanner(ports.settings.bounds.maintenance_s)
-        self._progress: dict[int, WaveProgress] = {}
-        self._status = WaveStatus(ports.store, ports.election, log)
+        self._waves = WaveRunner(ports, self._orders, fleet, log)
         self._joining: dict[str, _Joining] = {}
         self._listed_at: float = 0
         self._stale = True
         self._started_at = read_clock()
-        self._no_maintenance_before: float = 0
-        if ports.election.token > 1:
-            self._no_maintenance_before = self._started_at + MAINTENANCE_DELAY
 
     async def run(self) -> None:
         """Run rounds until the task is cancelled."""
@@ -175,7 +159,9 @@
         self._evacuate(now)
         if not self._vm_list.vms:
             return
-        await self._run_waves(self._make_views(), now)
+        await self._waves.run(
+            self._vm_list, self._make_views(), self._mark_stale
+        )
         # The waves have begun orders, which exclude their VMs from moves.
         self._run_moves(self._make_views(), now)
 
@@ -260,46 +246,6 @@
             if evacuation.commands:
                 self._fleet.send(pool_state, evacuation.commands)
 
-    # Waves
-
-    async def _run_waves(self, views: list[VmView], now: float) -> None:
-        for number, wave in self._ports.configuration.waves.items():
-            progress = self._progress.get(number)
-            if progress is None:
-                progress = WaveProgress(wave, now, self._no_maintenance_before)
-                progress.begun.update(await self._status.begin(number))
-                self._progress[number] = progress
-            if self._status.is_complete(number):
-                continue
-            self._wave_log.note_waiting(progress, views, now)
-            orders = self._waves.plan(progress, views, now)
-            for order in orders:
-                self._waves.note_ordered(progress, order.vm)
-                self._orders.begin(
-                    order.vm, self._maintain(order, progress), self._mark_stale
-                )
-            if progress.is_complete(self._vm_list) and not progress.down:
-                await self._status.complete(number)
-
-    async def _maintain(
-        self,
-        order: MaintainVm,
-        progress: WaveProgress,
-    ) -> None:
-        answer = await self._orders.maintain(order.vm, order.wave)
-        if isinstance(answer, Err):
-            uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
-            self._waves.note_failed(
-                progress, order.vm, read_clock(), outcome_unknown=uncertain
-            )
-            self._readmit_worker(order.vm, uncertain=uncertain)
-            return
-        self._waves.note_begun(progress, order.vm, read_clock())
-        self._end_incarnation(order.vm, 'its VM is in maintenance')
-        await self._status.note_begun(order.wave, progress.begun)
-
-    # Moves
-
     def _run_moves(self, views: list[VmView], now: float) -> None:
         services = self._ports.configuration.find_services()
         standby = [row.name for row in services.values() if row.standby]
@@ -337,27 +283,11 @@
         if isinstance(answer, Err):
             self._joining.pop(move.vm, None)
             uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
-            self._readmit_worker(move.vm, uncertain=uncertain)
+            self._fleet.readmit(move.vm, uncertain=uncertain)
             return
-        self._end_incarnation(move.vm, 'its VM has moved')
+        self._fleet.end_by_vm(move.vm, 'its VM has moved')
         self._vm_list.update(
             dataclasses.replace(
                 vm, pool=move.pool, state=FleetVmState.MOVING, worker=''
             )
         )
-
-    def _readmit_worker(self, vm: str, *, uncertain: bool) -> None:
-        """Let a VM accept work again after a failed order.
-
-        :param vm: name of the VM.
-        :param uncertain: whether the order may still have an effect; the VM
-            then gets no work.
-        """
-        link = self._fleet.find_by_vm(vm)
-        if link is not None and not uncertain:
-            link.worker.leaving = False
-
-    def _end_incarnation(self, vm: str, reason: str) -> None:
-        link = self._fleet.find_by_vm(vm)
-        if link is not None:
-            link.end_incarnation(reason)
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -114,6 +114,27 @@
         link = self._by_vm.get(vm)
         return None if link is None or link.ended else link
 
+    def readmit(self, vm: str, *, uncertain: bool) -> None:
+        """Let a VM accept work again after a failed order.
+
+        :param vm: name of the VM.
+        :param uncertain: whether the order may still have an effect; the VM
+            then gets no work.
+        """
+        link = self.find_by_vm(vm)
+        if link is not None and not uncertain:
+            link.worker.leaving = False
+
+    def end_by_vm(self, vm: str, reason: str) -> None:
+        """End the incarnation that ran on a VM.
+
+        :param vm: name of the VM.
+        :param reason: reason for the log.
+        """
+        link = self.find_by_vm(vm)
+        if link is not None:
+            link.end_incarnation(reason)
+
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
         if link is not None and not link.is_same_incarnation(entry):
--- /dev/null
+++ b/verbenapost/scheduler/waverunner.py
@@ -0,0 +1,105 @@
+"""Maintenance waves, from their request to their completion."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+from result import Err
+
+from verbenapost.coordination.scheduling.capacity import VmView
+from verbenapost.coordination.scheduling.vmlist import VmList
+from verbenapost.coordination.scheduling.waves import (
+    MaintainVm,
+    WavePlanner,
+    WaveProgress,
+)
+from verbenapost.daemon.timers import read_clock
+from verbenapost.protocol.orders import CallFaultKind
+from verbenapost.scheduler.fleet import WorkerFleet
+from verbenapost.scheduler.ports import LeaderPorts
+from verbenapost.scheduler.vmorders import VmOrders
+from verbenapost.scheduler.wavelog import WaveLog
+from verbenapost.scheduler.wavestatus import WaveStatus
+from verbenapost.state.workloads import MaintenanceWave
+
+#: Seconds after a takeover during which no maintenance begins, since the VM
+#: list does not yet show all maintenance that the previous leader ordered.
+MAINTENANCE_DELAY: Final = 4.0
+
+
+class WaveRunner:
+    """Orders the maintenance of each wave's VMs and stores its state.
+
+    :param ports: dependencies of the leader.
+    :param orders: sends orders for VMs.
+    :param fleet: links to the workers.
+    :param log: logger.
+    """
+
+    def __init__(
+        self,
+        ports: LeaderPorts,
+        orders: VmOrders,
+        fleet: WorkerFleet,
+        log: Any,
+    ) -> None:
+        self._configuration = ports.configuration
+        self._orders = orders
+        self._fleet = fleet
+        self._log = WaveLog(log)
+        self._planner = WavePlanner(ports.settings.bounds.maintenance_s)
+        self._progress: dict[int, WaveProgress] = {}
+        self._status = WaveStatus(ports.store, ports.election, log)
+        self._quiet_until: float = 0
+        if ports.election.token > 1:
+            self._quiet_until = read_clock() + MAINTENANCE_DELAY
+
+    async def run(
+        self,
+        vm_list: VmList,
+        views: Sequence[VmView],
+        finish: Callable[[], None],
+    ) -> None:
+        """Begin the maintenance that is allowed now.
+
+        :param vm_list: all VMs.
+        :param views: VMs without a pending order.
+        :param finish: called at the end of each order.
+        """
+        now = read_clock()
+        for wave in self._configuration.waves.values():
+            progress = await self._find_progress(wave, now)
+            if self._status.is_complete(wave.number):
+                continue
+            self._log.note_waiting(progress, views, now)
+            for order in self._planner.plan(progress, views, now):
+                self._planner.note_ordered(progress, order.vm)
+                self._orders.begin(
+                    order.vm, self._maintain(order, progress), finish
+                )
+            if progress.is_complete(vm_list) and not progress.down:
+                await self._status.complete(wave.number)
+
+    async def _find_progress(
+        self, wave: MaintenanceWave, now: float
+    ) -> WaveProgress:
+        progress = self._progress.get(wave.number)
+        if progress is None:
+            progress = WaveProgress(wave, now, self._quiet_until)
+            progress.begun.update(await self._status.begin(wave.number))
+            self._progress[wave.number] = progress
+        return progress
+
+    async def _maintain(
+        self, order: MaintainVm, progress: WaveProgress
+    ) -> None:
+        answer = await self._orders.maintain(order.vm, order.wave)
+        if isinstance(answer, Err):
+            uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
+            self._planner.note_failed(
+                progress, order.vm, read_clock(), outcome_unknown=uncertain
+            )
+            self._fleet.readmit(order.vm, uncertain=uncertain)
+            return
+        self._planner.note_begun(progress, order.vm, read_clock())
+        self._fleet.end_by_vm(order.vm, 'its VM is in maintenance')
+        await self._status.note_begun(order.wave, progress.begun)
