Keep the controller alive when a wave is requested during a write

Cause, found while the waves were moved: the round iterated over the waves of the configuration and awaited the store meanwhile. A second request in that moment raised 'dictionary changed size during iteration', which ended the controller's task: no VM was moved or maintained until the next leader. Ruled out: the same in other loops with awaits (the channels' loop awaits nothing). Change: the round iterates over a copy. Test: test_waverunner.py, failed before with that error.

--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -66,7 +66,8 @@
         :param finish: called at the end of each order.
         """
         now = read_clock()
-        for wave in self._configuration.waves.values():
+        # Another wave may be requested while a status is written.
+        for wave in tuple(self._configuration.waves.values()):
             progress = await self._find_progress(wave, now)
             if self._status.is_complete(wave.number):
                 continue
