End an incarnation whose VM the platform lists as down

Ruled out: that a VM counts as down while its worker can't be reached. Change: a VM that is listed as down ends the incarnation, if its worker does not answer.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -129,10 +129,13 @@
         worker = self._workers[vm]
         on = self._states[vm] is FleetVmState.UP
         on = on and self._pools[vm] != self.standby
+        state = self._states[vm]
+        if on and not worker.up:
+            state = FleetVmState.DOWN
         return FleetVm(
             vm,
             self._pools[vm],
-            self._states[vm],
+            state,
             worker.labels,
             worker.capacity,
             worker.name if on else '',
--- a/verbenapost/coordination/scheduling/incarnations.py
+++ b/verbenapost/coordination/scheduling/incarnations.py
@@ -1,10 +1,10 @@
 """Detection of ended worker incarnations from the platform's VM list.
 
-Load pattern: a leader is replaced while VMs change pools. The entries of
-workers whose VMs have moved stay in the store for some seconds, and no process
-answers for them. Without this check, tasks that the former leader may have
-started on them would block every older job of the pool until the longest lease
-has lapsed.
+Load patterns: the workers of a rack crash at once, and their tasks would wait
+until the longest lease has lapsed. A leader is replaced while VMs change pools;
+the entries of workers whose VMs have moved stay in the store for some seconds,
+and tasks that the former leader may have started there would block every older
+job of the pool.
 """
 
 from typing import Final
@@ -22,7 +22,7 @@
 
 _MILLI: Final = 1000
 _ENDING_STATES: Final = frozenset(
-    (FleetVmState.MOVING, FleetVmState.MAINTENANCE)
+    (FleetVmState.MOVING, FleetVmState.MAINTENANCE, FleetVmState.DOWN)
 )
 
 
@@ -38,10 +38,12 @@
     ===========
 
     A move or a maintenance ends all processes on a VM at once, and another
-    worker incarnation starts afterwards. A list that is older than the worker
-    would still show the previous worker, so the entry has to be older than the
-    list: by the time for which it has been known here, or by its age. A VM that
-    isn't listed has been removed, unless it is so young that it was just added.
+    worker incarnation starts afterwards. A VM is listed as down once its worker
+    has crashed, and as up while its worker only can't be reached. A list that
+    is older than the worker would still show the previous worker, so the entry
+    has to be older than the list: by the time for which it has been known here,
+    or by its age. A VM that isn't listed has been removed, unless it is so
+    young that it was just added.
 
     :param entry: registration of the worker.
     :param vm: the worker's VM as the platform lists it, if listed.
