Log for which workers the pause of a pool ended or was cut off

Change: the line names the workers that have not reported, those that the list of VMs shows without an entry, and whether that list was read.

--- a/verbenapost/scheduler/inheritance.py
+++ b/verbenapost/scheduler/inheritance.py
@@ -36,6 +36,22 @@
     listed: Collection[str] | None
 
 
+def find_silent_workers(pool_state: PoolState) -> list[str]:
+    """Return the known workers that have not reported their runs yet."""
+    return sorted(
+        name
+        for name, worker in pool_state.workers.items()
+        if not worker.reconciled
+    )
+
+
+def find_unregistered_workers(
+    pool_state: PoolState, takeover: Takeover
+) -> list[str]:
+    """Return the workers that the list of VMs shows and that have no entry."""
+    return sorted(set(takeover.listed or ()) - pool_state.workers.keys())
+
+
 def end_inherited_pause(pool_state: PoolState, takeover: Takeover) -> bool:
     """End the pause of jobs that a former leader may have started.
 
@@ -55,9 +71,10 @@
 
 
 def _have_all_reported(pool_state: PoolState, takeover: Takeover) -> bool:
-    if not all(worker.reconciled for worker in pool_state.workers.values()):
+    if find_silent_workers(pool_state):
         return False
     if takeover.passed > REGISTRATION_SECONDS:
         return True
-    listed = takeover.listed
-    return listed is not None and pool_state.workers.keys() >= set(listed)
+    return takeover.listed is not None and not find_unregistered_workers(
+        pool_state, takeover
+    )
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -18,7 +18,12 @@
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.follower import PrefixFollower
-from verbenapost.scheduler.inheritance import Takeover, end_inherited_pause
+from verbenapost.scheduler.inheritance import (
+    Takeover,
+    end_inherited_pause,
+    find_silent_workers,
+    find_unregistered_workers,
+)
 from verbenapost.scheduler.intake import JobIntake
 from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
 from verbenapost.scheduler.messages import AdmissionRequest, AdmissionResponse
@@ -238,6 +243,9 @@
                 'pool settled',
                 pool=pool_state.service,
                 seconds=round(takeover.passed, 2),
+                listed=takeover.listed is not None,
+                silent=find_silent_workers(pool_state),
+                unregistered=find_unregistered_workers(pool_state, takeover),
             )
 
     def _rotate_pools(self) -> list[PoolState]:
