Wait for listed workers without an entry until all leases have lapsed

Those 2.5 s prove nothing for a worker that can't reach the store while the daemons reach it, nor when the store goes away again. Class of fault: absence from a listing read as the end of what was listed. Change: the pause of inherited jobs waits for each worker that the list of VMs shows up in the pool, until it has registered and reported or until every lease of the former leader has lapsed; also while the list has not been read. Without a list of VMs it stays at 2.5 s, since there all takeovers would wait 6.3 s. Why it works: a run outlives its leader only under a lease that this leader gave, and the last of them ends within the longest lease, times 1.05 for slow clocks. Two cases of test_inheritance.py asserted the fault (a listed worker without an entry, or an unread list, ended the pause after 2.5 s); they assert the opposite now and are joined by four at the longest lease.

--- a/verbenapost/scheduler/inheritance.py
+++ b/verbenapost/scheduler/inheritance.py
@@ -1,8 +1,9 @@
 """The pause of jobs that a former leader may have started.
 
-Load pattern: a leader is replaced while tasks run. The store may have been away
-before; leases expire meanwhile, so that entries of live workers are missing for
-some seconds. A task that such a worker still runs must not start elsewhere.
+Load pattern: a leader is replaced while tasks run. Entries of live workers may
+be missing, since the store was away and their leases have expired, or since the
+workers can't reach the store. A task that such a worker still runs must not
+start elsewhere.
 """
 
 import dataclasses
@@ -15,8 +16,9 @@
 #: since its clock may run slow and orders take time to arrive.
 PAUSE_FACTOR: Final = 1.05
 
-#: Seconds after a takeover until a worker without an entry counts as gone. Live
-#: workers whose entries expired have registered again by then.
+#: Seconds after a takeover until workers without an entry count as gone where
+#: there is no list of VMs. Live workers whose entries expired have registered
+#: again by then.
 REGISTRATION_SECONDS: Final = 2.5
 
 
@@ -29,11 +31,13 @@
     :param longest_lease: longest lease of a run in seconds.
     :param listed: workers of the pool that the platform's list of VMs shows,
         or ``None`` while the list has not been read.
+    :param lists_vms: whether the platform has a list of VMs.
     """
 
     passed: float
     longest_lease: float
     listed: Collection[str] | None
+    lists_vms: bool = True
 
 
 def find_silent_workers(pool_state: PoolState) -> list[str]:
@@ -56,7 +60,8 @@
     """End the pause of jobs that a former leader may have started.
 
     The pause ends once every worker has reported its runs, or once every lease
-    that the former leader may have granted has expired.
+    that the former leader may have granted has expired. A worker that the list
+    of VMs shows as up may run tasks whether it has an entry or not.
 
     :param pool_state: state of the pool.
     :param takeover: what is known about the takeover.
@@ -73,8 +78,8 @@
 def _have_all_reported(pool_state: PoolState, takeover: Takeover) -> bool:
     if find_silent_workers(pool_state):
         return False
-    if takeover.passed > REGISTRATION_SECONDS:
-        return True
+    if not takeover.lists_vms:
+        return takeover.passed > REGISTRATION_SECONDS
     return takeover.listed is not None and not find_unregistered_workers(
         pool_state, takeover
     )
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -237,7 +237,12 @@
         listed = None
         if self._controller is not None and pool_state.recovering:
             listed = self._controller.find_listed_workers(pool_state.service)
-        takeover = Takeover(now - self._started_at, self._longest_lease, listed)
+        takeover = Takeover(
+            now - self._started_at,
+            self._longest_lease,
+            listed,
+            lists_vms=self._controller is not None,
+        )
         if end_inherited_pause(pool_state, takeover):
             self._log.info(
                 'pool settled',
--- a/verbenapost/scheduler/tests/test_inheritance.py
+++ b/verbenapost/scheduler/tests/test_inheritance.py
@@ -24,7 +24,7 @@
 
 
 class TestPause:
-    """The store was away, and some entries of live workers are missing."""
+    """Entries of live workers are missing."""
 
     @pytest.mark.parametrize(
         ('listed', 'passed', 'ended'),
@@ -33,8 +33,12 @@
             (('w0',), SOON, True),
             (('w0', 'w1', 'w2'), SOON, False),
             (None, SOON, False),
-            (('w0', 'w1', 'w2'), REGISTRATION_SECONDS + SOON, True),
-            (None, REGISTRATION_SECONDS + SOON, True),
+            (('w0', 'w1', 'w2'), REGISTRATION_SECONDS + SOON, False),
+            (None, REGISTRATION_SECONDS + SOON, False),
+            (('w0', 'w1', 'w2'), LEASE, False),
+            (None, LEASE, False),
+            (('w0', 'w1', 'w2'), LEASE * PAUSE_FACTOR + SOON, True),
+            (None, LEASE * PAUSE_FACTOR + SOON, True),
         ],
     )
     def test_listed_workers_without_entry_are_waited_for(
@@ -45,6 +49,17 @@
         assert end_inherited_pause(pool_state, takeover) is ended
         assert pool_state.recovering is not ended
 
+    @pytest.mark.parametrize(
+        ('passed', 'ended'),
+        [(SOON, False), (REGISTRATION_SECONDS + SOON, True)],
+    )
+    def test_entries_are_waited_for_where_there_is_no_list_of_vms(
+        self, passed, ended
+    ):
+        pool_state = make_recovering('w0', 'w1')
+        takeover = Takeover(passed, LEASE, None, lists_vms=False)
+        assert end_inherited_pause(pool_state, takeover) is ended
+
     @pytest.mark.parametrize(
         ('passed', 'ended'),
         [
