Take no task for lost while a report may list only the oldest ends

Cause: a worker returns 500 ended runs at a time; a task whose end came later was absent from the report, which counted as proof that its run was lost. After a takeover the same report counted as the worker's whole report and ended the pause. Class of fault: absence from a listing read as the end of what was listed. Change: a report with 500 ends frees no absent task and doesn't make its worker reconciled; the ends are acknowledged, and the next report lists the others.

--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -67,7 +67,8 @@
         listed.update((run_end.task, run_end.run) for run_end in ends)
         for task in list(self._worker.tasks.values()):
             conclusive = task.seen_at < sent and _is_absence_conclusive(task)
-            if conclusive and (task.key, task.run) not in listed:
+            absent = report.complete and (task.key, task.run) not in listed
+            if conclusive and absent:
                 self._pool_state.free_task(task)
         commands.extend(self._stop_unresolved())
         return commands
--- a/verbenapost/protocol/orders.py
+++ b/verbenapost/protocol/orders.py
@@ -3,10 +3,13 @@
 import dataclasses
 import enum
 from collections.abc import Sequence
-from typing import final
+from typing import Final, final
 
 from verbenapost.state.workloads import TaskKey
 
+#: Ended runs that a worker lists at a time.
+MAX_LISTED_ENDS: Final = 500
+
 
 @enum.unique
 class CallFaultKind(enum.StrEnum):
@@ -237,3 +240,8 @@
     running: Sequence[ListedRun]
     ends: Sequence[RunEnd]
     started_at_ms: int | None = None
+
+    @property
+    def complete(self) -> bool:
+        """Whether the report lists all ended runs, not only the oldest."""
+        return len(self.ends) < MAX_LISTED_ENDS
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -212,7 +212,7 @@
             )
         reconciler = ReportReconciler(self.pool_state, worker, now)
         commands = reconciler.apply(report, ends, sent_at)
-        worker.reconciled = True
+        worker.reconciled = worker.reconciled or report.complete
         # No await may come between the report and this line, since another
         # task could collect the changes.
         written = self.ports.recorder.mark_dirty(
