Give a silent worker no further lease, and count it as lost after the last one

What callers would see: two attempts of one job run at the same time. Cause: a worker counted as lost 12 s after its last report, though each poll without an answer may have renewed its leases, and a start may have been sent just before. Class of fault: silence taken as proof that nothing runs. Change: after a poll without an answer a worker gets neither renewals nor starts; it counts as lost 12 s after the last lease that was sent, or the last report. The examples and soaks were not run.

--- a/verbenapost/coordination/jobs/owner.py
+++ b/verbenapost/coordination/jobs/owner.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, final
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from verbenapost.coordination.jobs import commands
 from verbenapost.coordination.jobs.entries import EntryResult, JobEntry
@@ -136,12 +136,15 @@
         while True:
             asked_at = ports.now()
             if self._feed.loaded:
+                renewals = self.scheduler.list_renewals(name)
+                if renewals:
+                    self.scheduler.note_lease(name, asked_at)
                 answer = await ports.tasks.renew(
-                    self._addresses[name],
-                    self.scheduler.list_renewals(name),
-                    TASK_LEASE_SECONDS,
+                    self._addresses[name], renewals, TASK_LEASE_SECONDS
                 )
-                if isinstance(answer, Ok):
+                if isinstance(answer, Err):
+                    self.scheduler.note_silence(name, ports.now())
+                else:
                     report = answer.ok_value
                     self.scheduler.apply_report(
                         name, report, asked_at, ports.now()
@@ -189,6 +192,7 @@
             record.path,
             record.content,
         )
+        self.scheduler.note_lease(command.vm, ports.now())
         # The next report shows whether the start was refused, lost or done.
         await ports.tasks.start(address, order)
         self.scheduler.confirm_start(command, ports.now())
--- a/verbenapost/coordination/jobs/scheduler.py
+++ b/verbenapost/coordination/jobs/scheduler.py
@@ -34,8 +34,8 @@
 #: Seconds after which a task ends unless its lease is renewed.
 TASK_LEASE_SECONDS = 10.0
 
-#: Seconds without a report after which a worker counts as lost; the leases of
-#: its tasks have expired by then, so none of them still runs.
+#: Seconds without a report or a lease after which a worker counts as lost; the
+#: leases of its tasks have expired by then, so none of them still runs.
 WORKER_LOST_SECONDS = 12.0
 
 
@@ -134,8 +134,19 @@
 
     def list_renewals(self, vm: str) -> dict[str, int]:
         """Return the attempts by job of a VM's tasks to be renewed."""
+        worker = self.workers.by_name.get(vm)
+        if worker is None or worker.silent:
+            return {}
         return self.workers.list_attempts(vm)
 
+    def note_lease(self, vm: str, now: float) -> None:
+        """Record that a lease is about to be sent to a worker."""
+        self.workers.find(vm, now).last_lease_at = now
+
+    def note_silence(self, vm: str, now: float) -> None:
+        """Record that a worker has not answered a poll."""
+        self.workers.find(vm, now).silent = True
+
     def apply_report(
         self,
         vm: str,
@@ -153,6 +164,7 @@
         worker = self.workers.find(vm, now)
         worker.capacity = Size(report.cpu, report.memory)
         worker.last_report_at = now
+        worker.silent = False
         worker.lost = False
         reported = set()
         for task in report.tasks:
@@ -173,7 +185,8 @@
         """
         self._wall = wall
         for worker in tuple(self.workers.by_name.values()):
-            if now - worker.last_report_at >= WORKER_LOST_SECONDS:
+            heard_at = max(worker.last_report_at, worker.last_lease_at)
+            if now - heard_at >= WORKER_LOST_SECONDS:
                 self._mark_lost(worker)
             self._outbox.extend(stop_overdue(worker, now))
             self._outbox.extend(evict_tasks(worker, now))
--- a/verbenapost/coordination/jobs/workers.py
+++ b/verbenapost/coordination/jobs/workers.py
@@ -76,6 +76,9 @@
     :param accepting: whether the worker accepts new tasks.
     :param last_report_at: monotonic seconds of the last report; before the
         first report, of the worker's addition.
+    :param last_lease_at: monotonic seconds at which a lease was last sent.
+    :param silent: whether the last poll was not answered. Its tasks get no
+        further lease, since they have to end before they start elsewhere.
     :param capacity: capacity for tasks, ``None`` before the first report.
     :param lost: whether the reports have ceased for too long.
     :param tasks: booked tasks by job.
@@ -86,6 +89,8 @@
     address: str = ''
     accepting: bool = False
     last_report_at: float = 0
+    last_lease_at: float = 0
+    silent: bool = False
     capacity: Size | None = None
     lost: bool = False
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
@@ -94,7 +99,8 @@
     @property
     def usable(self) -> bool:
         """Whether a new task may be placed on the worker."""
-        return self.accepting and not self.lost and self.capacity is not None
+        heard = not self.silent and not self.lost
+        return self.accepting and heard and self.capacity is not None
 
     def compute_free(self) -> Size:
         """Return the capacity that is neither in use nor reserved."""
