--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -75,8 +75,7 @@
     return FleetVm(
         vm=read_text(fields, 'machine'),
         pool=read_text(fields, 'pool'),
-        # Unknown states of a later platform version count as unusable.
-        state=_VM_STATES.get(state, FleetVmState.DOWN),
+        state=_VM_STATES.get(state, FleetVmState.UNKNOWN),
         labels=_read_labels(fields),
         capacity=_read_capacity(fields),
         worker=fields.get('id') or '',
@@ -152,7 +151,7 @@
         raise FieldError('state', f'is {state!r}, which is unknown')
     return WorkerEntry(
         worker=worker,
-        started_at_ms=read_count(fields, 'born', 0),
+        started_at_ms=read_count(fields, 'born'),
         service=read_text(fields, 'service'),
         address=read_text(fields, 'address'),
         data_centre=read_text(fields, 'zone'),
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -42,6 +42,9 @@
 #: Seconds added to the wait for the previous leader's orders.
 PREDECESSOR_MARGIN: Final = 0.3
 
+#: States in which a VM may run its worker.
+_RUNNING_STATES: Final = frozenset((FleetVmState.UP, FleetVmState.UNKNOWN))
+
 _MILLI: Final = 1000
 
 
@@ -118,14 +121,16 @@
     def find_listed_workers(self, service: str) -> set[str] | None:
         """Return the workers of a pool that the list of VMs shows.
 
-        :returns: names of the workers, or ``None`` while the list is not read.
+        :returns: names of the workers, or ``None`` while the list has not been
+            read often enough.
         """
-        if not self._vm_list.vms:
+        present = self._vm_list.find_present()
+        if not present:
             return None
         return {
             vm.worker
-            for vm in self._vm_list.vms.values()
-            if vm.pool == service and vm.worker and vm.state is FleetVmState.UP
+            for vm in present
+            if vm.pool == service and vm.worker and vm.state in _RUNNING_STATES
         }
 
     async def _wait_for_predecessor(self) -> None:
@@ -190,7 +195,7 @@
         self._stale = False
         self._log_changes(listed.ok_value)
         self._vm_list.replace(listed.ok_value)
-        self._fleet.end_replaced_incarnations(self._vm_list.vms, requested)
+        self._fleet.end_replaced_incarnations(self._vm_list, requested)
 
     def _log_changes(self, listed: Sequence[FleetVm]) -> None:
         for vm in listed:
