Campaign only after the leader of the last term has closed

Cause: the leader object ends by a check each 0.1 s; a campaign that was won before this check let it go on with the state of the earlier term. Change: a daemon campaigns once that object has closed, 0.1 s later as a rule.

--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -109,6 +109,7 @@
             finally:
                 self._leader = None
             election.lose('the leader task has ended')
+            election.engaged = False
 
     def _answer(self, message: Any) -> Any:
         leader = self._leader
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -75,6 +75,8 @@
     :ivar lost: set after this daemon lost the leadership.
     :ivar revision: revision at which this daemon wrote the leader key.
     :ivar resigned: whether this daemon no longer campaigns.
+    :ivar engaged: whether the leader of the last term is still closing, which
+        a campaign has to wait for.
     :ivar predecessor: the previous leader.
     """
 
@@ -89,6 +91,7 @@
         self.lost = asyncio.Event()
         self.revision = 0
         self.resigned = False
+        self.engaged = False
         self.predecessor = Predecessor()
         self._started_at = read_clock()
         self._store = store
@@ -159,7 +162,8 @@
     async def run(self) -> None:
         """Campaign and renew until the task is cancelled."""
         while True:
-            vacant = self._is_vacant() and not self.resigned
+            hindered = self.resigned or self.engaged
+            vacant = self._is_vacant() and not hindered
             if self._own:
                 await self._renew()
             elif vacant:
@@ -283,6 +287,7 @@
         self.current = claim
         self._log.info('leadership won', term=token, revision=revision)
         self.lost.clear()
+        self.engaged = True
         self.won.set()
 
     async def _commit_claim(
