Show that an unanswered read makes a leader forget a wave's progress

Seen: a successor whose read of the stored VMs of a wave gets no answer takes none as begun and stores that, so it empties all VMs of the wave and orders them once more. Silence is read as proof that nothing was done. Run: pytest verbenapost/scheduler/tests/test_wavestate.py: failed, vm-w0 was lost from the stored list.

--- /dev/null
+++ b/verbenapost/scheduler/tests/test_wavestate.py
@@ -0,0 +1,56 @@
+"""State of maintenance waves at a takeover, in virtual time."""
+
+import asyncio
+import json
+
+from result import Err
+
+from standins.fleet.world import SERVICE
+from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.scheduler.keys import make_wave_key
+from verbenapost.scheduler.tests.scenarios import wait_for_leader
+
+
+class TestUnreadableProgress:
+    """A read without an answer doesn't show that no VM has begun."""
+
+    def test_the_stored_vms_are_kept(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = [
+                row.vm for row in world.cloud.list_vms() if row.pool == SERVICE
+            ]
+            world.request_wave(1, vms, duration=40, cap=1)
+            key = make_wave_key(1)
+            while not json.loads(
+                getattr(world.store.items.get(key), 'value', b'[]')
+            ):
+                await asyncio.sleep(0.05)
+            begun = json.loads(world.store.items[key].value)
+            await leader.kill()
+            for daemon in world.daemons.values():
+                fail_once(daemon.store, key)
+            await wait_for_leader(world)
+            lost = set()
+            for _ in range(160):
+                stored = json.loads(world.store.items[key].value)
+                lost.update(set(begun) - set(stored))
+                await asyncio.sleep(0.05)
+            return lost
+
+        assert play(scenario, standby_vms=1) == set()
+
+
+def fail_once(store, key):
+    """Leave the first read of a key without an answer."""
+    read_key = store.read_key
+    failed = []
+
+    async def read_or_fail(name):
+        if name == key and not failed:
+            failed.append(name)
+            await asyncio.sleep(1)
+            return Err(CallFault(CallFaultKind.UNKNOWN, 'no answer'))
+        return await read_key(name)
+
+    store.read_key = read_or_fail
