Begin a wave only once its stored progress has been read

Cause: a failed read of a wave's stored VMs counted as none begun, which was stored. Class of fault: silence taken as proof that nothing was done.

--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -69,7 +69,7 @@
         # Another wave may be requested while a status is written.
         for wave in tuple(self._configuration.waves.values()):
             progress = await self._find_progress(wave, now)
-            if self._status.is_complete(wave.number):
+            if progress is None or self._status.is_complete(wave.number):
                 continue
             self._log.note_waiting(progress, views, now)
             for order in self._planner.plan(progress, views, now):
@@ -82,11 +82,14 @@
 
     async def _find_progress(
         self, wave: MaintenanceWave, now: float
-    ) -> WaveProgress:
+    ) -> WaveProgress | None:
         progress = self._progress.get(wave.number)
         if progress is None:
+            begun = await self._status.begin(wave.number)
+            if begun is None:
+                return None
             progress = WaveProgress(wave, now, self._quiet_until)
-            progress.begun.update(await self._status.begin(wave.number))
+            progress.begun.update(begun)
             self._progress[wave.number] = progress
         return progress
 
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -37,14 +37,20 @@
         """Return whether a wave is completed."""
         return wave in self._complete
 
-    async def begin(self, wave: int) -> frozenset[str]:
+    async def begin(self, wave: int) -> frozenset[str] | None:
         """Store that a wave is running.
 
-        :returns: the VMs whose maintenance has begun.
+        :returns: the VMs whose maintenance has begun, or ``None`` when they
+            could not be read.
         """
         found = await self._store.read_key(make_wave_key(wave))
+        if isinstance(found, Err):
+            self._log.warning(
+                'wave status not read', wave=wave, fault=str(found.err_value)
+            )
+            return None
         begun: frozenset[str] = frozenset()
-        if not isinstance(found, Err) and found.ok_value is not None:
+        if found.ok_value is not None:
             begun = frozenset(json.loads(found.ok_value.value))
         self._begun[wave] = begun
         await self._write(wave, completed=False)
