Show that a VM missing in one read stays out of work for good

Seen: a VM that is being emptied for a move and is missing in one read loses its pending move, but its worker stays marked as leaving: no tasks, no further move. Run: pytest verbenapost/coordination/scheduling/tests/test_capacity.py: 1 failed (this one), 17 passed.

--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -95,6 +95,29 @@
         end_run(pool_state, started)
         assert plan_moves(planner, demands, views) == [MoveVm(name, 'begun')]
 
+    def test_a_vm_missing_in_one_read_is_moved_or_works_on(self):
+        planner = CapacityPlanner(None)
+        pool_state = make_pool_state(
+            *(make_entry(f'a{row}') for row in range(3))
+        )
+        add_job(pool_state, StepSpec(3, CAPACITY))
+        starts = start_all(pool_state)
+        views = [
+            make_view(name, 'ended', worker=row)
+            for name, row in pool_state.workers.items()
+        ]
+        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        demands = {'ended': 0, 'begun': 10}
+        assert plan_moves(planner, demands, views) == []
+        (name,) = planner.pending_moves
+        listed = [view for view in views if view.vm.vm != name]
+        plan_moves(planner, {'ended': 0, 'begun': 0}, listed)
+        (started,) = [row for row in starts if row.worker == name]
+        end_run(pool_state, started)
+        moves = plan_moves(planner, {'ended': 0, 'begun': 0}, views)
+        worker = pool_state.workers[name]
+        assert worker.staying or MoveVm(name, 'begun') in moves
+
     def test_surplus_vms_move_to_standby_after_a_delay(self):
         planner = CapacityPlanner('spare')
         views = [make_view(f'a{row}') for row in range(4)]
