Show that tasks start twice after a takeover where there is no list of VMs

What callers would see (TWICE): a worker that can't reach the store while the leader is replaced; without a list of VMs the pause ends after 2.5 s.

--- a/verbenapost/scheduler/tests/test_unregistered.py
+++ b/verbenapost/scheduler/tests/test_unregistered.py
@@ -70,3 +70,17 @@
             return check_rules(world), count_runs(world)
 
         assert play(scenario, standby_vms=0) == ([], TASKS)
+
+    @pytest.mark.parametrize('handover', ['stop', 'kill'])
+    def test_worker_without_a_way_to_the_store_and_no_list_of_vms(
+        self, play, handover
+    ):
+        async def scenario(world):
+            leader = await start_tasks(world)
+            world.store.remove(f'{WORKER_PREFIX}w0')
+            await asyncio.sleep(0.8)
+            await getattr(leader, handover)()
+            await asyncio.sleep(12)
+            return check_rules(world), count_runs(world)
+
+        assert play(scenario, standby_vms=None) == ([], TASKS)
