--- a/verbenapost/coordination/scheduling/leases.py
+++ b/verbenapost/coordination/scheduling/leases.py
@@ -11,9 +11,21 @@
 #: delays of the worker's own timer.
 LAPSE_MARGIN: Final = 0.15
 
+#: Seconds by which a deadline may be too late, since the worker may have read
+#: its clock at any time of an exchange; the longest exchange of an order.
+MAX_CLOCK_ERROR: Final = 0.5
+
 _MS: Final = 1000
 
 
+def compute_lapse_seconds(longest: float) -> float:
+    """Return the seconds after which a lease has surely lapsed.
+
+    :param longest: seconds of the longest lease, as intended by its sender.
+    """
+    return (longest + MAX_CLOCK_ERROR) / (1 - CLOCK_DRIFT) + LAPSE_MARGIN
+
+
 class LeaseClock:
     """Estimates a worker's clock and the expiry of the leases sent to it.
 
@@ -96,7 +108,7 @@
         :param now: local seconds.
         :param longest: seconds of the longest lease.
         """
-        lapsed_at = now + longest / (1 - CLOCK_DRIFT) + LAPSE_MARGIN
+        lapsed_at = now + compute_lapse_seconds(longest)
         self._all_lapsed_at = max(self._all_lapsed_at, lapsed_at)
 
     def is_lapsed(self, now: float) -> bool:
--- a/verbenapost/scheduler/inheritance.py
+++ b/verbenapost/scheduler/inheritance.py
@@ -10,12 +10,9 @@
 from collections.abc import Collection
 from typing import Final, final
 
+from verbenapost.coordination.scheduling.leases import compute_lapse_seconds
 from verbenapost.coordination.scheduling.poolstate import PoolState
 
-#: Multiple of the longest lease to wait for an unreachable worker. More than 1,
-#: since its clock may run slow and orders take time to arrive.
-PAUSE_FACTOR: Final = 1.05
-
 #: Seconds after a takeover until workers without an entry count as gone where
 #: there is no list of VMs. Live workers whose entries expired have registered
 #: again by then.
@@ -69,7 +66,7 @@
     """
     if not pool_state.recovering:
         return False
-    lapsed = takeover.passed > takeover.longest_lease * PAUSE_FACTOR
+    lapsed = takeover.passed > compute_lapse_seconds(takeover.longest_lease)
     if lapsed or _have_all_reported(pool_state, takeover):
         pool_state.recovering = False
     return not pool_state.recovering
--- a/verbenapost/scheduler/tests/test_inheritance.py
+++ b/verbenapost/scheduler/tests/test_inheritance.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from verbenapost.coordination.scheduling.leases import compute_lapse_seconds
 from verbenapost.coordination.scheduling.tests.sample import (
     make_entry,
     make_pool_state,
 )
 from verbenapost.scheduler.inheritance import (
-    PAUSE_FACTOR,
     REGISTRATION_SECONDS,
     Takeover,
     end_inherited_pause,
@@ -15,6 +15,7 @@
 
 LEASE = 6.0
 SOON = 0.1
+LAPSED = compute_lapse_seconds(LEASE) + SOON
 
 
 def make_recovering(*names):
@@ -37,8 +38,8 @@
             (None, REGISTRATION_SECONDS + SOON, False),
             (('w0', 'w1', 'w2'), LEASE, False),
             (None, LEASE, False),
-            (('w0', 'w1', 'w2'), LEASE * PAUSE_FACTOR + SOON, True),
-            (None, LEASE * PAUSE_FACTOR + SOON, True),
+            (('w0', 'w1', 'w2'), LAPSED, True),
+            (None, LAPSED, True),
         ],
     )
     def test_listed_workers_without_entry_are_waited_for(
@@ -64,7 +65,7 @@
         ('passed', 'ended'),
         [
             (REGISTRATION_SECONDS + SOON, False),
-            (LEASE * PAUSE_FACTOR + SOON, True),
+            (LAPSED, True),
         ],
     )
     def test_a_silent_worker_is_waited_for_until_its_leases_expire(
