Keep the pending move of a VM that one read of the list leaves out

What operators would see: a VM that is being emptied and is missing in one read loses its move, while its worker stays marked as leaving; it gets no tasks and no other move for the rest of the term. Cause: absence from one read was taken as the end of the move. Change: a pending move is forgotten when its VM is listed elsewhere or not up. Test: test_a_vm_missing_in_one_read_is_moved_or_works_on, failed before.

--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -158,6 +158,7 @@
         """
         usable = [view for view in views if view.vm.state is FleetVmState.UP]
         pools = self._group_by_pool(demands, usable, incoming)
+        self._forget_pending_moves(views)
         moves = self._order_pending_moves(usable, pools)
         moved = {move.vm for move in moves}
         for pool in sorted(
@@ -192,6 +193,13 @@
                 future_pool.vms.append(view)
         return pools
 
+    def _forget_pending_moves(self, views: Sequence[VmView]) -> None:
+        """Forget the moves of VMs that are listed as moved or not up."""
+        for view in views:
+            arrived = view.vm.pool == self.pending_moves.get(view.vm.vm)
+            if arrived or view.vm.state is not FleetVmState.UP:
+                self.pending_moves.pop(view.vm.vm, None)
+
     def _order_pending_moves(
         self,
         usable: Sequence[VmView],
@@ -202,8 +210,8 @@
         moves = []
         for name, destination in list(self.pending_moves.items()):
             view = found.get(name)
-            if view is None or view.vm.pool == destination:
-                self.pending_moves.pop(name)
+            if view is None:
+                # A single read of the list may leave a VM out.
                 continue
             source = pools.get(view.vm.pool)
             if source is not None and source.missing_cores > view.cores / 2:
