Split the entry's serving.py into modules of one job each

Cause: one file of 432 lines held the ports of the entry, the state of a request, its admission, its attempts on targets and what their outcomes mean, so that a reader had to hold all of it to follow one request; claims, jobs and submissions imported the whole server for a type or a constant. Change: daemon/requestcontext.py has the state of a request, entryparts.py the ports and dependencies, attempts.py slot, claim, target and retry (AttemptRunner), outcomes.py what an outcome says of the target and of the request, serving.py admission and answers. JOBS_SEGMENT and is_job_path stand with the other job paths in submissions.py. Two tests changed their import paths, nothing else.

--- a/verbenapost/daemon/claims.py
+++ b/verbenapost/daemon/claims.py
@@ -21,8 +21,8 @@
 )
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.metrics import Metrics
+from verbenapost.daemon.requestcontext import AnswerResult, RequestContext
 from verbenapost.daemon.routing import MessageRouter
-from verbenapost.daemon.serving import AnswerResult, RequestContext
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.claims import (
     ClaimGranted,
--- a/verbenapost/daemon/jobs.py
+++ b/verbenapost/daemon/jobs.py
@@ -13,14 +13,11 @@
 from verbenapost.coordination.jobs.owner import JobOwner, OwnerPorts
 from verbenapost.coordination.jobs.recordstore import JobRecordStore
 from verbenapost.coordination.jobs.transitions import make_cancel
+from verbenapost.daemon.entryparts import Claimer
 from verbenapost.daemon.logs import make_logger
-from verbenapost.daemon.serving import (
-    JOBS_SEGMENT,
-    AnswerResult,
-    Claimer,
-    RequestContext,
-)
+from verbenapost.daemon.requestcontext import AnswerResult, RequestContext
 from verbenapost.daemon.submissions import (
+    JOBS_SEGMENT,
     add_location,
     make_accepted_answer,
     make_job_answer,
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -10,11 +10,12 @@
 )
 from verbenapost.daemon.baseparts import BaseParts
 from verbenapost.daemon.claims import ClaimHost, KeyClaimer
+from verbenapost.daemon.entryparts import EntryParts
 from verbenapost.daemon.fleet import KeeperHost
 from verbenapost.daemon.jobs import JobHost, JobRequestHandler
 from verbenapost.daemon.leaving import LeavingWatch
 from verbenapost.daemon.queues import QueueHost
-from verbenapost.daemon.serving import EntryParts, EntryServer
+from verbenapost.daemon.serving import EntryServer
 from verbenapost.daemon.settings import Settings
 from verbenapost.daemon.slots import AsyncSlotClient
 from verbenapost.daemon.teams import CallerTeams
--- a/verbenapost/daemon/submissions.py
+++ b/verbenapost/daemon/submissions.py
@@ -6,12 +6,15 @@
 from result import Err, Ok, Result
 
 from verbenapost.coordination.routes import find_route_policy
-from verbenapost.daemon.serving import JOBS_SEGMENT, RequestContext
+from verbenapost.daemon.requestcontext import RequestContext
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.targets import TargetAnswer
 from verbenapost.state.configuration import OwnedService
 from verbenapost.state.jobs import JobRecord
 
+#: First path segment of job requests, below the service.
+JOBS_SEGMENT = '/jobs/'
+
 #: Largest body of a submission, in bytes.
 MAX_CONTENT_BYTES = 65_536
 
@@ -24,6 +27,18 @@
 _SIZE_HEADER_PREFIX = 'x-job-'
 
 
+def is_job_path(path: str) -> bool:
+    """Return whether a decoded path below a service is a job path.
+
+    Examples
+    ========
+
+    >>> is_job_path('/jobs/reports'), is_job_path('/jobsheet')
+    (True, False)
+    """
+    return f'{path}/'.startswith(JOBS_SEGMENT)
+
+
 def parse_submission(
     context: RequestContext,
     owned: OwnedService,
--- a/verbenapost/daemon/tests/test_outcomes.py
+++ b/verbenapost/daemon/tests/test_outcomes.py
@@ -6,8 +6,9 @@
 import pytest
 from result import Err, Ok
 
+from verbenapost.daemon.entryparts import EntryParts
 from verbenapost.daemon.metrics import Metrics
-from verbenapost.daemon.serving import EntryParts, EntryServer
+from verbenapost.daemon.serving import EntryServer
 from verbenapost.protocol.callers import ReceivedRequest
 from verbenapost.protocol.errors import ErrorKind, Failure, Outcome
 from verbenapost.protocol.slots import GrantSlot, RunOutcome
--- a/verbenapost/daemon/tests/test_serving.py
+++ b/verbenapost/daemon/tests/test_serving.py
@@ -4,8 +4,9 @@
 
 from result import Ok
 
+from verbenapost.daemon.entryparts import EntryParts
 from verbenapost.daemon.metrics import Metrics
-from verbenapost.daemon.serving import EntryParts, EntryServer
+from verbenapost.daemon.serving import EntryServer
 from verbenapost.daemon.settings import CallerSettings
 from verbenapost.daemon.teams import CallerTeams
 from verbenapost.protocol.callers import ReceivedRequest
