Split transport/peers.py: streams, authentication, network

Cause: one file of 402 lines held the framing of messages, the handshake, the redialling of a peer and the mesh of all peers; framing and handshake stood in one class, and both sides of the handshake wrote out the same proof and its check. Change: transport/streams.py has MessageStream (framing, backlog, end of a connection), peers.py the identity, the handshake on an accepted or a dialled connection and the link that redials, network.py PeerNetwork. The proof and its check stand once, in PeerStream. PeerLink stays in peers.py, because verbenapost/scheduler imports it there and was not touched.

--- a/verbenapost/daemon/assembly.py
+++ b/verbenapost/daemon/assembly.py
@@ -17,7 +17,8 @@
     CallerLimits,
     RequestServer,
 )
-from verbenapost.transport.peers import Deliver, Identity, PeerNetwork
+from verbenapost.transport.network import PeerNetwork
+from verbenapost.transport.peers import Deliver, Identity
 from verbenapost.transport.store import HttpStoreClient, StoreSettings
 from verbenapost.transport.targets import TargetClient, TargetLimits
 
--- a/verbenapost/daemon/gauges.py
+++ b/verbenapost/daemon/gauges.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from verbenapost.daemon.metrics import Metrics
-from verbenapost.transport.peers import PeerNetwork
+from verbenapost.transport.network import PeerNetwork
 from verbenapost.transport.store import HttpStoreClient
 
 
--- a/verbenapost/daemon/membership.py
+++ b/verbenapost/daemon/membership.py
@@ -20,7 +20,7 @@
 )
 from verbenapost.protocol.store import StorePort
 from verbenapost.state.members import MemberRecord
-from verbenapost.transport.peers import PeerNetwork
+from verbenapost.transport.network import PeerNetwork
 
 #: Seconds after which startup continues without unreachable peers.
 STARTUP_WAIT_SECONDS = 3.0
--- a/verbenapost/daemon/peerdirectory.py
+++ b/verbenapost/daemon/peerdirectory.py
@@ -4,7 +4,7 @@
 from typing import final
 
 from verbenapost.coordination.register import MemberRegister
-from verbenapost.transport.peers import PeerNetwork
+from verbenapost.transport.network import PeerNetwork
 
 #: Seconds for which the address in a peer's latest message is kept.
 SENDER_ADDRESS_SECONDS = 30.0
--- a/verbenapost/transport/peers.py
+++ b/verbenapost/transport/peers.py
@@ -1,4 +1,4 @@
-"""Authenticated msgpack streams between daemons."""
+"""Authenticated connections between two daemons, accepted and dialled."""
 
 import asyncio
 import dataclasses
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgpack
-
 from verbenapost.protocol import codec
 from verbenapost.protocol.handshake import (
     NONCE_BYTES,
@@ -18,6 +16,7 @@
     check_proof,
     make_proof,
 )
+from verbenapost.transport.streams import MessageStream
 
 #: Timeout of connecting and of the handshake, in seconds.
 HANDSHAKE_TIMEOUT = 3.0
@@ -27,10 +26,6 @@
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 2.0
 
-#: Bytes that may wait to be sent to one peer; further messages to that peer
-#: are dropped.
-MAX_BACKLOG_BYTES = 8 * 1024 * 1024
-
 Deliver = Callable[[str, Any], None]
 
 
@@ -48,7 +43,7 @@
     key: str = dataclasses.field(repr=False)
 
 
-class PeerStream(asyncio.Protocol):
+class PeerStream(MessageStream):
     """One connection between two daemons, accepted or dialled.
 
     :param identity: identity of this daemon.
@@ -59,78 +54,62 @@
         handshake.
     :ivar ready: future of the peer's name; cancelled when the connection
         ends during the handshake.
-    :ivar closed: future that is done when the connection has ended.
     """
 
     def __init__(self, identity: Identity, deliver: Deliver) -> None:
+        super().__init__()
         self.peer = ''
         self.peer_incarnation = ''
-        self.closed = asyncio.get_running_loop().create_future()
         self.ready = asyncio.get_running_loop().create_future()
-        self.bytes_in = 0
-        self.bytes_out = 0
         self._identity = identity
         self._deliver = deliver
         self._nonce = secrets.token_bytes(NONCE_BYTES)
-        self._unpacker = codec.make_unpacker()
-        self._transport: asyncio.Transport | None = None
-        self._outbox: list[bytes] = []
         self._handshake_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the handshake."""
-        assert isinstance(transport, asyncio.Transport)  # noqa: S101
-        self._transport = transport
+        super().connection_made(transport)
         loop = asyncio.get_running_loop()
         self._handshake_timer = loop.call_later(HANDSHAKE_TIMEOUT, self.abort)
 
-    def data_received(self, chunk: bytes) -> None:
-        """Unpack and deliver each complete message."""
-        self.bytes_in += len(chunk)
-        try:
-            self._unpack(chunk)
-        except (codec.CodecError, msgpack.UnpackException, ValueError):
-            self.close()
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Complete the futures that wait for the connection."""
         if self._handshake_timer is not None:
             self._handshake_timer.cancel()
         if not self.ready.done():
             self.ready.cancel()
-        if not self.closed.done():
-            self.closed.set_result(exc)
+        super().connection_lost(exc)
 
-    def send(self, message: Any) -> bool:
-        """Queue a message.
-
-        :returns: whether it was queued; ``False`` without an open connection
-            or with a full backlog.
-        """
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return False
-        if transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
-            return False
-        if not self._outbox:
-            asyncio.get_running_loop().call_soon(self._flush)
-        self._outbox.append(codec.encode(message))
-        return True
-
-    def close(self) -> None:
-        """Close the connection once all queued messages are written."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._flush()
-            self._transport.close()
-
-    def abort(self) -> None:
-        """Close the connection at once; unwritten messages are lost."""
-        if self._transport is not None:
-            self._transport.abort()
+    def _receive(self, message: Any) -> None:
+        if self.peer:
+            self._deliver(self.peer, message)
+        else:
+            self._handshake(message)
 
     def _handshake(self, message: Any) -> None:
         raise codec.CodecError('unexpected message before the handshake')
 
+    def _prove(self, nonce: bytes) -> bytes:
+        """Return this daemon's proof for the challenge of the peer."""
+        own_identity = self._identity
+        return make_proof(
+            own_identity.key,
+            nonce,
+            own_identity.name,
+            own_identity.incarnation,
+        )
+
+    def _check(self, answer: Hello | Welcome) -> None:
+        """Refuse a peer whose proof does not fit this daemon's challenge."""
+        if not check_proof(
+            answer.proof,
+            self._identity.key,
+            self._nonce,
+            answer.name,
+            answer.incarnation,
+        ):
+            raise codec.CodecError('wrong proof')
+
     def _accept(self, name: str, incarnation: str) -> None:
         self.peer = name
         self.peer_incarnation = incarnation
@@ -139,24 +118,6 @@
         if not self.ready.done():
             self.ready.set_result(name)
 
-    def _unpack(self, chunk: bytes) -> None:
-        self._unpacker.feed(chunk)
-        for unpacked in self._unpacker:
-            message = codec.decode(unpacked)
-            if self.peer:
-                self._deliver(self.peer, message)
-            else:
-                self._handshake(message)
-
-    def _flush(self) -> None:
-        encoded = self._outbox
-        if not encoded or self._transport is None:
-            return
-        self._outbox = []
-        packed = b''.join(encoded)
-        self.bytes_out += len(packed)
-        self._transport.write(packed)
-
 
 class AcceptedStream(PeerStream):
     """Accepted connection, on which this daemon sends the challenge."""
@@ -169,22 +130,15 @@
     def _handshake(self, message: Any) -> None:
         if not isinstance(message, Hello):
             raise codec.CodecError('expected hello')
+        self._check(message)
         own_identity = self._identity
-        if not check_proof(
-            message.proof,
-            own_identity.key,
-            self._nonce,
-            message.name,
-            message.incarnation,
-        ):
-            raise codec.CodecError('wrong proof')
-        proof = make_proof(
-            own_identity.key,
-            message.nonce,
-            own_identity.name,
-            own_identity.incarnation,
+        self.send(
+            Welcome(
+                own_identity.name,
+                own_identity.incarnation,
+                self._prove(message.nonce),
+            )
         )
-        self.send(Welcome(own_identity.name, own_identity.incarnation, proof))
         self._accept(message.name, message.incarnation)
 
 
@@ -192,33 +146,20 @@
     """Dialled connection, on which this daemon answers the challenge."""
 
     def _handshake(self, message: Any) -> None:
-        own_identity = self._identity
         if isinstance(message, Challenge):
-            proof = make_proof(
-                own_identity.key,
-                message.nonce,
-                own_identity.name,
-                own_identity.incarnation,
-            )
+            own_identity = self._identity
             self.send(
                 Hello(
                     own_identity.name,
                     own_identity.incarnation,
                     self._nonce,
-                    proof,
+                    self._prove(message.nonce),
                 )
             )
             return
         if not isinstance(message, Welcome):
             raise codec.CodecError('expected welcome')
-        if not check_proof(
-            message.proof,
-            own_identity.key,
-            self._nonce,
-            message.name,
-            message.incarnation,
-        ):
-            raise codec.CodecError('wrong proof')
+        self._check(message)
         self._accept(message.name, message.incarnation)
 
 
@@ -300,103 +241,3 @@
             self._closed_bytes_out += stream.bytes_out
             stream.close()
         return True
-
-
-class PeerNetwork:
-    """All connections between one daemon and its peers.
-
-    Explanation
-    ===========
-
-    Messages to a peer are sent over the connection that this daemon dialled;
-    the peer answers over the connection that the peer dialled. Messages are
-    lost when a connection breaks, and the protocols that use the network
-    tolerate this. Messages to this daemon itself are delivered in the next
-    iteration of the event loop.
-
-    :param identity: identity of this daemon.
-    :param addresses: IP address and port of each known peer, by name.
-    :param deliver: handler of the messages; it gets the name of the sender
-        and the message.
-    """
-
-    def __init__(
-        self,
-        identity: Identity,
-        addresses: dict[str, tuple[str, int]],
-        deliver: Deliver,
-    ) -> None:
-        self._identity = identity
-        self._deliver = deliver
-        self._links: dict[str, PeerLink] = {}
-        self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._accepted: set[AcceptedStream] = set()
-        self._server: asyncio.Server | None = None
-        self._addresses = dict(addresses)
-
-    @property
-    def connected(self) -> frozenset[str]:
-        """Names of the peers to which messages can be sent now."""
-        links = self._links.items()
-        return frozenset(name for name, link in links if link.connected)
-
-    @property
-    def bytes_out(self) -> int:
-        """Bytes written to all current peers."""
-        return sum(link.bytes_out for link in self._links.values())
-
-    async def start(self, host: str, port: int) -> None:
-        """Start to listen, and dial each known peer."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, host, port)
-        for name, address in self._addresses.items():
-            self.add_peer(name, address)
-
-    def add_peer(self, name: str, address: tuple[str, int]) -> None:
-        """Dial a peer; a known peer with a new address is dialled again."""
-        existing = self._links.get(name)
-        if name == self._identity.name:
-            return
-        if existing is not None and existing.address == address:
-            return
-        self.remove_peer(name)
-        link = PeerLink(self._identity, address)
-        self._links[name] = link
-        self._tasks[name] = asyncio.create_task(link.run(self._deliver))
-
-    def remove_peer(self, name: str) -> None:
-        """Disconnect from a peer and stop dialling that peer."""
-        self._links.pop(name, None)
-        task = self._tasks.pop(name, None)
-        if task is not None:
-            task.cancel()
-
-    def send(self, name: str, message: Any) -> bool:
-        """Send a message to a peer or to this daemon itself.
-
-        :returns: whether the message was queued.
-        """
-        if name == self._identity.name:
-            loop = asyncio.get_running_loop()
-            loop.call_soon(self._deliver, name, message)
-            return True
-        link = self._links.get(name)
-        return link is not None and link.send(message)
-
-    async def stop(self) -> None:
-        """Close every connection."""
-        if self._server is not None:
-            self._server.close()
-        for name in list(self._tasks):
-            self.remove_peer(name)
-        for stream in list(self._accepted):
-            stream.close()
-        await asyncio.sleep(0)
-
-    def _accept(self) -> AcceptedStream:
-        stream = AcceptedStream(self._identity, self._deliver)
-        self._accepted.add(stream)
-        stream.closed.add_done_callback(
-            lambda _ended: self._accepted.discard(stream),
-        )
-        return stream
