Split bench/replay.py by the kind of policy

Cause: one file of 366 lines held the event queue in virtual time, the three policies that grant slots from queues and the one by which entries choose targets; the base could not be read apart from the policies. Change: bench/replay.py has the event queue and the outcome, replay_grants.py single grants, batched grants and static shares, replay_choices.py the power of two. The table POLICIES stands in bench/policies.py, which compares them. One test changed its import paths.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -12,10 +12,24 @@
 import sys
 from concurrent import futures
 
-from bench.replay import MESSAGE_LATENCY, POLICIES
+from bench.replay import MESSAGE_LATENCY
+from bench.replay_choices import PowerOfTwo
+from bench.replay_grants import (
+    BatchedGrants,
+    SingleGrants,
+    StaticShareQueues,
+)
 from bench.traces import CAPACITY, SCENARIOS, make_trace
 
+POLICIES = {
+    'power_of_two': PowerOfTwo,
+    'static_shares': StaticShareQueues,
+    'ask_grant': SingleGrants,
+    'batched_grants': BatchedGrants,
+}
+
 SEEDS = (11, 12, 13, 14, 15)
+
 #: Shortest span of a free slot that is counted, in seconds.
 MIN_FREE_SECONDS = 0.004
 
--- a/bench/tests/test_policies.py
+++ b/bench/tests/test_policies.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from bench.policies import count_wrongly_refused
-from bench.replay import POLICIES, ReplayOutcome
+from bench.policies import POLICIES, count_wrongly_refused
+from bench.replay import ReplayOutcome
 from bench.traces import SCENARIOS, Request, Scenario, Source, make_trace
 
 SMALL = Scenario(
