Join three pieces of logic that stood twice

Change: transport/jsonanswers.py reads an answer for both clients, each with its own kinds by status; examples/histories/requestrules.py has _find_repeated for both rules, whose names, texts and verdicts are the same; bench/slopes_queue.py has make_busy_queue, outside of what is timed. Left, because only the shape is the same or because the two are meant to be apart: signatures of ports and their implementations, records and status messages with fields of their own, the calls of the two clients (their failures' details differ, str and repr), announcement and acceptance of a document, test ports beside the bench's.

--- a/bench/slopes_queue.py
+++ b/bench/slopes_queue.py
@@ -75,6 +75,17 @@
     return queue
 
 
+def make_busy_queue(targets):
+    """Return a queue with as many running grants as targets.
+
+    :param targets: number of targets.
+    """
+    queue = make_queue(targets)
+    for number in range(targets):
+        queue.request_slot(0, make_slot_request(number))
+    return queue
+
+
 def measure_bytes(build):
     """Return the traced memory of an object, in bytes.
 
@@ -136,9 +147,7 @@
     """
     points = []
     for targets in TARGETS:
-        queue = make_queue(targets)
-        for number in range(targets):
-            queue.request_slot(0, make_slot_request(number))
+        queue = make_busy_queue(targets)
         for turn in range(REPEATS):
             start = 10**6 * (turn + 1)
             cpu = time_cpu(run_pairs, queue, start)
@@ -182,9 +191,7 @@
     """
     points = []
     for targets in TARGETS:
-        queue = make_queue(targets)
-        for number in range(targets):
-            queue.request_slot(0, make_slot_request(number))
+        queue = make_busy_queue(targets)
         for _ in range(REPEATS):
             cpu = time_cpu(action, queue, targets)
             points.append((targets, cpu * factor))
--- a/examples/histories/requestrules.py
+++ b/examples/histories/requestrules.py
@@ -1,7 +1,7 @@
 """Rules about requests, their runs and their answers."""
 
 import collections
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from examples.histories.records import (
     AnswerContent,
@@ -28,10 +28,9 @@
     non_idempotent = {
         sent.key for sent in history.sent if sent.key and not sent.idempotent
     }
-    counts = collections.Counter(run.key for run in history.runs)
-    for key in sorted(non_idempotent):
-        if counts[key] > 1:
-            yield f'key {key} ran {counts[key]} times'
+    ran = (run.key for run in history.runs)
+    for key, times in _find_repeated(non_idempotent, ran):
+        yield f'key {key} ran {times} times'
 
 
 @register_rule('unkeyed_once')
@@ -42,10 +41,9 @@
         for sent in history.sent
         if not sent.key and not sent.idempotent
     }
-    counts = collections.Counter(run.tag for run in history.runs)
-    for tag in sorted(non_idempotent):
-        if counts[tag] > 1:
-            yield f'request {tag} ran {counts[tag]} times'
+    ran = (run.tag for run in history.runs)
+    for tag, times in _find_repeated(non_idempotent, ran):
+        yield f'request {tag} ran {times} times'
 
 
 @register_rule('not_run')
@@ -174,3 +172,14 @@
     for answer in history.answered:
         if not answer.outcome and answer.status == _OK_STATUS:
             yield sent_by_number[answer.number], answer, answer.content
+
+
+def _find_repeated(
+    names: set[str],
+    ran: Iterable[str],
+) -> Iterator[tuple[str, int]]:
+    """Return each of the names that ran more than once, and how often."""
+    counts = collections.Counter(ran)
+    for name in sorted(names):
+        if counts[name] > 1:
+            yield name, counts[name]
--- a/verbenapost/transport/platformclient.py
+++ b/verbenapost/transport/platformclient.py
@@ -14,6 +14,7 @@
     VmOperation,
     VmStatus,
 )
+from verbenapost.transport.jsonanswers import read_json_answer
 
 #: Timeout of a call to the platform, in seconds.
 CALL_TIMEOUT = 5.0
@@ -132,10 +133,9 @@
 async def _read_answer(
     response: aiohttp.ClientResponse,
 ) -> Result[Any, Failure]:
-    if response.status == HTTPStatus.OK:
-        return Ok(await response.json())
-    kind = _KIND_BY_STATUS.get(response.status, ErrorKind.STORE_UNKNOWN)
-    return Err(Failure(kind, await response.text()))
+    return await read_json_answer(
+        response, _KIND_BY_STATUS, ErrorKind.STORE_UNKNOWN
+    )
 
 
 def _parse_list(answer: Any) -> Result[Sequence[ListedVm], Failure]:
--- a/verbenapost/transport/tasks.py
+++ b/verbenapost/transport/tasks.py
@@ -16,6 +16,7 @@
     TaskReports,
     TaskState,
 )
+from verbenapost.transport.jsonanswers import read_json_answer
 
 #: Timeout of a call, in seconds.
 CALL_TIMEOUT = 2.0
@@ -124,22 +125,15 @@
                 json=body,
                 timeout=self._timeout,
             ) as response:
-                return await _read_answer(response)
+                return await read_json_answer(
+                    response, _KIND_BY_STATUS, ErrorKind.TARGET_FAILED
+                )
         except aiohttp.ClientConnectorError as connect_error:
             return Err(Failure(ErrorKind.TARGET_REFUSED, str(connect_error)))
         except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
             return Err(Failure(ErrorKind.TARGET_FAILED, repr(fault)))
 
 
-async def _read_answer(
-    response: aiohttp.ClientResponse,
-) -> Result[Any, Failure]:
-    if response.status == HTTPStatus.OK:
-        return Ok(await response.json())
-    kind = _KIND_BY_STATUS.get(response.status, ErrorKind.TARGET_FAILED)
-    return Err(Failure(kind, await response.text()))
-
-
 def _parse_report(answer: Any) -> Result[TaskReports, Failure]:
     try:
         return Ok(
