Remove what nothing in the product reads or calls

Cause: a reader took several parts for live that no code used. The member's load, which was always 0, is gone; the field of Heartbeat stays on the wire with the same value, and its docstring says so. gauges.py no longer splits an outcome from a name that never holds one; store_calls_total still has outcome 'all'. Left: RevisionQuery and RevisionReport, since they are wire messages and daemon/membership.py answers the query, though nothing sends one any more; MemberRegister.set_deleted, TimerService.unsubscribe and bind_request, which only tests call and whose tests stay; store_calls_total without real outcomes, since docs/operators/observing.md promises them and a change would be one of behaviour.

--- a/verbenapost/coordination/claims/keys.py
+++ b/verbenapost/coordination/claims/keys.py
@@ -94,11 +94,6 @@
     return Ok(parsed.bytes)
 
 
-def format_key(key: bytes) -> str:
-    """Return the text form of a key."""
-    return str(uuid.UUID(bytes=key))
-
-
 def fingerprint_request(
     team: str, method: str, service: str, path: str, body: bytes
 ) -> bytes:
--- a/verbenapost/coordination/claims/owner.py
+++ b/verbenapost/coordination/claims/owner.py
@@ -143,10 +143,6 @@
         """Return the number of waiting attempts and buffered messages."""
         return self._arbiter.waiting + len(self._buffered)
 
-    def change_rate(self, write_rate: float) -> None:
-        """Set the maximum store writes per second."""
-        self._interval = 1 / write_rate
-
     def receive(self, sender: str, message: ClaimKey | RecordOutcome) -> None:
         """Handle a message of an entry, or buffer it until the ring is read."""
         buffered = _BufferedMessage(sender, message, self._ports.now())
--- a/verbenapost/coordination/membership.py
+++ b/verbenapost/coordination/membership.py
@@ -89,7 +89,6 @@
             own_record.name, own_record.identity, timing.view_timeout
         )
         self.register = MemberRegister(own_record, timing, self.contacts)
-        self.load = 0
         self.ready = True
         self._own_record = own_record
         self._views = views
@@ -291,7 +290,6 @@
             set_revision=self.register.revision,
             confirmation_age_ms=self.contacts.encode_freshness(now),
             ready=self.ready,
-            load=self.load,
             first_index=first,
             contact_ages=self.contacts.last_contact.encode(included, now),
             confirmed=change.encode() if change else b'',
--- a/verbenapost/daemon/gauges.py
+++ b/verbenapost/daemon/gauges.py
@@ -7,6 +7,9 @@
 from verbenapost.transport.network import PeerNetwork
 from verbenapost.transport.store import HttpStoreClient
 
+#: Value of the label ``outcome``: the store client counts calls by kind only.
+ALL_OUTCOMES = 'all'
+
 
 class MeteredParts(Protocol):
     """Parts of a daemon that keep their own counters."""
@@ -27,9 +30,8 @@
     metrics = parts.metrics
 
     def read_store() -> None:
-        for name, count in parts.store.calls.items():
-            kind, _, outcome = name.partition(' ')
-            metrics.store_calls.put(count, kind, outcome or 'all')
+        for kind, count in parts.store.calls.items():
+            metrics.store_calls.put(count, kind, ALL_OUTCOMES)
 
     def read_peers() -> None:
         metrics.peer_bytes.put(parts.network.bytes_out, 'out')
--- a/verbenapost/protocol/membership.py
+++ b/verbenapost/protocol/membership.py
@@ -43,7 +43,7 @@
     :param confirmation_age_ms: milliseconds since the sender's views were
         confirmed, or ``NO_AGE``.
     :param ready: whether the sender accepts new work.
-    :param load: load of the sender in thousandths.
+    :param load: always 0; the place of the field in the message is kept.
     :param first_index: index of the first member of ``contact_ages`` in the
         sorted names.
     :param contact_ages: ages of the last contact with members, one byte each;
--- a/verbenapost/state/configuration.py
+++ b/verbenapost/state/configuration.py
@@ -1,7 +1,6 @@
 """Stored configuration documents and the view that merges them."""
 
 import dataclasses
-import itertools
 from collections.abc import Mapping
 from typing import Any, final
 
@@ -13,7 +12,6 @@
     PLATFORM,
     PlatformDocument,
     PoolSpec,
-    Quota,
     ServiceSpec,
     TeamDocument,
 )
@@ -111,24 +109,6 @@
         """Return the pools by name."""
         return self.platform.pools
 
-    def find_quota(self, service: str, caller: str) -> Quota | None:
-        """Return the quota of a calling team at a service.
-
-        The document of the team that owns the service defines the quota. The
-        entry of the calling team takes precedence over ``*``, and within each
-        of the two the entry of the service takes precedence over ``*``.
-
-        :param service: name of the service.
-        :param caller: name of the calling team.
-        """
-        owned = self.services.get(service)
-        if owned is None:
-            return None
-        quotas = self.teams[owned.team].quotas
-        keys = itertools.product((caller, ANY), (service, ANY))
-        matches = (quotas.get(team, {}).get(name) for team, name in keys)
-        return next((quota for quota in matches if quota is not None), None)
-
 
 def pack_record(record: ConfigurationRecord) -> bytes:
     """Return the record as JSON bytes for the store."""
--- a/verbenapost/transport/streams.py
+++ b/verbenapost/transport/streams.py
@@ -19,13 +19,11 @@
     together.
 
     :ivar closed: future that is done when the connection has ended.
-    :ivar bytes_in: bytes received over the connection.
     :ivar bytes_out: bytes written to the connection.
     """
 
     def __init__(self) -> None:
         self.closed = asyncio.get_running_loop().create_future()
-        self.bytes_in = 0
         self.bytes_out = 0
         self._unpacker = codec.make_unpacker()
         self._transport: asyncio.Transport | None = None
@@ -38,7 +36,6 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Unpack and handle each complete message."""
-        self.bytes_in += len(chunk)
         try:
             self._unpack(chunk)
         except (codec.CodecError, msgpack.UnpackException, ValueError):
