--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -309,8 +309,11 @@
         return Ok(fleet_worker.report())
 
     async def _send_order(self, worker, execute):
-        fleet_worker = self.world.workers[worker.worker]
         await asyncio.sleep(0.002)
+        fleet_worker = self.world.workers.get(worker.worker)
+        if fleet_worker is None:
+            # An entry of another writer names no worker of this world.
+            return Err(CallFault(CallFaultKind.NOT_DONE, 'refused'))
         if not fleet_worker.up or self._is_unreachable(fleet_worker):
             return await self._time_out()
         if (
