Numbers of records are within 64 bits, capacities below a million cores

Cause: read_count took whole numbers of any size and read_number took infinity (1e999) and NaN. A `born` of 10**400 raised OverflowError in has_incarnation_ended and ended the controller's task; a `cpu` of that size raised in the estimate of the wait, at each submission of the pool. A submission with a `cpu` over 64 bits raised when it was packed for the store.

Now a number is refused at the boundary unless it is from 0 to 2**63 - 1, and a capacity unless it is at most 10**9.

Ruled out: numbers of over 4300 digits and nesting of any depth were refused before as well; the tests keep that.

--- a/verbenapost/platform/fields.py
+++ b/verbenapost/platform/fields.py
@@ -1,10 +1,14 @@
 """Strictly typed access to the fields of decoded JSON."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 Fields = Mapping[str, Any]
 
+#: Largest number of a field, that of a signed integer of 64 bits: it can be
+#: packed, and divided as a float.
+MAX_NUMBER: Final = 9_223_372_036_854_775_807
+
 
 class FieldError(ValueError):
     """Raised for a missing or invalid field.
@@ -47,11 +51,35 @@
     return value
 
 
-def read_count(fields: Fields, name: str, default: int | None = None) -> int:
-    """Return a non-negative integer field."""
+def read_count(
+    fields: Fields,
+    name: str,
+    default: int | None = None,
+    limit: int = MAX_NUMBER,
+) -> int:
+    """Return a non-negative integer field.
+
+    Examples
+    ========
+
+    >>> read_count({'count': 3}, 'count')
+    3
+    >>> read_count({'count': 3}, 'count', limit=2)
+    Traceback (most recent call last):
+    ...
+    verbenapost.platform.fields.FieldError: count must be at most 2
+
+    :param fields: the fields.
+    :param name: name of the field.
+    :param default: value of a missing field, or ``None`` if it is required.
+    :param limit: largest value.
+    :raises FieldError: when the value is of another type or out of range.
+    """
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise FieldError(name, 'must be a whole number of 0 or more')
+    if value > limit:
+        raise FieldError(name, f'must be at most {limit}')
     return value
 
 
@@ -60,12 +88,18 @@
     name: str,
     default: float | None = None,
 ) -> float:
-    """Return a non-negative number field."""
+    """Return a non-negative number field.
+
+    JSON's ``1e999`` is read as infinity, and ``NaN`` as no number at all; both
+    are refused.
+
+    :raises FieldError: when the value is of another type or out of range.
+    """
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise FieldError(name, 'must be a number')
-    if value < 0:
-        raise FieldError(name, 'must not be negative')
+    if not 0 <= value <= MAX_NUMBER:
+        raise FieldError(name, f'must be from 0 to {MAX_NUMBER}')
     return value
 
 
--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -28,6 +28,10 @@
     WorkerEntry,
 )
 
+#: Largest capacity of a VM in thousandths of a core, in MB or in GPUs: a
+#: million cores. A larger one names no VM, and would make each wait look short.
+MAX_CAPACITY: Final = 10**9
+
 _MS = 1000
 _WORKER_STATES: Final = frozenset(('ready', 'draining'))
 _VM_STATES: Final = {
@@ -166,9 +170,9 @@
 def _read_capacity(fields: Fields) -> Resources:
     capacity = read_object(fields.get('capacity'), 'capacity')
     return Resources(
-        read_count(capacity, 'cpu', 0),
-        read_count(capacity, 'mem_mb', 0),
-        read_count(capacity, 'gpu', 0),
+        read_count(capacity, 'cpu', 0, MAX_CAPACITY),
+        read_count(capacity, 'mem_mb', 0, MAX_CAPACITY),
+        read_count(capacity, 'gpu', 0, MAX_CAPACITY),
     )
 
 
