Addresses of workers are a host and a port that a connection can have

Cause: any text was taken. With a port out of range (also 0, or none) the worker was linked and called four times a second, and at each takeover the older jobs of its pool paused 6.3 s for its report. A host that no DNS name can have, `.:9` or a label of 64 characters, raised UnicodeError out of HttpTransport.send and ended the link's task; a line break in a header, ValueError. `127.0.0.1:9@10.0.0.1:9` became a call to the second host.

Now platform/addresses.py parses the address, and the transport gives a fault for a ValueError of the library, as for its other errors.

Ruled out: ports out of range raised nothing before (aiohttp's InvalidURL is one of its client errors), over real sockets and with aiohttp of this environment.

--- a/verbenapost/platform/http.py
+++ b/verbenapost/platform/http.py
@@ -23,7 +23,14 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-_AFTER_SENDING: Final = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+#: Other errors, after which the outcome is open. A host that no DNS name can
+#: have is a ``UnicodeError``; a header with a line break, a ``ValueError``.
+_AFTER_SENDING: Final = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    OSError,
+    ValueError,
+)
 
 _OK = 200
 _JSON_HEADERS: Final = {'Content-Type': 'application/json'}
--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from verbenapost.platform.addresses import parse_address
 from verbenapost.platform.fields import (
     FieldError,
     Fields,
@@ -158,7 +159,7 @@
         worker=worker,
         started_at_ms=read_count(fields, 'born', 0),
         service=read_text(fields, 'service'),
-        address=read_text(fields, 'address'),
+        address=_read_address(fields),
         data_centre=read_text(fields, 'zone'),
         draining=state == 'draining',
         capacity=_read_capacity(fields),
@@ -167,6 +168,15 @@
     )
 
 
+def _read_address(fields: Fields) -> str:
+    address = read_text(fields, 'address')
+    try:
+        parse_address(address)
+    except ValueError as fault:
+        raise FieldError('address', str(fault)) from fault
+    return address
+
+
 def _read_capacity(fields: Fields) -> Resources:
     capacity = read_object(fields.get('capacity'), 'capacity')
     return Resources(
