Texts of records can be sent, packed and put into a header

Cause: JSON's "\ud800" is a string that UTF-8 can't encode. A submission with it raised UnicodeEncodeError when it was packed; an entry's label or VM name with it was taken. A key of the store with it raised when the next page was asked for, so that the list could never be read. The name of a worker, which goes into a header, was any text of the key. A VM's `id` in the platform's list was of any type.

Now a text that can't be encoded is refused with its field; a worker's name is printable ASCII; keys are read as they are, since one odd key must not cost the page. An error repeats 40 characters of another writer's text at most. A value of the store that is no ASCII gives a fault in place of a ValueError.

test_successor_takes_over_beside_them of the scheduler's tests asked a daemon in its first milliseconds and got 503 with this mended: it now waits a second after the successor leads.

--- a/verbenapost/platform/fields.py
+++ b/verbenapost/platform/fields.py
@@ -9,6 +9,9 @@
 #: packed, and divided as a float.
 MAX_NUMBER: Final = 9_223_372_036_854_775_807
 
+#: Characters of another writer's text that an error repeats.
+MAX_SHOWN_CHARACTERS: Final = 40
+
 
 class FieldError(ValueError):
     """Raised for a missing or invalid field.
@@ -44,10 +47,42 @@
 
 
 def read_text(fields: Fields, name: str, default: str | None = None) -> str:
-    """Return a string field."""
-    value = fields.get(name, default)
+    """Return a string field that UTF-8 can encode.
+
+    JSON can hold half a character, which can be neither sent nor packed.
+
+    :raises FieldError: when the value is of another type or can't be encoded.
+    """
+    return check_text(fields.get(name, default), name)
+
+
+def read_texts(fields: Fields, name: str) -> tuple[str, ...]:
+    """Return a list of strings, empty when the field is missing."""
+    return tuple(check_text(row, name) for row in read_rows(fields, name))
+
+
+def shorten(text: str) -> str:
+    """Return the beginning of a text, for an error.
+
+    >>> shorten('x' * 1000) == 'x' * MAX_SHOWN_CHARACTERS
+    True
+    """
+    return text[:MAX_SHOWN_CHARACTERS]
+
+
+def check_text(value: Any, field: str) -> str:
+    """Return a value that has to be a string that UTF-8 can encode.
+
+    :param value: the value.
+    :param field: path of the field for the error.
+    :raises FieldError: when the value is no such string.
+    """
     if not isinstance(value, str):
-        raise FieldError(name, 'must be a string')
+        raise FieldError(field, 'must be a string')
+    try:
+        value.encode()
+    except UnicodeEncodeError as fault:
+        raise FieldError(field, 'must be encodable in UTF-8') from fault
     return value
 
 
--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -1,6 +1,7 @@
 """Decoding of the records of operators, workers and the cloud."""
 
 import json
+import re
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
@@ -10,12 +11,15 @@
 from verbenapost.platform.fields import (
     FieldError,
     Fields,
+    check_text,
     read_count,
     read_flag,
     read_number,
     read_object,
     read_rows,
     read_text,
+    read_texts,
+    shorten,
 )
 from verbenapost.state.workloads import (
     AdviceTerms,
@@ -41,6 +45,7 @@
     'upkeep': FleetVmState.MAINTENANCE,
     'down': FleetVmState.DOWN,
 }
+_WORKER_NAME = re.compile('[!-~]+')
 _Decoded = TypeVar('_Decoded')
 
 
@@ -84,7 +89,8 @@
         state=_VM_STATES.get(state, FleetVmState.DOWN),
         labels=_read_labels(fields),
         capacity=_read_capacity(fields),
-        worker=fields.get('id') or '',
+        # The platform gives no worker as null.
+        worker=check_text(fields.get('id') or '', 'id'),
     )
 
 
@@ -154,9 +160,9 @@
 def _read_worker(worker: str, fields: Fields) -> WorkerEntry:
     state = read_text(fields, 'state')
     if state not in _WORKER_STATES:
-        raise FieldError('state', f'is {state!r}, which is unknown')
+        raise FieldError('state', f'is {shorten(state)!r}, which is unknown')
     return WorkerEntry(
-        worker=worker,
+        worker=_check_worker(worker),
         started_at_ms=read_count(fields, 'born', 0),
         service=read_text(fields, 'service'),
         address=_read_address(fields),
@@ -168,6 +174,13 @@
     )
 
 
+def _check_worker(worker: str) -> str:
+    """Return the identity of a worker, which each call sends in a header."""
+    if _WORKER_NAME.fullmatch(worker) is None:
+        raise FieldError('id', 'must be printable ASCII without spaces')
+    return worker
+
+
 def _read_address(fields: Fields) -> str:
     address = read_text(fields, 'address')
     try:
@@ -187,19 +200,13 @@
 
 
 def _read_labels(fields: Fields) -> tuple[str, ...]:
-    labels = read_rows(fields, 'labels')
-    if not all(isinstance(label, str) for label in labels):
-        raise FieldError('labels', 'must be strings')
-    return tuple(labels)
+    return read_texts(fields, 'labels')
 
 
 def _read_wave(fields: Fields) -> MaintenanceWave:
-    vms = read_rows(fields, 'machines')
-    if not all(isinstance(name, str) for name in vms):
-        raise FieldError('machines', 'must be strings')
     return MaintenanceWave(
         number=read_count(fields, 'wave'),
-        vms=tuple(vms),
+        vms=read_texts(fields, 'machines'),
         duration=read_number(fields, 'duration_s', 0),
         cap=read_count(fields, 'cap', 1),
     )
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -1,9 +1,8 @@
 """Client of the platform's metadata store."""
 
 import base64
-import binascii
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final, Protocol, TypeVar
 from urllib.parse import urlencode
 
@@ -161,7 +160,7 @@
         query = {'prefix': prefix}
         if after:
             query['after'] = after
-        path = f'{names.RANGE_PATH}?{urlencode(query)}'
+        path = f'{names.RANGE_PATH}?{_encode_query(query)}'
         answer = await self._call('GET', path, timeout=PAGE_TIMEOUT)
         if isinstance(answer, Err):
             return answer
@@ -295,6 +294,11 @@
         return answer.and_then(_check_status)
 
 
+def _encode_query(query: Mapping[str, str]) -> str:
+    """Encode a query that may hold a key of another writer."""
+    return urlencode(query, errors='surrogatepass')
+
+
 def _check_status(answer: Answer) -> Result[Answer, CallFault]:
     """Return the fault that a status stands for, or the answer."""
     status = answer.status
@@ -321,7 +325,7 @@
 ) -> Result[_Decoded, CallFault]:
     try:
         return Ok(read(answer.fields))
-    except (FieldError, binascii.Error) as fault:
+    except ValueError as fault:
         return Err(CallFault(CallFaultKind.UNKNOWN, str(fault)))
 
 
@@ -353,12 +357,20 @@
 
 def _read_item(fields: Fields) -> KeyValue:
     return KeyValue(
-        read_text(fields, 'key'),
+        _read_key(fields),
         base64.b64decode(read_text(fields, 'value', '')),
         read_count(fields, 'revision'),
     )
 
 
+def _read_key(fields: Fields) -> str:
+    """Return a key of any writer, which UTF-8 may be unable to encode."""
+    key = fields.get('key')
+    if not isinstance(key, str):
+        raise FieldError('key', 'must be a string')
+    return key
+
+
 def _read_change(fields: Fields) -> KeyChange:
     item = _read_item(fields)
     value = None if read_flag(fields, 'removed') else item.value
--- a/verbenapost/platform/submissions.py
+++ b/verbenapost/platform/submissions.py
@@ -65,7 +65,7 @@
     except ValueError as fault:
         raise FieldError('body', str(fault)) from fault
     payload = read_text(fields, 'spec', '')
-    if len(payload.encode(errors='surrogatepass')) > MAX_PAYLOAD_BYTES:
+    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise FieldError('spec', f'must have at most {MAX_PAYLOAD_BYTES} bytes')
     steps = tuple(
         _decode_step(read_object(row, f'steps.{number}'), number)
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -12,6 +12,7 @@
 )
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.platform.fields import shorten
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.platform.records import decode_worker
 from verbenapost.protocol.orders import KeyChange
@@ -65,7 +66,7 @@
         else:
             self._unlist(name)
             self._note_invalid_entry(
-                name, f'no service {entry.ok_value.service}'
+                name, f'no service {shorten(entry.ok_value.service)}'
             )
 
     def send(self, pool_state: PoolState, commands: Sequence[Command]) -> None:
--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -114,6 +114,9 @@
             if restart:
                 await leader.stop()
                 world.add_daemon(leader.name)
+                await wait_for_leader(world)
+                # A daemon that has just started answers 503 at first.
+                await asyncio.sleep(1)
             return await complete_jobs(world, range(1, 7)), check_rules(world)
 
         with capture_logs() as logs:
