The worker of a VM is the one that answers, whatever another entry names

Cause: the fleet kept one link for each VM, that of the newest entry. An entry of another writer with the VM of a worker took its place. The VM list then ended the odd incarnation, and the VM was left with no worker at all: it was never emptied, and its wave never completed.

Now the fleet keeps all links that name a VM; the one that answers is chosen, and the newest among several, as before.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -44,7 +44,7 @@
     ) -> None:
         self.links: dict[str, WorkerLink] = {}
         self.tasks = TaskSet()
-        self._by_vm: dict[str, WorkerLink] = {}
+        self._by_vm: dict[str, list[WorkerLink]] = {}
         self._pool_states = pool_states
         self._configuration = configuration
         self._ports = ports
@@ -111,9 +111,16 @@
                 link.end_incarnation('its VM is listed without it')
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
-        """Return the link to the worker of a VM."""
-        link = self._by_vm.get(vm)
-        return None if link is None or link.ended else link
+        """Return the link to the worker of a VM.
+
+        An entry of another writer may name the VM of a worker as well. The
+        worker is the one that answers; of several, the newest.
+        """
+        return max(
+            reversed(self._find_live_by_vm(vm)),
+            key=_is_reachable,
+            default=None,
+        )
 
     def readmit(self, vm: str, *, uncertain: bool) -> None:
         """Let a VM accept work again after a failed order.
@@ -148,7 +155,7 @@
         link = WorkerLink(pool_state.set_worker(entry), pool_state, self._ports)
         self._forget_ended()
         self.links[entry.worker] = link
-        self._by_vm[entry.vm] = link
+        self._by_vm[entry.vm] = [*self._find_live_by_vm(entry.vm), link]
         self.tasks.add(link.run())
         self._log.info(
             'worker registered',
@@ -165,6 +172,10 @@
             name: link for name, link in self.links.items() if not link.ended
         }
 
+    def _find_live_by_vm(self, vm: str) -> list[WorkerLink]:
+        """Return the links whose entries name a VM, the newest last."""
+        return [link for link in self._by_vm.get(vm, ()) if not link.ended]
+
     def _unlist(self, name: str) -> None:
         link = self.links.get(name)
         if link is not None:
@@ -174,3 +185,7 @@
         self._invalid_entries[name] += 1
         if self._invalid_entries[name] == 1:
             self._log.warning('worker entry ignored', worker=name, fault=fault)
+
+
+def _is_reachable(link: WorkerLink) -> bool:
+    return link.worker.reachable
--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -5,6 +5,8 @@
 
 from structlog.testing import capture_logs
 
+from standins.fleet.workers import FleetWorker
+from standins.fleet.world import SERVICE, WORKER_CAPACITY
 from verbenapost.scheduler import fleet as fleet_module
 from verbenapost.scheduler.keys import TERM_KEY, make_wave_key
 from verbenapost.scheduler.leader import Leader
@@ -189,6 +191,32 @@
 
         assert play(scenario, standby_vms=0) == 'completed'
 
+    def find_worker(self, play, *, listed_last):
+        """Return the worker of a VM that an unreachable one names as well."""
+
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            if not listed_last:
+                write_entry(world, machine='vm-w9', born=FAR_FUTURE_MS)
+                await asyncio.sleep(0.1)
+            world.add_worker(FleetWorker(world, 'w9', SERVICE, WORKER_CAPACITY))
+            await asyncio.sleep(0.1)
+            if listed_last:
+                write_entry(world, machine='vm-w9', born=FAR_FUTURE_MS)
+            await asyncio.sleep(1)
+            fleet = leader.core._leader._fleet
+            assert {'w9', 'odd'} <= fleet.links.keys()
+            return fleet.find_by_vm('vm-w9').name
+
+        return play(scenario)
+
+    def test_worker_that_answers_is_the_one_of_its_vm(self, play):
+        found = {
+            self.find_worker(play, listed_last=False),
+            self.find_worker(play, listed_last=True),
+        }
+        assert found == {'w9'}
+
 
 class TestFailures:
     """A failure is logged, and neither a task nor the leadership is stuck."""
