A change or a leader that fails is logged, and the site isn't stuck on it

Cause: an exception in the handling of one change ended PrefixFollower.run. Of the workers' list nothing was followed any more; in a takeover the leader waited for ever for the first listing. A round that raised ended Core._lead. In both cases the election's task went on renewing the lease, so that nobody led.

Now a follower logs the change with its key and its traceback and goes on with the next; the guard is around that one call, so that a failure of the follower itself still ends it. The leader's followers and its recorder are tasks without which it must not lead: when one ends, or a round raises, it is logged and the leadership is given up, so that another daemon takes over after the lease. A failure that comes back in each takeover shows as `leader failed` each time.

--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -104,11 +104,17 @@
         while True:
             await election.won.wait()
             self._leader = Leader(self._ports)
+            reason = 'the leader task has ended'
             try:
                 await self._leader.run()
+            except Exception:
+                # The lease is renewed by another task, so that without this
+                # nobody would lead.
+                self._log.exception('leader failed')
+                reason = 'the leader has failed'
             finally:
                 self._leader = None
-            election.lose('the leader task has ended')
+            election.lose(reason)
 
     def _answer(self, message: Any) -> Any:
         leader = self._leader
--- a/verbenapost/scheduler/follower.py
+++ b/verbenapost/scheduler/follower.py
@@ -43,6 +43,9 @@
     known revision of its key. A key that is missing from a listing is removed
     only when its known revision is not newer than the listing.
 
+    A change whose handling raises is logged with its key, and the next one is
+    applied. A failure of the follower itself ends :meth:`run`.
+
     :param store: the store.
     :param prefix: prefix of the keys.
     :param notify: called with each applied change, with increasing revisions
@@ -134,7 +137,13 @@
             self._forget_removed()
         else:
             self.values[change.key] = change.value
-        self._notify(change)
+        try:
+            self._notify(change)
+        except Exception:
+            # One change must not end the following of all other keys.
+            self._log.exception(
+                'change not applied', key=change.key, revision=change.revision
+            )
 
     def _forget_removed(self) -> None:
         if len(self._revisions) < len(self.values) + MAX_REMOVED_REVISIONS:
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -41,6 +41,9 @@
 RETRY_SECONDS: Final = 0.2
 
 
+Task = asyncio.Task[Any]
+
+
 class Leader:
     """Leads from a takeover until the loss of the leadership.
 
@@ -150,7 +153,7 @@
         self.jobs.inheriting = token > 1
         if self._controller is not None:
             self.jobs.notify = self._controller.demands.note_job
-        self._tasks.add(self._recorder.run())
+        self._add_essential(self._recorder.run())
         await self._follow(SUBMITTED_PREFIX, self.jobs.apply_change)
         await self._follow(WORKER_PREFIX, self._fleet.apply_change)
         self.jobs.inheriting = False
@@ -203,8 +206,27 @@
             self._wake.set()
 
         follower = PrefixFollower(self._ports.store, prefix, notify, self._log)
-        self._tasks.add(follower.run())
-        await follower.listed.wait()
+        following = self._add_essential(follower.run())
+        listed = self._tasks.add(follower.listed.wait())
+        await asyncio.wait(
+            (following, listed), return_when=asyncio.FIRST_COMPLETED
+        )
+        if not listed.done():
+            # A takeover that can't read the store must fail, not wait.
+            following.result()
+
+    def _add_essential(self, work: Any) -> Task:
+        """Start a task without which this daemon must not lead.
+
+        :param work: coroutine of the task.
+        """
+        task = self._tasks.add(work)
+        task.add_done_callback(self._give_up)
+        return task
+
+    def _give_up(self, task: Task) -> None:
+        if not task.cancelled():
+            self._ports.election.lose('a task of the leader has ended')
 
     async def _wait_for_work(self) -> None:
         try:
--- a/verbenapost/scheduler/tests/test_follower.py
+++ b/verbenapost/scheduler/tests/test_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from result import Err, Ok
+from structlog.testing import capture_logs
 
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.orders import (
@@ -10,6 +11,8 @@
     CallFaultKind,
     ChangeBatch,
     ItemPage,
+    KeyChange,
+    KeyValue,
 )
 from verbenapost.scheduler import follower as follower_module
 from verbenapost.scheduler.follower import WATCH_SECONDS, PrefixFollower
@@ -47,3 +50,35 @@
         task.cancel()
         usual = WATCH_SECONDS
         assert store.waits == [usual, usual, 0, 0, usual]
+
+
+class ListedStore(Store):
+    """Lists two keys and answers watches from a list."""
+
+    async def read_range(self, _prefix):
+        items = [KeyValue('p/a', b'1', 1), KeyValue('p/b', b'1', 2)]
+        return Ok(ItemPage(items, truncated=False, revision=2))
+
+
+class TestFailingChange:
+    async def test_changes_after_it_are_applied_and_it_is_logged(self):
+        applied = []
+
+        def fail(change):
+            if change.key == 'p/a':
+                raise OverflowError('injected')
+            applied.append((change.key, change.revision))
+
+        changes = [KeyChange('p/a', b'2', 3), KeyChange('p/b', b'2', 4)]
+        store = ListedStore([Ok(ChangeBatch(changes, 4))])
+        with capture_logs() as logs:
+            follower = PrefixFollower(store, 'p/', fail, make_logger('test'))
+            task = asyncio.create_task(follower.run())
+            while not task.done() and follower._position.revision < 4:
+                await asyncio.sleep(0)
+            assert not task.done()
+            task.cancel()
+        assert applied == [('p/b', 2), ('p/b', 4)]
+        failed = [(row['key'], row['revision']) for row in logs]
+        assert failed == [('p/a', 1), ('p/a', 3)]
+        assert all(row['exc_info'] for row in logs)
--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -7,8 +7,15 @@
 
 from standins.fleet.workers import FleetWorker
 from standins.fleet.world import SERVICE, WORKER_CAPACITY
+from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler import fleet as fleet_module
-from verbenapost.scheduler.keys import TERM_KEY, make_wave_key
+from verbenapost.scheduler.follower import PrefixFollower
+from verbenapost.scheduler.keys import (
+    SUBMITTED_PREFIX,
+    TERM_KEY,
+    make_wave_key,
+)
 from verbenapost.scheduler.leader import Leader
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
@@ -265,6 +272,50 @@
             assert play(scenario) == (2, ({200}, {COMPLETED}))
         assert [row for row in logs if row['event'] == 'leader failed']
 
+    def test_takeover_that_cannot_follow_is_given_up(self, play, monkeypatch):
+        follow = PrefixFollower._list
+        failing = [SUBMITTED_PREFIX, WORKER_PREFIX]
+
+        async def fail(follower):
+            if follower._prefix in failing:
+                failing.remove(follower._prefix)
+                raise OverflowError('injected')
+            return await follow(follower)
+
+        monkeypatch.setattr(PrefixFollower, '_list', fail)
+
+        async def scenario(world):
+            await asyncio.sleep(8)
+            leader = await wait_for_leader(world)
+            found = await complete_jobs(world, range(1, 4))
+            return leader.ports.election.token, found
+
+        with capture_logs() as logs:
+            assert play(scenario) == (3, ({200}, {COMPLETED}))
+        assert [row for row in logs if row['event'] == 'leader failed']
+
+    def test_leader_whose_follower_ends_gives_up(self, play, monkeypatch):
+        watch = PrefixFollower._watch
+        failing = [WORKER_PREFIX]
+
+        async def fail(follower):
+            if follower._prefix in failing and read_clock() > 1005:
+                failing.clear()
+                raise OverflowError('injected')
+            return await watch(follower)
+
+        monkeypatch.setattr(PrefixFollower, '_watch', fail)
+
+        async def scenario(world):
+            first = await wait_for_leader(world)
+            token = first.ports.election.token
+            await asyncio.sleep(10)
+            leader = await wait_for_leader(world)
+            found = await complete_jobs(world, range(1, 4))
+            return leader.ports.election.token - token, found
+
+        assert play(scenario) == (1, ({200}, {COMPLETED}))
+
 
 class TestOwnRecords:
     """A record of another writer under our keys ends no task."""
