Records under vp/ and the controller's rounds: odd values end no task

Cause: an undecodable `vp/wave/N` raised out of the round and ended the controller's task, so that no VM moved and no wave began until the next leader. An undecodable `vp/term` ended each daemon's campaign for good; a leader record with fields of other types was taken, and its address, if it had no port, would end the task that connects to the leader.

Now these records are checked by type, the address as a worker's. A term that can't be decoded is logged and read again, since no safe token can be known without it. A round of the controller that raises is logged with its traceback, and the next one runs; the wait for the previous leader's orders is outside of that guard, so that it can't be skipped.

--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -103,7 +103,7 @@
         await self._wait_for_predecessor()
         try:
             while True:
-                await self._run_round()
+                await self._attempt_round()
                 await asyncio.sleep(ROUND_SECONDS)
         finally:
             await self._orders.close()
@@ -147,6 +147,13 @@
         if self._needs_list(read_clock()):
             await self._read_list()
 
+    async def _attempt_round(self) -> None:
+        """Run a round; one that fails must not end all later rounds."""
+        try:
+            await self._run_round()
+        except Exception:
+            self._log.exception('round failed')
+
     async def _run_round(self) -> None:
         now = read_clock()
         if not self._ports.election.holds_lease():
@@ -177,6 +184,13 @@
         self._stale = True
 
     async def _read_list(self) -> None:
+        """Read the list; one that can't be processed is logged."""
+        try:
+            await self._replace_list()
+        except Exception:
+            self._log.exception('VM list not processed')
+
+    async def _replace_list(self) -> None:
         requested = read_moment()
         listed = await self._cloud.list_vms()
         if isinstance(listed, Err):
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -203,7 +203,10 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         last = term.ok_value
-        previous = Term(0) if last is None else unpack_term(last.value)
+        previous = Term(0) if last is None else self._decode_term(last.value)
+        if previous is None:
+            await asyncio.sleep(RETRY_SECONDS)
+            return
         # A leader key of this VM belongs to its previous process, which is
         # dead and sends no more orders.
         self.predecessor = Predecessor(
@@ -321,6 +324,14 @@
             # order is sent until it is renewed or known to have expired.
             await asyncio.sleep(RETRY_SECONDS)
 
+    def _decode_term(self, packed: bytes) -> Term | None:
+        """Return the term, ``None`` when no safe token can be known."""
+        try:
+            return unpack_term(packed)
+        except ValueError as fault:
+            self._log.error('term not decodable', fault=str(fault))
+            return None
+
     def _decode(self, packed: bytes) -> Leadership | None:
         try:
             return unpack_leadership(packed)
--- a/verbenapost/scheduler/leadership.py
+++ b/verbenapost/scheduler/leadership.py
@@ -1,10 +1,12 @@
 """Records of the leadership in the store."""
 
 import dataclasses
-from typing import final
+from typing import Any, final
 
 import msgpack
 
+from verbenapost.platform.addresses import parse_address
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,10 +36,12 @@
     :param packed: value of the key.
     :raises ValueError: when the value can't be decoded.
     """
-    try:
-        return Leadership(*msgpack.unpackb(packed))
-    except TypeError as fault:
-        raise ValueError(str(fault)) from fault
+    fields = _unpack(packed, (int, str, str, str))
+    if len(fields) != len(dataclasses.fields(Leadership)):
+        raise ValueError('fields are missing')
+    found = Leadership(*fields)
+    parse_address(found.address)
+    return found
 
 
 @final
@@ -63,5 +67,31 @@
 
     >>> unpack_term(Term(3, resigned=True).pack())
     Term(token=3, resigned=True)
+
+    :param packed: value of the key.
+    :raises ValueError: when the value can't be decoded.
+    """
+    fields = _unpack(packed, (int, bool))
+    if not fields:
+        raise ValueError('the token is missing')
+    return Term(*fields)
+
+
+def _unpack(packed: bytes, types: tuple[type, ...]) -> list[Any]:
+    """Return the fields of a record, which another writer may have left.
+
+    :raises ValueError: when the value is not an array of these types.
     """
-    return Term(*msgpack.unpackb(packed))
+    fields = msgpack.unpackb(packed)
+    if not isinstance(fields, list) or len(fields) > len(types):
+        raise ValueError('not an array of the expected length')
+    if not all(map(_has_type, fields, types)):
+        raise ValueError('a field has another type')
+    return fields
+
+
+def _has_type(found: Any, wanted: type) -> bool:
+    # A bool is an int in Python, but it is no token.
+    return isinstance(found, wanted) and (
+        wanted is bool or not isinstance(found, bool)
+    )
--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import msgpack
+import pytest
 from structlog.testing import capture_logs
 
 from standins.fleet.workers import FleetWorker
@@ -10,6 +12,7 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler import fleet as fleet_module
+from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.follower import PrefixFollower
 from verbenapost.scheduler.keys import (
     SUBMITTED_PREFIX,
@@ -17,6 +20,7 @@
     make_wave_key,
 )
 from verbenapost.scheduler.leader import Leader
+from verbenapost.scheduler.leadership import unpack_leadership, unpack_term
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     STEPS,
@@ -339,3 +343,61 @@
             return leader.ports.election.token
 
         assert play(scenario) == 1
+
+    @pytest.mark.parametrize(
+        'packed',
+        [
+            b'',
+            b'\xc1',
+            b'\x91' * 3000 + b'\x01',
+            *map(
+                msgpack.packb,
+                (
+                    7,
+                    [],
+                    'abcd',
+                    [1, 'd0', 'first'],
+                    ['1', 'd0', 'first', '10.0.0.9:1'],
+                    [True, 'd0', 'first', '10.0.0.9:1'],
+                    [1, 'd0', 'first', '10.0.0.9:65536'],
+                    [1, 'd0', 'first', 'nowhere'],
+                    [1, 'd0', 'first', '10.0.0.9:1', 5],
+                    [1, ['d0'], 'first', '10.0.0.9:1'],
+                    {1: 2, 3: 4, 5: 6, 7: 8},
+                ),
+            ),
+        ],
+    )
+    def test_odd_leadership_and_term_are_value_errors(self, packed):
+        with pytest.raises(ValueError):  # noqa: PT011
+            unpack_leadership(packed)
+        with pytest.raises(ValueError):  # noqa: PT011
+            unpack_term(packed)
+
+
+class TestController:
+    """A round or a VM list that fails ends no later one."""
+
+    @pytest.mark.parametrize('step', ['_run_moves', '_log_changes'])
+    def test_wave_completes_after_a_failure(self, play, monkeypatch, step):
+        run = getattr(FleetController, step)
+        failing = [True]
+
+        def fail(controller, *arguments):
+            if failing:
+                failing.clear()
+                raise OverflowError('injected')
+            return run(controller, *arguments)
+
+        monkeypatch.setattr(FleetController, step, fail)
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            world.request_wave(4, ['vm-w0'], 20, 1)
+            await asyncio.sleep(10)
+            return read_wave(world, 4)
+
+        with capture_logs() as logs:
+            assert play(scenario, standby_vms=0) == 'completed'
+        failed = [row for row in logs if row.get('exc_info')]
+        assert len(failed) == 1
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from verbenapost.platform.fields import check_text
 from verbenapost.platform.names import WAVE_STATUS_PREFIX
 from verbenapost.platform.records import encode_wave_status
 from verbenapost.platform.store import PlatformStore
@@ -45,7 +46,7 @@
         found = await self._store.read_key(make_wave_key(wave))
         begun: frozenset[str] = frozenset()
         if not isinstance(found, Err) and found.ok_value is not None:
-            begun = frozenset(json.loads(found.ok_value.value))
+            begun = self._decode(wave, found.ok_value.value)
         self._begun[wave] = begun
         await self._write(wave, completed=False)
         return begun
@@ -61,6 +62,21 @@
             self._complete.add(wave)
             self._log.info('wave completed', wave=wave)
 
+    def _decode(self, wave: int, packed: bytes) -> frozenset[str]:
+        """Return the VMs that have begun, none if another writer's value.
+
+        An order for a VM that has begun already is confirmed by the platform
+        without an effect.
+        """
+        try:
+            names = json.loads(packed)
+            return frozenset(check_text(name, 'VM') for name in names)
+        except (ValueError, TypeError, RecursionError) as fault:
+            self._log.error(
+                'wave record not decodable', wave=wave, fault=str(fault)
+            )
+            return frozenset()
+
     async def _write(self, wave: int, *, completed: bool) -> bool:
         begun = json.dumps(sorted(self._begun.get(wave, ()))).encode()
         transaction = Transaction(
