Worker reports: short rows and numbers out of range are faults

Cause: what answers at an entry's address may be any server. A row with too few values raised KeyError, infinity or a number that no float holds OverflowError, out of the client and into the link, whose task ended. Clocks and run numbers of any size were taken; one over 64 bits can't be packed for the store.

Now each number of a report is within bounds, and a report that breaks them counts as an answer that can't be used, like others before.

--- a/verbenapost/platform/workers.py
+++ b/verbenapost/platform/workers.py
@@ -8,7 +8,9 @@
 from verbenapost.platform.fields import (
     FieldError,
     Fields,
+    check_text,
     read_count,
+    read_number,
     read_rows,
 )
 from verbenapost.platform.http import Answer, Call, HttpClient
@@ -161,8 +163,7 @@
     status = answer.status
     if answer.ok:
         return Ok(answer)
-    clock = answer.fields.get('clock_ms')
-    reported_clock = clock if isinstance(clock, int) else None
+    reported_clock = _read_clock(answer).ok()
     if status == _CONFLICT:
         reason = answer.fields.get('reason')
         kind = _REASONS.get(str(reason), CallFaultKind.REFUSED)
@@ -185,10 +186,10 @@
 
 
 def _read_clock(answer: Answer) -> Result[int, CallFault]:
-    clock = answer.fields.get('clock_ms')
-    if isinstance(clock, int):
-        return Ok(clock)
-    return Err(CallFault(CallFaultKind.UNKNOWN, 'the answer has no clock'))
+    try:
+        return Ok(read_count(answer.fields, 'clock_ms'))
+    except FieldError as fault:
+        return Err(CallFault(CallFaultKind.UNKNOWN, str(fault)))
 
 
 def _read_report(answer: Answer) -> Result[WorkerReport, CallFault]:
@@ -208,7 +209,7 @@
                 else None,
             ),
         )
-    except (FieldError, IndexError, TypeError, ValueError) as fault:
+    except (ArithmeticError, LookupError, TypeError, ValueError) as fault:
         return Err(CallFault(CallFaultKind.UNKNOWN, f'invalid report: {fault}'))
 
 
@@ -216,19 +217,23 @@
     fields = dict(enumerate(row))
     return ListedRun(
         task=decode_task(fields[0]),
-        run=int(fields[1]),
-        checkpoint=str(fields.get(2) or ''),
-        progress=int(fields.get(3, 100)),
-        load=float(fields.get(4) or 0),
+        run=_read_whole(fields[1]),
+        checkpoint=check_text(fields.get(2) or '', 'checkpoint'),
+        progress=_read_whole(fields.get(3, 100)),
+        load=read_number({'load': fields.get(4) or 0}, 'load'),
     )
 
 
 def _read_end(row: Any) -> RunEnd:
     fields = dict(enumerate(row))
     return RunEnd(
-        number=int(fields[0]),
+        number=_read_whole(fields[0]),
         task=decode_task(fields[1]),
-        run=int(fields[2]),
+        run=_read_whole(fields[2]),
         kind=RunEndKind(fields[3]),
-        checkpoint=str(fields.get(4) or ''),
+        checkpoint=check_text(fields.get(4) or '', 'checkpoint'),
     )
+
+
+def _read_whole(found: Any) -> int:
+    return read_count({'number': int(found)}, 'number')
