Stored jobs are checked field by field when they are read

Cause: unpack_job took any types.

Now texts, numbers and flags have the types of their fields, numbers are finite and not negative, and a step is after earlier ones only; else it is `job not readable`, and the other jobs go on under the same leader.

--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -1,6 +1,7 @@
 """Records of other writers beside those of the workers, in virtual time."""
 
 import asyncio
+import dataclasses
 import json
 
 import msgpack
@@ -17,6 +18,7 @@
 from verbenapost.scheduler.keys import (
     SUBMITTED_PREFIX,
     TERM_KEY,
+    make_spec_key,
     make_wave_key,
 )
 from verbenapost.scheduler.leader import Leader
@@ -29,6 +31,8 @@
     read_states,
     wait_for_leader,
 )
+from verbenapost.state.submissions import unpack_job
+from verbenapost.state.workloads import JobSpec, StepSpec
 
 #: A number that no float holds.
 TOO_LARGE = 10**400
@@ -375,6 +379,61 @@
             unpack_term(packed)
 
 
+ODD_JOB = 'ff' * 8
+
+
+def pack_odd_job(step=None, size=None, **changed):
+    spec = JobSpec(ODD_JOB, 'plan', 'x', (StepSpec(2),), service=SERVICE)
+    fields = dataclasses.asdict(spec) | changed
+    fields['steps'][0].update(step or {})
+    fields['steps'][0]['size'].update(size or {})
+    return msgpack.packb(fields)
+
+
+ODD_JOBS = {
+    'empty': b'',
+    'number': b'\x07',
+    'route': pack_odd_job(route=7),
+    'service': pack_odd_job(service=['routing']),
+    'submitted_at': pack_odd_job(submitted_at='x'),
+    'start_at': pack_odd_job(start_at='x', repetitions=2),
+    'interval': pack_odd_job(interval=float('nan'), repetitions=2),
+    'repetitions': pack_odd_job(repetitions=True),
+    'count': pack_odd_job({'count': 'x'}),
+    'cpu': pack_odd_job(size={'cpu': 'x'}),
+    'memory': pack_odd_job(size={'memory': -1}),
+    'after': pack_odd_job({'after': [9]}),
+    'anti_affinity': pack_odd_job({'anti_affinity': 'x'}),
+    'estimate': pack_odd_job({'estimate': float('inf')}),
+    'gang': pack_odd_job({'gang': 1}),
+    'unknown': pack_odd_job(other=1),
+}
+
+
+class TestOddJobs:
+    """A stored job that no daemon wrote costs only itself."""
+
+    @pytest.mark.parametrize('name', ODD_JOBS)
+    def test_it_is_a_value_error(self, name):
+        with pytest.raises(ValueError):  # noqa: PT011
+            unpack_job(ODD_JOBS[name])
+
+    def test_other_jobs_complete_under_the_same_leader(self, play):
+        async def scenario(world):
+            for number, packed in enumerate(ODD_JOBS.values()):
+                world.store.write(make_spec_key(f'{number:x}' * 16), packed)
+            leader = await wait_for_leader(world)
+            found = await complete_jobs(world, range(1, 4))
+            assert await wait_for_leader(world) is leader
+            return found
+
+        with capture_logs() as logs:
+            assert play(scenario) == ({200}, {COMPLETED})
+        ignored = [row for row in logs if row['event'] == 'job not readable']
+        assert len(ignored) == len(ODD_JOBS)
+        assert not [row for row in logs if row.get('exc_info')]
+
+
 class TestController:
     """A round or a VM list that fails ends no later one."""
 
--- a/verbenapost/state/submissions.py
+++ b/verbenapost/state/submissions.py
@@ -1,12 +1,23 @@
 """Stored form of submitted jobs."""
 
 import dataclasses
-from typing import Any
+import math
+from typing import Any, Final, TypeVar
 
 import msgpack
 
 from verbenapost.state.workloads import JobSpec, Resources, StepSpec
 
+_Record = TypeVar('_Record', JobSpec, StepSpec, Resources)
+
+#: Types of the values of a field, by the field's own type.
+_ACCEPTED: Final[dict[Any, tuple[type, ...]]] = {
+    str: (str,),
+    int: (int,),
+    float: (int, float),
+    bool: (bool,),
+}
+
 
 def pack_job(spec: JobSpec) -> bytes:
     """Return a job as bytes for the store.
@@ -26,13 +37,39 @@
     """
     fields: Any = msgpack.unpackb(packed)
     try:
-        steps = tuple(_read_step(row) for row in fields.pop('steps'))
-        return JobSpec(steps=steps, **fields)
+        steps = tuple(
+            _read_step(row, number)
+            for number, row in enumerate(fields.pop('steps'))
+        )
+        return _check_fields(JobSpec(steps=steps, **fields))
     except (AttributeError, KeyError, TypeError) as fault:
         raise ValueError(f'malformed job: {fault}') from fault
 
 
-def _read_step(row: dict[str, Any]) -> StepSpec:
-    size = Resources(**row.pop('size'))
+def _read_step(row: dict[str, Any], number: int) -> StepSpec:
+    size = _check_fields(Resources(**row.pop('size')))
     after = tuple(row.pop('after'))
-    return StepSpec(size=size, after=after, **row)
+    if not set(after) <= set(range(number)):
+        raise ValueError(f'step {number} is after one that is not earlier')
+    return _check_fields(StepSpec(size=size, after=after, **row))
+
+
+def _check_fields(record: _Record) -> _Record:
+    """Return a record whose texts, numbers and flags are valid.
+
+    :raises ValueError: when a field has another type, or a number is negative
+        or not finite.
+    """
+    for field in dataclasses.fields(record):
+        accepted = _ACCEPTED.get(field.type)
+        if accepted and not _is_valid(getattr(record, field.name), accepted):
+            raise ValueError(f'malformed job: {field.name} is not valid')
+    return record
+
+
+def _is_valid(found: Any, accepted: tuple[type, ...]) -> bool:
+    if isinstance(found, bool):
+        # A bool is an int in Python, but it is no number.
+        return bool in accepted
+    known = isinstance(found, accepted)
+    return known and (isinstance(found, str) or 0 <= found < math.inf)
