--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -13,6 +13,7 @@
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.vmlist import VmList
+from verbenapost.platform.fields import shorten
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.platform.records import decode_worker
 from verbenapost.protocol.orders import KeyChange
@@ -44,7 +45,7 @@
     ) -> None:
         self.links: dict[str, WorkerLink] = {}
         self.tasks = TaskSet()
-        self._by_vm: dict[str, WorkerLink] = {}
+        self._by_vm: dict[str, list[WorkerLink]] = {}
         self._pool_states = pool_states
         self._configuration = configuration
         self._ports = ports
@@ -66,7 +67,7 @@
         else:
             self._unlist(name)
             self._note_invalid_entry(
-                name, f'no service {entry.ok_value.service}'
+                name, f'no service {shorten(entry.ok_value.service)}'
             )
 
     def send(self, pool_state: PoolState, commands: Sequence[Command]) -> None:
@@ -108,9 +109,16 @@
                 link.end_incarnation('its VM is listed without it')
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
-        """Return the link to the worker of a VM."""
-        link = self._by_vm.get(vm)
-        return None if link is None or link.ended else link
+        """Return the link to the worker of a VM.
+
+        An entry of another writer may name the VM of a worker as well. The
+        worker is the one that answers; of several, the newest.
+        """
+        return max(
+            reversed(self._find_live_by_vm(vm)),
+            key=_is_reachable,
+            default=None,
+        )
 
     def readmit(self, vm: str, *, uncertain: bool) -> None:
         """Let a VM accept work again after a failed order.
@@ -145,7 +153,7 @@
         link = WorkerLink(pool_state.set_worker(entry), pool_state, self._ports)
         self._forget_ended()
         self.links[entry.worker] = link
-        self._by_vm[entry.vm] = link
+        self._by_vm[entry.vm] = [*self._find_live_by_vm(entry.vm), link]
         self.tasks.add(link.run())
         self._log.info(
             'worker registered',
@@ -162,6 +170,10 @@
             name: link for name, link in self.links.items() if not link.ended
         }
 
+    def _find_live_by_vm(self, vm: str) -> list[WorkerLink]:
+        """Return the links whose entries name a VM, the newest last."""
+        return [link for link in self._by_vm.get(vm, ()) if not link.ended]
+
     def _unlist(self, name: str) -> None:
         link = self.links.get(name)
         if link is not None:
@@ -181,3 +193,7 @@
     if vm is None and not (entry.vm and vm_list.has_left(entry.vm)):
         return False
     return has_incarnation_ended(entry, vm, link.known_since, requested)
+
+
+def _is_reachable(link: WorkerLink) -> bool:
+    return link.worker.reachable
