Tests: a task that crashes each worker on which it starts

Cause: not mended here. Nothing is counted when a worker's incarnation ends, so its tasks wait and start on the next worker. Callers: their job runs for ever and takes the work beside it down with it. Change: the stand-in of the workers crashes under the first task of a job c4a5..., and is back after 3 s; its gang breaks. A rule on histories counts starts after three such crashes. The rule itself is tested on a bad and on a permitted history.

--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -3,9 +3,20 @@
 import dataclasses
 from collections import defaultdict
 
-from standins.fleet.workers import EndLost, RunEnded, RunStarted
+from standins.fleet.workers import (
+    EndLost,
+    RunCrashed,
+    RunEnded,
+    RunStarted,
+)
 from verbenapost.protocol.orders import RunEndKind
 
+#: Workers that a task may crash before its starts are counted.
+COUNTED_CRASHES = 3
+
+#: Starts of such a task from which on a rule is violated.
+EXCESS_STARTS = 3
+
 
 @dataclasses.dataclass(frozen=True)
 class Violation:
@@ -29,6 +40,7 @@
         *_find_early_starts(history, steps),
         *_find_overload(history, steps, capacities),
         *_find_excess_attempts(history, max_attempts),
+        *_find_starts_after_crashes(history),
         *_find_unsubmitted(history, steps),
     ]
 
@@ -99,6 +111,18 @@
             _update_ends(failed[event.task], event, event.run)
 
 
+def _find_starts_after_crashes(history):
+    crashes = defaultdict(int)
+    starts = defaultdict(int)
+    for event in _select(history, RunStarted, RunCrashed):
+        if isinstance(event, RunCrashed):
+            crashes[event.task] += 1
+        elif crashes[event.task] >= COUNTED_CRASHES:
+            starts[event.task] += 1
+            if starts[event.task] >= EXCESS_STARTS:
+                yield Violation('crashes', str(event))
+
+
 def _find_unsubmitted(history, steps):
     for event in _select(history, RunStarted):
         if event.task.job not in steps:
--- a/standins/fleet/tests/test_rules.py
+++ b/standins/fleet/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 
 from standins.fleet.rules import find_violations
-from standins.fleet.workers import EndLost, RunEnded, RunStarted
+from standins.fleet.workers import EndLost, RunCrashed, RunEnded, RunStarted
 from verbenapost.protocol.orders import RunEndKind
 from verbenapost.state.workloads import TaskKey
 
@@ -27,6 +27,20 @@
     for event in (start_run(run=run), end_run(run=run, kind=RunEndKind.FAILED))
 ]
 
+CRASHED_RUNS = [
+    event
+    for run in range(1, 4)
+    for event in (
+        start_run(run=run),
+        RunCrashed(0, 'w0', TaskKey('j', 0, 0, 0), run, RunEndKind.LAPSED),
+    )
+]
+LAPSED_RUNS = [
+    event
+    for run in range(4, 6)
+    for event in (start_run(run=run), end_run(run=run, kind=RunEndKind.LAPSED))
+]
+
 
 class TestRules:
     @pytest.mark.parametrize(
@@ -38,6 +52,7 @@
             ('limit', [start_run(0), start_run(1)]),
             ('budget', [*FAILED_RUNS, start_run(run=4)]),
             ('unasked', [start_run(job='other')]),
+            ('crashes', [*CRASHED_RUNS, *LAPSED_RUNS, start_run(run=6)]),
         ],
     )
     def test_a_violation_is_detected(self, rule, history):
@@ -56,6 +71,10 @@
         ]
         assert find_violations(history, STEPS, CAPACITIES) == []
 
+    def test_two_starts_after_three_crashes_violate_no_rule(self):
+        history = [*CRASHED_RUNS, *LAPSED_RUNS]
+        assert find_violations(history, STEPS, CAPACITIES) == []
+
     def test_an_end_that_was_lost_with_its_worker_may_run_again(self):
         lost = EndLost(TaskKey('j', 0, 0, 0), 1, RunEndKind.DONE)
         history = [start_run(), end_run(), lost, start_run(run=2)]
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -22,6 +22,12 @@
 #: Seconds from the start of a long-running task until it is at work.
 STARTUP_SECONDS = 0.7
 
+#: Seconds from the start of a run that crashes its worker until the crash.
+CRASH_SECONDS = 0.01
+
+#: Seconds from such a crash until the worker is back.
+RETURN_SECONDS = 3.0
+
 #: Thousandths of a core that each run at work uses.
 LOAD = 1000
 
@@ -62,6 +68,11 @@
     kind: RunEndKind
 
 
+@dataclasses.dataclass(frozen=True)
+class RunCrashed(RunEnded):
+    """A run ended as it crashed its worker."""
+
+
 @dataclasses.dataclass(frozen=True)
 class EndLost:
     """The end of a run was lost and no longer counts.
@@ -134,10 +145,19 @@
         packed = json.dumps(entry).encode()
         self.world.store.write(f'servers/{self.name}', packed)
 
-    def crash(self):
-        """Crash: lose all runs and all unacknowledged ends."""
+    def resize(self, capacity):
+        """Change the capacity; the runs go on."""
+        self.capacity = capacity
+        self.register()
+
+    def crash(self, culprit=None):
+        """Crash: lose all runs and all unacknowledged ends.
+
+        :param culprit: task whose run causes the crash, if any.
+        """
         for task in list(self.runs):
-            self._end(task, RunEndKind.LAPSED, reported=False)
+            event = RunCrashed if task == culprit else RunEnded
+            self._end(task, RunEndKind.LAPSED, reported=False, event=event)
         self._lose_ends()
         self.up = False
 
@@ -187,6 +207,10 @@
         self.world.history.append(
             RunStarted(self.world.now(), self.name, order.task, order.run),
         )
+        if self.world.is_crashing(order.task):
+            asyncio.get_running_loop().call_later(
+                CRASH_SECONDS, self._crash_by, order.task, self.incarnation
+            )
         return Ok(self.read_clock())
 
     def stop(self, task, run, token):
@@ -223,6 +247,18 @@
             self.read_clock(), running, list(self.ends), self.incarnation
         )
 
+    def break_step(self, task):
+        """End the runs of a task's step as broken."""
+        for other in list(self.runs):
+            if dataclasses.replace(other, index=task.index) == task:
+                self._end(other, RunEndKind.BROKEN)
+
+    def _crash_by(self, task, incarnation):
+        if self.up and self.incarnation == incarnation and task in self.runs:
+            self.crash(task)
+            self.world.break_gang(task)
+            asyncio.get_running_loop().call_later(RETURN_SECONDS, self.restart)
+
     def _lose_ends(self):
         self.world.history.extend(
             EndLost(end.task, end.run, end.kind)
@@ -243,7 +279,7 @@
         self._refused_runs = {}
         self._started_at = self.world.now()
 
-    def _end(self, task, kind, reported=True):  # noqa: FBT002
+    def _end(self, task, kind, reported=True, event=RunEnded):  # noqa: FBT002
         task_run = self.runs.pop(task)
         self._refused_runs[task] = max(
             task_run.run, self._refused_runs.get(task, 0)
@@ -254,7 +290,7 @@
                 RunEnd(self._end_count, task, task_run.run, kind, '')
             )
         self.world.history.append(
-            RunEnded(self.world.now(), self.name, task, task_run.run, kind),
+            event(self.world.now(), self.name, task, task_run.run, kind),
         )
 
     def _refuse(self, kind):
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -192,6 +192,22 @@
             seconds = 10_000
         return seconds, RunEndKind.FAILED if failed else RunEndKind.DONE
 
+    def is_crashing(self, task):
+        """Return whether each run of a task crashes its worker.
+
+        That holds for the first task of each job whose name starts with
+        ``c4a5``.
+        """
+        first = (task.step, task.index) == (0, 0)
+        return first and task.job.startswith('c4a5')
+
+    def break_gang(self, task):
+        """End the other members of a task's gang."""
+        steps = self.accepted.get(task.job)
+        if steps is not None and steps[task.step].get('gang'):
+            for worker in self.workers.values():
+                worker.break_step(task)
+
     def find_leader(self):
         """Return the daemon of the leader, or ``None``."""
         for daemon in self.daemons.values():
--- a/verbenapost/scheduler/tests/scenarios.py
+++ b/verbenapost/scheduler/tests/scenarios.py
@@ -10,6 +10,7 @@
 ]
 
 COMPLETED = '{"state":"completed"}'
+FAILED = '{"state":"failed"}'
 
 
 def name_job(number):
@@ -22,6 +23,11 @@
     return f'1a57{number:012x}'
 
 
+def name_crashing(number):
+    """Return the identity of a job whose first task crashes its workers."""
+    return f'c4a5{number:012x}'
+
+
 async def wait_for_leader(world, seconds=20):
     """Return the daemon that leads."""
     for _ in range(seconds * 20):
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_crashes.py
@@ -0,0 +1,145 @@
+"""Tasks that crash each worker on which they start, in virtual time."""
+
+import asyncio
+
+from standins.fleet.workers import RunCrashed
+from verbenapost.scheduler.tests.scenarios import (
+    COMPLETED,
+    FAILED,
+    STEPS,
+    check_rules,
+    name_crashing,
+    name_job,
+    read_states,
+    wait_for_leader,
+)
+
+
+def count_crashes(world):
+    """Return how many workers each task has crashed."""
+    culprits = [
+        event.task.job
+        for event in world.history
+        if isinstance(event, RunCrashed)
+    ]
+    return {job: culprits.count(job) for job in culprits}
+
+
+async def wait_for_crashes(world, job, number):
+    """Wait until a job has crashed a number of workers."""
+    while count_crashes(world).get(job, 0) < number:
+        await asyncio.sleep(0.001)
+
+
+class TestTaskThatCrashesWorkers:
+    """It crashed one worker after the other for as long as it was owed."""
+
+    def test_it_is_given_up_after_two_workers(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_crashing(1), STEPS)
+            await asyncio.sleep(20)
+            return (
+                check_rules(world),
+                await read_states(world),
+                count_crashes(world),
+            )
+
+        assert play(scenario, standby_vms=0) == (
+            [],
+            {name_crashing(1): FAILED},
+            {name_crashing(1): 2},
+        )
+
+    def test_it_is_given_up_without_a_list_of_vms(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_crashing(1), STEPS)
+            await asyncio.sleep(25)
+            states = set((await read_states(world)).values())
+            return check_rules(world), states, count_crashes(world)
+
+        assert play(scenario) == ([], {FAILED}, {name_crashing(1): 2})
+
+    def test_jobs_beside_it_complete(self, play):
+        """Several such tasks and many others share a few busy workers."""
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            for number in range(30):
+                if number % 10 == 5:
+                    await world.submit(name_crashing(number), STEPS)
+                await world.submit(name_job(number), STEPS)
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(20)
+            states = await read_states(world)
+            wrong = {
+                job
+                for job, state in states.items()
+                if state != (FAILED if job.startswith('c4a5') else COMPLETED)
+            }
+            return check_rules(world), wrong, count_crashes(world)
+
+        assert play(scenario, standby_vms=0, workers=6) == (
+            [],
+            set(),
+            {name_crashing(number): 2 for number in (5, 15, 25)},
+        )
+
+    def test_a_gang_is_given_up(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            gang = [{'count': 4, 'cpu': 3000, 'mem_mb': 100, 'gang': True}]
+            await world.submit(name_crashing(1), gang)
+            await world.submit(name_job(1), STEPS)
+            await asyncio.sleep(20)
+            return (
+                check_rules(world),
+                await read_states(world),
+                count_crashes(world),
+            )
+
+        assert play(scenario, standby_vms=0) == (
+            [],
+            {name_crashing(1): FAILED, name_job(1): COMPLETED},
+            {name_crashing(1): 2},
+        )
+
+    def test_a_long_running_task_is_given_up(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            long_running = [{'count': 4, 'cpu': 1000, 'long_running': True}]
+            await world.submit(name_crashing(1), long_running)
+            await asyncio.sleep(20)
+            states = set((await read_states(world)).values())
+            return check_rules(world), states, count_crashes(world)
+
+        assert play(scenario, standby_vms=0) == (
+            [],
+            {FAILED},
+            {name_crashing(1): 2},
+        )
+
+
+class TestCrashesBeforeATakeover:
+    """A successor counted from none, so each leader lost two more workers."""
+
+    def test_the_successor_goes_on_counting(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            await world.submit(name_crashing(1), STEPS, 'd1')
+            await wait_for_crashes(world, name_crashing(1), 2)
+            # The end of the job is not stored, since the second crash is not
+            # known yet.
+            await asyncio.sleep(0.05)
+            await leader.kill()
+            await asyncio.sleep(25)
+            other = next(row for row in world.daemons.values() if row.alive)
+            states = await read_states(world, other.name)
+            return check_rules(world), states, count_crashes(world)
+
+        assert play(scenario, standby_vms=0) == (
+            [],
+            {name_crashing(1): FAILED},
+            {name_crashing(1): 3},
+        )
