Give up a task that crashes the workers on which it starts

Cause: the end of a worker's incarnation only freed its tasks. A task that crashes its worker waited again at once and went to the next one, together with the tasks that had run beside it. Callers: the job never ended, and jobs on the same workers were late or failed.

Change: a crash (a VM listed as down or with another worker, another incarnation that nobody ordered) counts against the runs that no report had proven: one that was requested 0.3 s after the run was first known to run. A move, a maintenance, a drain, a removed VM or lapsed leases count for nothing. The next starts of such a job are isolated: on workers without unproven runs of other jobs, and nothing else starts there until a report, requested early, proves them. Tasks of one job share a worker, as a job fails with any of them, so a crashed rack costs little. In a busy pool up to half of the workers are kept free for this. The second crash, with no other job's unproven run there, ends the job as failed. A start without an answer may have reached a worker that was down before, as in a rack that is noticed worker by worker, so such a run only counts from the third crash on.

--- a/verbenapost/coordination/scheduling/incarnations.py
+++ b/verbenapost/coordination/scheduling/incarnations.py
@@ -59,3 +59,16 @@
     if vm.state in _ENDING_STATES or vm.pool != entry.service:
         return True
     return vm.worker not in {'', entry.worker}
+
+
+def has_crashed(entry: WorkerEntry, vm: FleetVm | None) -> bool:
+    """Return whether an incarnation that has ended did so by a crash.
+
+    A move, a maintenance or a removal ends an incarnation by order.
+
+    :param entry: registration of the worker.
+    :param vm: the worker's VM as the platform lists it, if listed.
+    """
+    if vm is None or vm.pool != entry.service:
+        return False
+    return vm.state in {FleetVmState.DOWN, FleetVmState.UP}
--- /dev/null
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -0,0 +1,133 @@
+"""Workers for the tasks of suspect jobs, and for those of all others.
+
+Load pattern: a busy pool starts tasks on each worker several times a second, so
+that no worker is ever without an unproven run by itself.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+from verbenapost.coordination.scheduling.crashes import (
+    is_suspect,
+    is_unproven,
+)
+from verbenapost.coordination.scheduling.jobs import Job, StepRun
+from verbenapost.coordination.scheduling.placement import is_permitted
+from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.workers import (
+    Worker,
+    compute_booking,
+)
+
+#: One worker in so many that accept tasks may be kept for suspect jobs.
+KEPT_DIVISOR: Final = 2
+
+_NO_JOBS: Final[frozenset[str]] = frozenset()
+
+
+class Isolation:
+    """Keeps the unproven runs of suspect jobs apart in one round of planning.
+
+    Explanation
+    ===========
+
+    A task of a suspect job starts only on a worker without unproven runs of
+    another job, and as long as its run is not proven, no other job's task
+    starts there. If it crashes the worker, the job that caused that is known.
+    Tasks of one job share a worker, since a job fails with any of them.
+
+    A worker that a suspect job waits for is kept free of new starts until its
+    runs are proven. A kept worker stays kept in the next round.
+
+    :param pool_state: state of the pool.
+    :param ready: workers that accept new tasks.
+    :ivar kept: names of the kept workers, with the job that waits for each.
+    """
+
+    def __init__(self, pool_state: PoolState, ready: Sequence[Worker]) -> None:
+        pool_state.suspects = {
+            name: job
+            for name, job in pool_state.suspects.items()
+            if is_suspect(job)
+        }
+        self._suspects = pool_state.suspects
+        self._ready = ready
+        self._previous = pool_state.kept_workers
+        self.kept: dict[str, str] = {}
+        self._unproven_jobs: dict[str, set[str]] = {}
+        self._unaffected: Sequence[Worker] | None = None
+        if self._suspects:
+            self._unproven_jobs = {
+                worker.entry.worker: _find_unproven_jobs(worker)
+                for worker in ready
+            }
+        else:
+            self._unaffected = ready
+
+    def sort(self, steps: list[StepRun]) -> None:
+        """Move the steps of suspect jobs to the front."""
+        if self._suspects:
+            steps.sort(key=lambda step: not self.is_isolated(step.job))
+
+    def is_isolated(self, job: Job) -> bool:
+        """Return whether a job's tasks start apart from other jobs."""
+        return job.spec.job in self._suspects
+
+    def find_workers(self, job: Job) -> Sequence[Worker]:
+        """Return the workers on which a job's tasks may start."""
+        if self.is_isolated(job):
+            return [row for row in self._ready if self._is_free(row, job)]
+        if self._unaffected is None:
+            self._unaffected = [
+                row for row in self._ready if not self._is_taken(row)
+            ]
+        return self._unaffected
+
+    def note_start(self, worker: Worker, job: Job) -> None:
+        """Record a planned start."""
+        if self._suspects:
+            jobs = self._unproven_jobs[worker.entry.worker]
+            jobs.add(job.spec.job)
+
+    def keep_workers(self, step: StepRun, count: int) -> None:
+        """Keep workers free of other starts for a step that found none.
+
+        :param step: step of a suspect job with tasks that wait.
+        :param count: number of workers to keep, if the limit permits it.
+        """
+        size = compute_booking(step.spec)
+        limit = max(1, len(self._ready) // KEPT_DIVISOR)
+        room = max(0, limit - len(self.kept))
+        eligible = [
+            worker
+            for worker in self._ready
+            if is_permitted(step, worker)
+            and size.fits(worker.entry.capacity)
+            and not self._is_taken(worker)
+        ]
+        eligible.sort(key=lambda worker: self._rank(worker, step))
+        for worker in eligible[: min(count, room)]:
+            self.kept[worker.entry.worker] = step.job.spec.job
+
+    def _rank(self, worker: Worker, step: StepRun) -> tuple[bool, bool, int]:
+        name = worker.entry.worker
+        return (
+            not worker.has_capacity(compute_booking(step.spec)),
+            self._previous.get(name) != step.job.spec.job,
+            len(self._unproven_jobs[name]),
+        )
+
+    def _is_free(self, worker: Worker, job: Job) -> bool:
+        name = worker.entry.worker
+        if self.kept.get(name, job.spec.job) != job.spec.job:
+            return False
+        return self._unproven_jobs[name] <= {job.spec.job}
+
+    def _is_taken(self, worker: Worker) -> bool:
+        name = worker.entry.worker
+        jobs = self._unproven_jobs.get(name, _NO_JOBS)
+        return name in self.kept or not self._suspects.keys().isdisjoint(jobs)
+
+
+def _find_unproven_jobs(worker: Worker) -> set[str]:
+    return {task.key.job for task in worker.tasks.values() if is_unproven(task)}
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -53,8 +53,13 @@
     :param worker: identity of the worker, or empty.
     :param run: number of the last run.
     :param failed_runs: numbers of the runs that have failed.
+    :param crashed_runs: numbers of the runs under which workers have crashed
+        since a run of the task was last proven not to crash its worker.
     :param checkpoint: checkpoint from which the next run resumes.
     :param started_at: local seconds of the last start.
+    :param confirmed_at: local seconds at which the last run was first known to
+        run.
+    :param proven: whether the last run has not crashed its worker.
     :param pace: percent of full speed that the task is allowed; ``None`` when
         a former leader may have set it.
     :param progress: percent of the task's work that the worker last reported
@@ -71,8 +76,11 @@
     worker: str = ''
     run: int = 0
     failed_runs: tuple[int, ...] = ()
+    crashed_runs: tuple[int, ...] = ()
     checkpoint: str = ''
     started_at: float = 0
+    confirmed_at: float = math.inf
+    proven: bool = False
     pace: int | None = FULL_PACE
     progress: int = 0
     load: float = 0
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from verbenapost.coordination.scheduling.commands import StartTask
+from verbenapost.coordination.scheduling.isolation import Isolation
 from verbenapost.coordination.scheduling.jobs import (
     FULL_PACE,
     StepRun,
@@ -42,6 +43,7 @@
             for worker in pool_state.workers.values()
             if worker.accepts_tasks(moment.now)
         ]
+        self._isolation = Isolation(pool_state, self._ready)
         # Sizes for which no worker has capacity left in this round.
         self._unplaceable: list[Resources] = []
 
@@ -54,10 +56,13 @@
         commands: list[StartTask] = []
         self._pool_state.unplaced = []
         self._pool_state.reservations.prune()
-        for step in self.find_waiting():
+        steps = self.find_waiting()
+        self._isolation.sort(steps)
+        for step in steps:
             commands.extend(self._place_step(step, limit - len(commands)))
             if len(commands) >= limit:
                 break
+        self._pool_state.kept_workers = self._isolation.kept
         return commands
 
     def find_waiting(self) -> list[StepRun]:
@@ -104,15 +109,42 @@
         ]
         if step.spec.gang:
             yield from self._place_gang(step, waiting, tickets)
-            return
-        waiting = waiting[:limit]
-        if step.spec.long_running:
-            yield from self._place_long_running(step, waiting, tickets)
-            return
+        elif step.spec.long_running:
+            yield from self._place_long_running(step, waiting[:limit], tickets)
+        elif self._isolation.is_isolated(step.job):
+            yield from self._place_isolated(step, waiting[:limit], tickets)
+        else:
+            yield from self._place_short(step, waiting[:limit], tickets)
+        if self._isolation.is_isolated(step.job) and step.has_waiting():
+            count = len(waiting) if step.spec.gang else 1
+            self._isolation.keep_workers(step, count)
+
+    def _place_isolated(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        tickets: Tickets | None,
+    ) -> Iterator[StartTask]:
+        workers = self._isolation.find_workers(step.job)
+        ranking = WorkerRanking(step, workers, tickets)
+        for task in waiting:
+            worker = ranking.pop_best()
+            if worker is None:
+                return
+            yield self._start(step, task, worker, tickets)
+            ranking.reinsert(worker)
+
+    def _place_short(
+        self,
+        step: StepRun,
+        waiting: list[Task],
+        tickets: Tickets | None,
+    ) -> Iterator[StartTask]:
         size = compute_booking(step.spec)
         if any(found.fits(size) for found in self._unplaceable):
             return
-        ranking = WorkerRanking(step, self._ready, tickets)
+        workers = self._isolation.find_workers(step.job)
+        ranking = WorkerRanking(step, workers, tickets)
         for task in waiting:
             worker = ranking.pop_best()
             if worker is None:
@@ -131,8 +163,9 @@
         """Place the tasks that fit; reserve capacity for the others."""
         reservations = self._pool_state.reservations
         previous = {task.key: reservations.release(task) for task in waiting}
-        ranking = WorkerRanking(step, self._ready, tickets)
-        permitted = filter_by_ticket(self._ready, tickets)
+        workers = self._isolation.find_workers(step.job)
+        ranking = WorkerRanking(step, workers, tickets)
+        permitted = filter_by_ticket(workers, tickets)
         for task in waiting:
             worker = ranking.pop_best()
             if worker is None:
@@ -153,7 +186,8 @@
         if len(waiting) < len(step.tasks):
             # Members of the previous run have not ended yet.
             return
-        chosen = choose_gang_workers(step, waiting, self._ready, tickets)
+        workers = self._isolation.find_workers(step.job)
+        chosen = choose_gang_workers(step, waiting, workers, tickets)
         if chosen is None:
             return
         run = max(task.run for task in waiting)
@@ -175,11 +209,14 @@
         task.worker = name
         task.run = max(task.run + 1, self._pool_state.first_run_number)
         task.started_at = self._moment.now
+        task.confirmed_at = math.inf
+        task.proven = False
         task.stop_acknowledged = False
         task.stop_requested_at = -math.inf
         task.pace = FULL_PACE
         task.progress = 0
         task.load = 0
         worker.book(task)
+        self._isolation.note_start(worker, step.job)
         ticket = '' if tickets is None else tickets.get(name, '')
         return StartTask(name, task, task.run, step.job.spec.payload, ticket)
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -49,6 +49,9 @@
     :param service: name of the pool's service.
     :param token: fencing token of this leader.
     :ivar unplaced: long-running tasks for which no worker has capacity.
+    :ivar suspects: open jobs under whose tasks workers have crashed.
+    :ivar kept_workers: names of the workers that are kept free for a suspect
+        job, with the job.
     """
 
     def __init__(self, service: str, token: int) -> None:
@@ -58,6 +61,8 @@
         self.routes: dict[str, Route] = {}
         self.reservations = Reservations(self.workers)
         self.unplaced: list[Task] = []
+        self.suspects: dict[str, Job] = {}
+        self.kept_workers: dict[str, str] = {}
         self.run_times = RunTimes()
         self.tickets = TicketCache()
         self.recovering = False
@@ -200,6 +205,7 @@
         """Record that a task is running."""
         task.state = TaskState.RUNNING
         task.seen_at = now
+        task.confirmed_at = min(task.confirmed_at, now)
         job = self.jobs[task.key.job]
         if job.state is CallerJobState.QUEUED:
             job.state = CallerJobState.RUNNING
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -1,9 +1,14 @@
 """Reconciliation of a worker's report with the state of its pool."""
 
+import math
 from collections.abc import Sequence
 from typing import Final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
+from verbenapost.coordination.scheduling.crashes import (
+    clear_suspicion,
+    note_listed,
+)
 from verbenapost.coordination.scheduling.evacuation import may_stop
 from verbenapost.coordination.scheduling.jobs import Task, TaskState
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -43,6 +48,7 @@
         self._pool_state = pool_state
         self._worker = worker
         self._now = now
+        self._sent = -math.inf
 
     def apply(
         self,
@@ -57,6 +63,7 @@
         :param sent: local seconds at which the report was requested.
         """
         commands: list[Command] = []
+        self._sent = sent
         self._worker.unbooked = Resources()
         self._worker.has_unknown_runs = False
         for row in report.running:
@@ -91,6 +98,8 @@
             task.worker = name
             task.run = row.run
             task.started_at = self._now
+            task.confirmed_at = self._now
+            task.proven = False
             # A former leader may have slowed it down.
             task.pace = None
             self._worker.book(task)
@@ -120,6 +129,7 @@
         task.checkpoint = row.checkpoint or task.checkpoint
         task.progress = row.progress
         task.load = row.load
+        note_listed(self._pool_state, task, self._sent)
         if self._is_ended(task):
             task.seen_at = self._now
             task.state = TaskState.STOPPING
@@ -162,6 +172,7 @@
         pool_state = self._pool_state
         job = pool_state.jobs[task.key.job]
         commands: list[Command] = []
+        clear_suspicion(pool_state, task)
         if current:
             seconds = self._now - task.started_at
             pool_state.run_times.observe(job.spec.route, seconds)
@@ -184,6 +195,7 @@
 
     def _fail(self, task: Task, end: RunEnd) -> list[Command]:
         job = self._pool_state.jobs[task.key.job]
+        clear_suspicion(self._pool_state, task)
         if end.run not in task.failed_runs:
             task.failed_runs = (*task.failed_runs, end.run)
             self._pool_state.mark_changed(job)
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -0,0 +1,291 @@
+"""Tasks that crash their workers, and innocent ones that ran beside them."""
+
+import pytest
+
+from verbenapost.coordination.scheduling.crashes import (
+    PROOF_SECONDS,
+    find_awaiting_proof,
+    note_crash,
+)
+from verbenapost.coordination.scheduling.jobs import TaskState
+from verbenapost.coordination.scheduling.tests.sample import (
+    CAPACITY,
+    SMALL,
+    add_job,
+    end_run,
+    make_entry,
+    make_pool_state,
+    make_row,
+    plan,
+    report,
+    start_all,
+)
+from verbenapost.protocol.orders import CallFaultKind, RunEndKind
+from verbenapost.state.workloads import (
+    CallerJobState,
+    Resources,
+    StepSpec,
+)
+
+BAD = '000000000000000b'
+GOOD = '000000000000000a'
+OTHER = '000000000000000c'
+ONE = StepSpec(1, SMALL)
+
+
+def make_pool(count=4):
+    return make_pool_state(*(make_entry(f'w{row}') for row in range(count)))
+
+
+def crash(pool_state, name):
+    """Crash a worker, which returns as another incarnation."""
+    worker = pool_state.workers[name]
+    verdict = note_crash(pool_state, worker)
+    pool_state.remove_worker(name)
+    again = pool_state.set_worker(worker.entry)
+    again.reconciled = True
+    again.reachable = True
+    return verdict
+
+
+def crash_under(pool_state, task):
+    return crash(pool_state, task.worker)
+
+
+def prove(pool_state, name, now):
+    """Apply a report that lists all runs of a worker as running."""
+    rows = [make_row(row) for row in StartedRuns(pool_state.workers[name]).rows]
+    report(pool_state, name, rows, sent=now, now=now)
+
+
+class StartedRuns:
+    """The runs of a worker, in the form of starts."""
+
+    def __init__(self, worker):
+        self.rows = [Run(task) for task in worker.tasks.values()]
+
+
+class Run:
+    def __init__(self, task):
+        self.task = task
+        self.run = task.run
+
+
+class TestSuspicion:
+    def test_runs_that_a_report_has_proven_are_not_suspect(self):
+        pool_state = make_pool(1)
+        proven = add_job(pool_state, ONE, job=GOOD)
+        start_all(pool_state)
+        prove(pool_state, 'w0', PROOF_SECONDS)
+        add_job(pool_state, ONE, job=BAD)
+        start_all(pool_state, now=1)
+        verdict = crash(pool_state, 'w0')
+        assert [task.key.job for task in verdict.suspects] == [BAD]
+        assert not any(task.crashed_runs for task in proven.tasks())
+
+    def test_a_report_requested_too_soon_proves_nothing(self):
+        pool_state = make_pool(1)
+        add_job(pool_state, ONE, job=BAD)
+        start_all(pool_state)
+        prove(pool_state, 'w0', PROOF_SECONDS / 2)
+        assert crash(pool_state, 'w0').suspects
+
+    def test_a_start_that_arrived_late_is_proven_later(self):
+        pool_state = make_pool(1)
+        job = add_job(pool_state, ONE, job=BAD)
+        (start,) = plan(pool_state)
+        pool_state.note_started(start.task, start.run, 0.5)
+        prove(pool_state, 'w0', 0.5 + PROOF_SECONDS / 2)
+        assert not next(job.tasks()).proven
+        prove(pool_state, 'w0', 0.5 + PROOF_SECONDS)
+        assert next(job.tasks()).proven
+
+    @pytest.mark.parametrize('kind', [RunEndKind.DONE, RunEndKind.FAILED])
+    def test_a_run_that_ends_by_itself_clears_its_task(self, kind):
+        pool_state = make_pool()
+        job = add_job(pool_state, StepSpec(2, SMALL), job=GOOD)
+        (start, _) = start_all(pool_state)
+        crash_under(pool_state, start.task)
+        (start, _) = start_all(pool_state, now=1)
+        end_run(pool_state, start, kind)
+        assert not start.task.crashed_runs
+        assert job.state is not CallerJobState.FAILED
+
+    def test_one_run_counts_once(self):
+        pool_state = make_pool()
+        job = add_job(pool_state, ONE, job=BAD)
+        start_all(pool_state)
+        worker = pool_state.workers[next(job.tasks()).worker]
+        note_crash(pool_state, worker)
+        assert note_crash(pool_state, worker).culprits == ()
+        assert len(next(job.tasks()).crashed_runs) == 1
+
+
+class TestGivingUp:
+    def test_the_second_crash_names_the_task(self):
+        pool_state = make_pool()
+        bad = add_job(pool_state, ONE, job=BAD)
+        add_job(pool_state, ONE, job=GOOD)
+        start_all(pool_state)
+        assert crash_under(pool_state, next(bad.tasks())).culprits == ()
+        start_all(pool_state, now=1)
+        verdict = crash_under(pool_state, next(bad.tasks()))
+        assert verdict.culprits == (next(bad.tasks()),)
+
+    def test_innocent_tasks_outlive_any_number_of_crashes_beside_them(self):
+        pool_state = make_pool(1)
+        good = add_job(pool_state, ONE, job=GOOD)
+        for number in range(6):
+            bad = add_job(pool_state, ONE, job=f'{number:015x}b')
+            for round_number in range(20):
+                now = number * 20 + round_number
+                start_all(pool_state, now=now)
+                if not next(bad.tasks()).state.placed:
+                    prove(pool_state, 'w0', now + PROOF_SECONDS)
+                    continue
+                verdict = crash(pool_state, 'w0')
+                if verdict.culprits:
+                    assert verdict.culprits == (next(bad.tasks()),)
+                    pool_state.end_job(bad, CallerJobState.FAILED)
+                    break
+            assert bad.state is CallerJobState.FAILED
+        assert not good.state.ended
+
+    def test_a_crash_that_preceded_the_start_does_not_name_it(self):
+        """A dark rack is noticed worker by worker."""
+        pool_state = make_pool()
+        job = add_job(pool_state, ONE, job=GOOD)
+        start_all(pool_state)
+        crash_under(pool_state, next(job.tasks()))
+        (start,) = plan(pool_state, now=1)
+        pool_state.note_start_failed(
+            start.task, start.run, CallFaultKind.UNKNOWN, 1.5
+        )
+        assert crash_under(pool_state, start.task).culprits == ()
+
+    def test_a_task_whose_starts_are_never_answered_is_given_up(self):
+        pool_state = make_pool()
+        job = add_job(pool_state, ONE, job=BAD)
+        verdicts = []
+        for now in range(3):
+            (start,) = plan(pool_state, now=now)
+            pool_state.note_start_failed(
+                start.task, start.run, CallFaultKind.UNKNOWN, now
+            )
+            verdicts.append(crash_under(pool_state, start.task).culprits)
+        assert verdicts == [(), (), (next(job.tasks()),)]
+
+    def test_a_job_that_has_ended_is_not_given_up(self):
+        pool_state = make_pool()
+        job = add_job(pool_state, ONE, job=BAD)
+        start_all(pool_state)
+        pool_state.cancel_job(BAD)
+        assert not crash_under(pool_state, next(job.tasks())).suspects
+
+
+class TestIsolation:
+    def make_suspect(self, pool_state, *steps):
+        """Return a job whose first run has crashed its worker."""
+        bad = add_job(pool_state, *(steps or (ONE,)), job=BAD)
+        start_all(pool_state)
+        crash_under(pool_state, next(bad.tasks()))
+        return bad
+
+    def test_nothing_starts_beside_a_suspect_run(self):
+        pool_state = make_pool(2)
+        bad = self.make_suspect(pool_state)
+        start_all(pool_state, now=1)
+        isolated = next(bad.tasks()).worker
+        add_job(pool_state, StepSpec(20, SMALL), job=GOOD)
+        starts = start_all(pool_state, now=1)
+        assert starts
+        assert isolated not in {start.worker for start in starts}
+        prove(pool_state, isolated, 1 + PROOF_SECONDS)
+        starts = start_all(pool_state, now=2)
+        assert {start.worker for start in starts} == {isolated}
+
+    def add_suspect(self, pool_state):
+        """Add a job under whose task a worker has crashed before."""
+        bad = add_job(pool_state, ONE, job=BAD)
+        next(bad.tasks()).crashed_runs = (1,)
+        pool_state.suspects[BAD] = bad
+        return next(bad.tasks())
+
+    def test_a_suspect_task_starts_beside_proven_runs_only(self):
+        pool_state = make_pool(2)
+        add_job(pool_state, StepSpec(6, SMALL), job=GOOD)
+        start_all(pool_state)
+        prove(pool_state, 'w1', PROOF_SECONDS)
+        bad = self.add_suspect(pool_state)
+        start_all(pool_state, now=1)
+        assert bad.worker == 'w1'
+
+    def test_a_busy_pool_keeps_a_worker_for_it(self):
+        """New tasks start everywhere, so no worker is without such a run."""
+        pool_state = make_pool(2)
+        add_job(pool_state, StepSpec(60, SMALL), job=GOOD)
+        running = start_all(pool_state)
+        bad = self.add_suspect(pool_state)
+        now = 0.0
+        while not bad.state.placed and now < 5:
+            now += PROOF_SECONDS
+            for name in pool_state.workers:
+                prove(pool_state, name, now)
+            # Each worker frees some capacity, and new runs would take it.
+            for name in pool_state.workers:
+                ended = next(row for row in running if row.worker == name)
+                running.remove(ended)
+                end_run(pool_state, ended)
+            started = start_all(pool_state, now=now)
+            running.extend(started)
+        assert now <= 2 * PROOF_SECONDS
+
+    def test_a_kept_worker_stays_the_same(self):
+        pool_state = make_pool(4)
+        add_job(pool_state, StepSpec(13, SMALL), job=GOOD)
+        start_all(pool_state)
+        self.add_suspect(pool_state)
+        plan(pool_state, now=0.1)
+        kept = dict(pool_state.kept_workers)
+        add_job(pool_state, StepSpec(8, SMALL), job=OTHER, now=0.1)
+        plan(pool_state, now=0.2)
+        assert kept
+        assert pool_state.kept_workers == kept
+
+    def test_all_tasks_of_a_job_share_a_worker(self):
+        """A rack takes many tasks of a few jobs along."""
+        pool_state = make_pool(1)
+        add_job(pool_state, StepSpec(4, SMALL), job=GOOD)
+        start_all(pool_state)
+        crash(pool_state, 'w0')
+        assert len(start_all(pool_state, now=1)) == 4
+
+    def test_a_gang_starts_whole_and_apart(self):
+        pool_state = make_pool(4)
+        gang = StepSpec(4, Resources(3000, 100), gang=True)
+        self.make_suspect(pool_state, gang)
+        for task in pool_state.jobs[BAD].tasks():
+            pool_state.free_task(task)
+        add_job(pool_state, StepSpec(8, SMALL), job=GOOD)
+        starts = start_all(pool_state, now=1)
+        assert {start.task.key.job for start in starts} == {BAD}
+
+    def test_a_long_running_task_is_placed_again(self):
+        pool_state = make_pool(2)
+        lasting = StepSpec(1, CAPACITY, long_running=True)
+        bad = self.make_suspect(pool_state, lasting)
+        add_job(pool_state, StepSpec(8, SMALL), job=GOOD)
+        start_all(pool_state, now=1)
+        assert next(bad.tasks()).state is TaskState.RUNNING
+        assert find_awaiting_proof(
+            pool_state, pool_state.workers[next(bad.tasks()).worker]
+        )
+
+    def test_a_pool_without_suspects_is_planned_as_ever(self):
+        pool_state = make_pool(2)
+        bad = self.make_suspect(pool_state)
+        start_all(pool_state, now=1)
+        prove(pool_state, next(bad.tasks()).worker, 1 + PROOF_SECONDS)
+        add_job(pool_state, StepSpec(7, SMALL), job=GOOD)
+        assert len(start_all(pool_state, now=2)) == 7
+        assert not pool_state.suspects
--- a/verbenapost/coordination/scheduling/tests/test_incarnations.py
+++ b/verbenapost/coordination/scheduling/tests/test_incarnations.py
@@ -5,6 +5,7 @@
 from verbenapost.coordination.scheduling.incarnations import (
     MIN_AGE_SECONDS,
     MIN_KNOWN_SECONDS,
+    has_crashed,
     has_incarnation_ended,
 )
 from verbenapost.coordination.scheduling.moment import Moment
@@ -65,3 +66,22 @@
         vm = make_vm(worker='w9')
         assert not is_ended(vm, YOUNG)
         assert not is_ended(vm, YOUNG, MIN_KNOWN_SECONDS - 0.1)
+
+
+class TestCrashes:
+    @pytest.mark.parametrize(
+        ('changes', 'crashed'),
+        [
+            ({'state': FleetVmState.DOWN}, True),
+            ({'worker': 'w9'}, True),
+            ({'pool': 'standby', 'worker': ''}, False),
+            ({'pool': 'booking', 'worker': 'w9'}, False),
+            ({'state': FleetVmState.MOVING}, False),
+            ({'state': FleetVmState.MAINTENANCE}, False),
+        ],
+    )
+    def test_an_end_by_order_is_no_crash(self, changes, crashed):
+        assert has_crashed(make_entry(), make_vm(**changes)) is crashed
+
+    def test_a_removed_vm_has_not_crashed(self):
+        assert not has_crashed(make_entry(), None)
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -8,6 +8,7 @@
 
 from verbenapost.coordination.scheduling.commands import Command, StartTask
 from verbenapost.coordination.scheduling.incarnations import (
+    has_crashed,
     has_incarnation_ended,
 )
 from verbenapost.coordination.scheduling.moment import Moment
@@ -104,10 +105,12 @@
             if link.ended or link.worker.reachable:
                 continue
             entry = link.worker.entry
-            if has_incarnation_ended(
-                entry, vms.get(entry.vm), link.known_since, requested
-            ):
-                link.end_incarnation('its VM is listed without it')
+            vm = vms.get(entry.vm)
+            if has_incarnation_ended(entry, vm, link.known_since, requested):
+                link.end_incarnation(
+                    'its VM is listed without it',
+                    crashed=has_crashed(entry, vm),
+                )
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
         """Return the link to the worker of a VM."""
@@ -138,7 +141,10 @@
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
         if link is not None and not link.is_same_incarnation(entry):
-            link.end_incarnation('its entry shows another incarnation')
+            link.end_incarnation(
+                'its entry shows another incarnation',
+                crashed=link.worker.entry.service == entry.service,
+            )
         if link is not None and not link.ended:
             link.update(entry)
             self._ports.wake()
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -6,6 +6,10 @@
 
 from result import Err, Result
 
+from verbenapost.coordination.scheduling.crashes import (
+    CrashVerdict,
+    note_crash,
+)
 from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -21,7 +25,7 @@
 )
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
-from verbenapost.state.workloads import WorkerEntry
+from verbenapost.state.workloads import CallerJobState, WorkerEntry
 
 #: Seconds that a worker may wait for an ended run before it answers. Leases
 #: are renewed at this interval and have to outlast a change of the leader.
@@ -140,18 +144,31 @@
             self.worker.listed = False
             self.ports.log.info('worker entry removed', worker=self.name)
 
-    def end_incarnation(self, reason: str) -> None:
+    def end_incarnation(self, reason: str, *, crashed: bool = False) -> None:
         """End the incarnation and free its tasks.
 
         :param reason: reason for the log.
+        :param crashed: whether the worker ended without an order, so that one
+            of its runs may have caused that.
         """
         if self.ended:
             return
         self.ended = True
+        worker = self.worker
+        verdict = CrashVerdict()
+        # A worker that was about to leave may have ended for that reason.
+        if crashed and not worker.leaving and not worker.entry.draining:
+            verdict = note_crash(self.pool_state, worker)
         lost = self.pool_state.remove_worker(self.name)
         self.ports.log.warning(
-            'worker lost', worker=self.name, reason=reason, tasks=len(lost)
+            'worker lost',
+            worker=self.name,
+            reason=reason,
+            tasks=len(lost),
+            suspects=len(verdict.suspects),
         )
+        self._log_suspects(verdict)
+        self._give_up(verdict)
         self.ports.wake()
 
     def count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
@@ -170,10 +187,39 @@
             self.ports.election.lose('a worker has seen a higher token')
             return True
         if fault.kind is CallFaultKind.OTHER_INCARNATION:
-            self.end_incarnation('another incarnation answers')
+            self.end_incarnation('another incarnation answers', crashed=True)
             return True
         return False
 
+    def _log_suspects(self, verdict: CrashVerdict) -> None:
+        for task in verdict.suspects:
+            self.ports.log.info(
+                'worker crashed under a run',
+                job=task.key.job,
+                task=task.key.position,
+                run=task.run,
+                worker=self.name,
+                crashes=len(task.crashed_runs),
+            )
+
+    def _give_up(self, verdict: CrashVerdict) -> None:
+        """End the job of a task that crashes its workers."""
+        if not verdict.culprits:
+            return
+        name = verdict.culprits[0].key.job
+        self.ports.log.warning(
+            'job given up',
+            job=name,
+            reason='its task crashes the workers on which it starts',
+            tasks=[task.key.position for task in verdict.culprits],
+            worker=self.name,
+        )
+        commands = self.pool_state.end_job(
+            self.pool_state.jobs[name], CallerJobState.FAILED
+        )
+        self.ports.recorder.mark_dirty(self.pool_state.pop_dirty_jobs())
+        self.ports.send(self.pool_state, commands)
+
     def _choose_wait(self) -> float:
         worker = self.worker
         if not worker.reconciled:
@@ -193,7 +239,7 @@
         self._last_clock = report.clock
         self.clock.observe(report.clock, now, now)
         if report.started_at_ms not in {None, self._started_at_ms}:
-            self.end_incarnation('the worker has restarted')
+            self.end_incarnation('the worker has restarted', crashed=True)
             return
         worker = self.worker
         if not worker.reachable:
--- a/verbenapost/scheduler/runorders.py
+++ b/verbenapost/scheduler/runorders.py
@@ -12,7 +12,7 @@
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import CallFault, CallFaultKind, RunStart
 from verbenapost.scheduler.ports import LinkPorts
-from verbenapost.scheduler.startups import follow_startup
+from verbenapost.scheduler.startups import follow_proofs, follow_startup
 
 #: Seconds within which a start has to reach its worker; the worker refuses a
 #: start that arrives later.
@@ -66,6 +66,7 @@
         self._link = link
         self._ports = link.ports
         self._pool_state = link.pool_state
+        self._follows_proofs = False
 
     async def start(self, command: StartTask) -> None:
         """Send a start and record its outcome."""
@@ -98,6 +99,7 @@
         now = read_clock()
         self._link.clock.observe(answer.ok_value, sent_at, now)
         self._pool_state.note_started(task, command.run, now)
+        await self._follow_proofs()
         await follow_startup(self._link, self._pool_state, task)
 
     async def stop(self, command: StopTask) -> None:
@@ -121,6 +123,16 @@
                 return
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
+    async def _follow_proofs(self) -> None:
+        """Request reports on suspect jobs, once for all their runs here."""
+        if self._follows_proofs:
+            return
+        self._follows_proofs = True
+        try:
+            await follow_proofs(self._link, self._pool_state)
+        finally:
+            self._follows_proofs = False
+
     async def _send_start(
         self, order: RunStart, sent_at: float
     ) -> Result[int, CallFault]:
--- a/verbenapost/scheduler/tests/test_crashes.py
+++ b/verbenapost/scheduler/tests/test_crashes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins.fleet.workers import RunCrashed
+from standins.fleet.workers import RunCrashed, RunStarted
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     FAILED,
@@ -121,6 +121,43 @@
         )
 
 
+class TestCrashedRack:
+    """Each run of a crashed rack is as suspect as the others."""
+
+    def test_its_tasks_run_again_within_two_seconds(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            steps = [{'count': 6, 'cpu': 500, 'mem_mb': 100}]
+            await asyncio.sleep(1)
+            for number in range(20):
+                await world.submit(name_job(number), steps)
+            await asyncio.sleep(0.1)
+            crashed = [
+                row for row in world.workers.values() if row.labels[1] == 'r1'
+            ]
+            lost = {task for row in crashed for task in row.runs}
+            for row in crashed:
+                row.crash()
+            crashed_at = world.now()
+            await asyncio.sleep(20)
+            again = {
+                event.task: event.at - crashed_at
+                for event in reversed(world.history)
+                if isinstance(event, RunStarted) and event.at > crashed_at
+            }
+            states = set((await read_states(world)).values())
+            times = sorted(again[task] for task in lost)
+            spread = times[-1] - times[0]
+            return check_rules(world), states, len(lost) >= 30, spread < 2
+
+        assert play(scenario, standby_vms=0, workers=12) == (
+            [],
+            {COMPLETED},
+            True,
+            True,
+        )
+
+
 class TestCrashesBeforeATakeover:
     """A successor counted from none, so each leader lost two more workers."""
 
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -239,3 +239,34 @@
             return client.seen[-1]
 
         assert asyncio.run(scenario()) == 0
+
+
+class TestCrashedWorker:
+    """Only a crash counts against the tasks that it takes along."""
+
+    def end(self, monkeypatch, *, crashed=True, **changes):
+        async def scenario():
+            _, _, link = make_link(Clock(), monkeypatch)
+            job = add_job(link.pool_state, StepSpec(1, SMALL))
+            (start,) = plan(link.pool_state)
+            link.pool_state.note_started(start.task, start.run, 100)
+            link.worker.leaving = changes.get('leaving', False)
+            link.worker.entry = dataclasses.replace(
+                link.worker.entry, draining=changes.get('draining', False)
+            )
+            link.end_incarnation('test', crashed=crashed)
+            return next(job.tasks()).crashed_runs
+
+        return asyncio.run(scenario())
+
+    def test_a_crash_counts(self, monkeypatch):
+        assert self.end(monkeypatch) == (1,)
+
+    def test_a_worker_that_was_leaving_did_not_crash(self, monkeypatch):
+        assert self.end(monkeypatch, leaving=True) == ()
+
+    def test_a_worker_that_was_draining_did_not_crash(self, monkeypatch):
+        assert self.end(monkeypatch, draining=True) == ()
+
+    def test_an_ordered_end_is_no_crash(self, monkeypatch):
+        assert self.end(monkeypatch, crashed=False) == ()
