Prove runs by the arrival of a report, place suspect ones on emptier workers

Cause: a run counted as proven only by a report requested 0.3 s after its start. A report may wait 0.5 s at the worker for an end, so runs of a second's length were hardly ever proven, and each crash made more of them suspect than it had to. Suspect tasks were packed onto the fullest worker that was free of others. Change: a report counts when it arrives, as it lists the run and so was written after its start. A suspect task starts where the least is booked, beside tasks of its own job first.

--- a/verbenapost/coordination/scheduling/crashes.py
+++ b/verbenapost/coordination/scheduling/crashes.py
@@ -12,8 +12,8 @@
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
 
-#: Seconds for which a run must have been known to run when a report that lists
-#: it is requested; such a run has not crashed its worker.
+#: Seconds for which a run must have been known to run when a report arrives
+#: that lists it; such a run has not crashed its worker.
 PROOF_SECONDS: Final = 0.3
 
 #: Crashed runs after which a task is given up.
@@ -82,14 +82,14 @@
     return CrashVerdict(tuple(suspects), tuple(culprits))
 
 
-def note_listed(pool_state: PoolState, task: Task, requested: float) -> None:
+def note_listed(pool_state: PoolState, task: Task, now: float) -> None:
     """Record that a report lists a task as running.
 
     :param pool_state: state of the worker's pool.
     :param task: the task, whose current run is listed.
-    :param requested: local seconds at which the report was requested.
+    :param now: local seconds.
     """
-    if requested >= task.confirmed_at + PROOF_SECONDS:
+    if now >= task.confirmed_at + PROOF_SECONDS:
         task.proven = True
         clear_suspicion(pool_state, task)
 
--- a/verbenapost/coordination/scheduling/placement.py
+++ b/verbenapost/coordination/scheduling/placement.py
@@ -25,6 +25,9 @@
 _CROWDED: Final = 2
 _NO_LONG_RUNNING: Final = 1
 
+# More than the processors of any worker, in thousandths of a core.
+_SAME_JOB: Final = 10**9
+
 
 class WorkerRanking:
     """Workers with capacity for the tasks of one step, best first.
@@ -44,6 +47,8 @@
     :param step: step of the tasks.
     :param workers: workers that accept new tasks.
     :param tickets: tickets by worker, where a policy restricts the choice.
+    :param isolated: whether the tasks may crash their worker; they are then
+        placed together, and where the fewest others run.
     """
 
     def __init__(
@@ -51,12 +56,15 @@
         step: StepRun,
         workers: Iterable[Worker],
         tickets: Tickets | None,
+        *,
+        isolated: bool = False,
     ) -> None:
         self._step = step
+        self._isolated = isolated
         self._size = compute_booking(step.spec)
         self._tickets = tickets
         self._ranked = [
-            (_rank(step, worker), worker)
+            (self._rank(worker), worker)
             for worker in workers
             if self._is_allowed(worker)
         ]
@@ -69,9 +77,14 @@
     def reinsert(self, worker: Worker) -> None:
         """Reinsert a worker after booking, unless its capacity is used up."""
         if self._is_allowed(worker):
-            row = (_rank(self._step, worker), worker)
+            row = (self._rank(worker), worker)
             heapq.heappush(self._ranked, row)
 
+    def _rank(self, worker: Worker) -> Rank:
+        if self._isolated:
+            return _rank_isolated(self._step, worker)
+        return _rank(self._step, worker)
+
     def _is_allowed(self, worker: Worker) -> bool:
         name = worker.entry.worker
         return (
@@ -148,6 +161,13 @@
     return _compute_penalty(step, worker), order, worker.entry.worker
 
 
+def _rank_isolated(step: StepRun, worker: Worker) -> Rank:
+    order = worker.used.cpu
+    if any(key.job == step.job.spec.job for key in worker.tasks):
+        order -= _SAME_JOB
+    return _compute_penalty(step, worker), order, worker.entry.worker
+
+
 def _compute_penalty(step: StepRun, worker: Worker) -> int:
     """Return the penalty of placing a task of a step on a worker."""
     spec = step.spec
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -126,7 +126,7 @@
         tickets: Tickets | None,
     ) -> Iterator[StartTask]:
         workers = self._isolation.find_workers(step.job)
-        ranking = WorkerRanking(step, workers, tickets)
+        ranking = WorkerRanking(step, workers, tickets, isolated=True)
         for task in waiting:
             worker = ranking.pop_best()
             if worker is None:
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -1,6 +1,5 @@
 """Reconciliation of a worker's report with the state of its pool."""
 
-import math
 from collections.abc import Sequence
 from typing import Final
 
@@ -48,7 +47,6 @@
         self._pool_state = pool_state
         self._worker = worker
         self._now = now
-        self._sent = -math.inf
 
     def apply(
         self,
@@ -63,7 +61,6 @@
         :param sent: local seconds at which the report was requested.
         """
         commands: list[Command] = []
-        self._sent = sent
         self._worker.unbooked = Resources()
         self._worker.has_unknown_runs = False
         for row in report.running:
@@ -129,7 +126,7 @@
         task.checkpoint = row.checkpoint or task.checkpoint
         task.progress = row.progress
         task.load = row.load
-        note_listed(self._pool_state, task, self._sent)
+        note_listed(self._pool_state, task, self._now)
         if self._is_ended(task):
             task.seen_at = self._now
             task.state = TaskState.STOPPING
