Store the crashes under a task, so that a successor goes on counting

Cause: crashed runs were kept by the leader alone, and a successor counted from none. Callers: a task that crashes workers took three more of them down after each change of the leader, before its job was shown as failed. Change: the job's progress holds the crashed runs under `crashed`. Earlier records are read as having none; earlier daemons ignore the field. A restored job is isolated from the successor's first round on. TestStoredCrashes covers the record, old records, and that a proven run clears what is stored. Why it works: the record is written with the crash, before the next start can have crashed a worker and been noticed.

--- a/verbenapost/coordination/scheduling/crashes.py
+++ b/verbenapost/coordination/scheduling/crashes.py
@@ -8,7 +8,7 @@
 import dataclasses
 from typing import Final, final
 
-from verbenapost.coordination.scheduling.jobs import Job, Task, TaskState
+from verbenapost.coordination.scheduling.jobs import Task
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
 
@@ -40,14 +40,6 @@
     return task.state.placed and not task.proven
 
 
-def is_suspect(job: Job) -> bool:
-    """Return whether workers have crashed under a task of a job."""
-    return not job.state.ended and any(
-        task.crashed_runs and task.state is not TaskState.DONE
-        for task in job.tasks()
-    )
-
-
 def note_crash(pool_state: PoolState, worker: Worker) -> CrashVerdict:
     """Count a crash against the tasks that may have caused it.
 
--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -7,10 +7,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from verbenapost.coordination.scheduling.crashes import (
-    is_suspect,
-    is_unproven,
-)
+from verbenapost.coordination.scheduling.crashes import is_unproven
 from verbenapost.coordination.scheduling.jobs import Job, StepRun
 from verbenapost.coordination.scheduling.placement import is_permitted
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -48,7 +45,7 @@
         pool_state.suspects = {
             name: job
             for name, job in pool_state.suspects.items()
-            if is_suspect(job)
+            if job.suspect
         }
         self._suspects = pool_state.suspects
         self._ready = ready
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -144,6 +144,7 @@
 
 _DONE: Final = 'done'
 _FAILED: Final = 'failed'
+_CRASHED: Final = 'crashed'
 _CHECKPOINTS: Final = 'saved'
 _STATE: Final = 'state'
 
@@ -191,6 +192,13 @@
         for step in self.steps():
             yield from step.tasks
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the job is open and workers have crashed under its tasks."""
+        return not self.state.ended and any(
+            task.crashed_runs for task in self.tasks()
+        )
+
     def find_open_steps(self, wall: float) -> Iterator[StepRun]:
         """Yield the steps whose tasks may start.
 
@@ -248,6 +256,11 @@
                 for task in self.tasks()
                 if task.failed_runs
             ],
+            _CRASHED: [
+                [*_locate(task), list(task.crashed_runs)]
+                for task in self.tasks()
+                if task.crashed_runs
+            ],
             _CHECKPOINTS: [
                 [*_locate(task), task.checkpoint]
                 for task in self.tasks()
@@ -267,6 +280,8 @@
             self.finish(self._locate(position))
         for *position, runs in fields.get(_FAILED, ()):
             self._locate(position).failed_runs = tuple(runs)
+        for *position, runs in fields.get(_CRASHED, ()):
+            self._locate(position).crashed_runs = tuple(runs)
         for *position, checkpoint in fields.get(_CHECKPOINTS, ()):
             self._locate(position).checkpoint = checkpoint
         self.state = CallerJobState(fields[_STATE])
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -104,6 +104,8 @@
         self.routes[job.spec.job] = route
         if not job.state.ended:
             self._open_jobs[job.spec.job] = job
+        if job.suspect:
+            self.suspects[job.spec.job] = job
 
     def drop_job(self, name: str) -> None:
         """Remove a job that ended long ago."""
--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Tasks that crash their workers, and innocent ones that ran beside them."""
 
+import msgpack
 import pytest
 
 from verbenapost.coordination.scheduling.crashes import (
@@ -8,9 +9,10 @@
     find_awaiting_proof,
     note_crash,
 )
-from verbenapost.coordination.scheduling.jobs import TaskState
+from verbenapost.coordination.scheduling.jobs import Job, TaskState
 from verbenapost.coordination.scheduling.tests.sample import (
     CAPACITY,
+    ROUTE,
     SMALL,
     add_job,
     end_run,
@@ -24,6 +26,7 @@
 from verbenapost.protocol.orders import CallFaultKind, RunEndKind
 from verbenapost.state.workloads import (
     CallerJobState,
+    JobSpec,
     Resources,
     StepSpec,
 )
@@ -297,3 +300,50 @@
         assert self.add_suspect(pool_state).state is TaskState.WAITING
         (start,) = start_all(pool_state, now=1)
         assert start.worker == 'w1'
+
+
+class TestStoredCrashes:
+    """A leader is replaced between two crashes of one task."""
+
+    def take_over(self, packed):
+        """Return the pool state and job of a successor."""
+        successor = make_pool_state(make_entry('w5'), token=2)
+        spec = JobSpec(BAD, ROUTE.name, 'text', (ONE,), 'routing')
+        job = Job(spec, 0)
+        job.restore(packed, revision=7)
+        successor.add_job(job, ROUTE)
+        return successor, job
+
+    def make_progress(self):
+        pool_state = make_pool()
+        job = add_job(pool_state, ONE, job=BAD)
+        for now in range(MAX_CRASHES - 1):
+            start_all(pool_state, now=now)
+            crash_under(pool_state, next(job.tasks()))
+        assert pool_state.pop_dirty_jobs() == {BAD}
+        return job.pack()
+
+    def test_the_successor_gives_up_at_the_third(self):
+        successor, job = self.take_over(self.make_progress())
+        start_all(successor, now=9)
+        verdict = crash_under(successor, next(job.tasks()))
+        assert verdict.culprits == (next(job.tasks()),)
+
+    def test_the_successor_isolates_the_job(self):
+        successor, _ = self.take_over(self.make_progress())
+        add_job(successor, StepSpec(3, SMALL), job=GOOD)
+        starts = start_all(successor, now=9)
+        assert [start.task.key.job for start in starts] == [BAD]
+
+    def test_progress_of_an_earlier_version_is_read(self):
+        fields = msgpack.unpackb(self.make_progress())
+        del fields['crashed']
+        _, job = self.take_over(msgpack.packb(fields))
+        assert next(job.tasks()).crashed_runs == ()
+
+    def test_a_proven_run_clears_what_is_stored(self):
+        successor, job = self.take_over(self.make_progress())
+        start_all(successor, now=9)
+        prove(successor, 'w5', 9 + PROOF_SECONDS)
+        assert successor.pop_dirty_jobs() == {BAD}
+        assert not msgpack.unpackb(job.pack())['crashed']
