Store a suspect run with its start, so that a crash nobody saw counts

Cause: a crash counted only once the leader had noticed it and stored it. A leader that was lost before took it along, and its successor started the task once more. Callers: more workers go down under one task, one for each such change. Change: the start of a suspect job writes its progress, and the record lists the unproven run with the crashed ones. The successor either finds that run at its worker, which proves it, or counts it. The start doesn't wait for the write. TestStoredCrashes has the record, and a run that goes on over the change. The stand-in of a worker that is up no longer starts again, which would have dropped runs without an end from its history.

--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -162,7 +162,9 @@
         self.up = False
 
     def restart(self):
-        """Start a new incarnation."""
+        """Start a new incarnation, unless one is up."""
+        if self.up:
+            return
         self.up = True
         self._reset()
         self.register()
--- a/verbenapost/coordination/scheduling/crashes.py
+++ b/verbenapost/coordination/scheduling/crashes.py
@@ -59,9 +59,10 @@
     suspects: list[Task] = []
     for task in unproven:
         job = pool_state.jobs[task.key.job]
-        if job.state.ended or task.run in task.crashed_runs:
+        if job.state.ended:
             continue
-        task.crashed_runs = (*task.crashed_runs, task.run)
+        if task.run not in task.crashed_runs:
+            task.crashed_runs = (*task.crashed_runs, task.run)
         pool_state.suspects[task.key.job] = job
         pool_state.mark_changed(job)
         suspects.append(task)
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -257,7 +257,7 @@
                 if task.failed_runs
             ],
             _CRASHED: [
-                [*_locate(task), list(task.crashed_runs)]
+                [*_locate(task), _list_crashed_runs(task)]
                 for task in self.tasks()
                 if task.crashed_runs
             ],
@@ -311,3 +311,15 @@
 
 def _locate(task: Task) -> list[int]:
     return [task.key.occurrence, task.key.step, task.key.index]
+
+
+def _list_crashed_runs(task: Task) -> list[int]:
+    """Return the crashed runs, with a run that may be about to crash.
+
+    A leader may be lost before it knows of the crash. A successor that finds
+    the run listed by its worker clears the task.
+    """
+    runs = list(task.crashed_runs)
+    if task.state.placed and not task.proven and task.run not in runs:
+        runs.append(task.run)
+    return runs
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -218,5 +218,8 @@
         task.load = 0
         worker.book(task)
         self._isolation.note_start(worker, step.job)
+        if self._isolation.is_isolated(step.job):
+            # The run is stored, in case that this leader is lost with it.
+            self._pool_state.mark_changed(step.job)
         ticket = '' if tickets is None else tickets.get(name, '')
         return StartTask(name, task, task.run, step.job.spec.payload, ticket)
--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -335,6 +335,21 @@
         starts = start_all(successor, now=9)
         assert [start.task.key.job for start in starts] == [BAD]
 
+    def test_a_crash_that_the_leader_did_not_live_to_see_counts(self):
+        successor, job = self.take_over(self.make_progress())
+        start_all(successor, now=9)
+        assert successor.pop_dirty_jobs() == {BAD}
+        _, job = self.take_over(job.pack())
+        assert len(next(job.tasks()).crashed_runs) == MAX_CRASHES
+
+    def test_a_run_that_went_on_over_the_change_does_not_count(self):
+        leader, job = self.take_over(self.make_progress())
+        (start,) = start_all(leader, now=9)
+        successor, job = self.take_over(job.pack())
+        report(successor, 'w5', [make_row(start)], now=10)
+        report(successor, 'w5', [make_row(start)], now=10 + PROOF_SECONDS)
+        assert not next(job.tasks()).crashed_runs
+
     def test_progress_of_an_earlier_version_is_read(self):
         fields = msgpack.unpackb(self.make_progress())
         del fields['crashed']
