--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -53,8 +53,13 @@
     :param worker: identity of the worker, or empty.
     :param run: number of the last run.
     :param failed_runs: numbers of the runs that have failed.
+    :param crashed_runs: numbers of the runs under which workers have crashed
+        since a run of the task was last proven not to crash its worker.
     :param checkpoint: checkpoint from which the next run resumes.
     :param started_at: local seconds of the last start.
+    :param confirmed_at: local seconds at which the last run was first known to
+        run.
+    :param proven: whether the last run has not crashed its worker.
     :param pace: percent of full speed that the task is allowed; ``None`` when
         a former leader may have set it.
     :param progress: percent of the task's work that the worker last reported
@@ -71,8 +76,11 @@
     worker: str = ''
     run: int = 0
     failed_runs: tuple[int, ...] = ()
+    crashed_runs: tuple[int, ...] = ()
     checkpoint: str = ''
     started_at: float = 0
+    confirmed_at: float = math.inf
+    proven: bool = False
     pace: int | None = FULL_PACE
     progress: int = 0
     load: float = 0
@@ -136,6 +144,7 @@
 
 _DONE: Final = 'done'
 _FAILED: Final = 'failed'
+_CRASHED: Final = 'crashed'
 _CHECKPOINTS: Final = 'saved'
 _STATE: Final = 'state'
 
@@ -183,6 +192,13 @@
         for step in self.steps():
             yield from step.tasks
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the job is open and workers have crashed under its tasks."""
+        return not self.state.ended and any(
+            task.crashed_runs for task in self.tasks()
+        )
+
     def find_open_steps(self, wall: float) -> Iterator[StepRun]:
         """Yield the steps whose tasks may start.
 
@@ -240,6 +256,11 @@
                 for task in self.tasks()
                 if task.failed_runs
             ],
+            _CRASHED: [
+                [*_locate(task), _list_crashed_runs(task)]
+                for task in self.tasks()
+                if task.crashed_runs
+            ],
             _CHECKPOINTS: [
                 [*_locate(task), task.checkpoint]
                 for task in self.tasks()
@@ -259,6 +280,8 @@
             self.finish(self._locate(position))
         for *position, runs in fields.get(_FAILED, ()):
             self._locate(position).failed_runs = tuple(runs)
+        for *position, runs in fields.get(_CRASHED, ()):
+            self._locate(position).crashed_runs = tuple(runs)
         for *position, checkpoint in fields.get(_CHECKPOINTS, ()):
             self._locate(position).checkpoint = checkpoint
         self.state = CallerJobState(fields[_STATE])
@@ -288,3 +311,15 @@
 
 def _locate(task: Task) -> list[int]:
     return [task.key.occurrence, task.key.step, task.key.index]
+
+
+def _list_crashed_runs(task: Task) -> list[int]:
+    """Return the crashed runs, with a run that may be about to crash.
+
+    A leader may be lost before it knows of the crash. A successor that finds
+    the run listed by its worker clears the task.
+    """
+    runs = list(task.crashed_runs)
+    if task.state.placed and not task.proven and task.run not in runs:
+        runs.append(task.run)
+    return runs
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -8,6 +8,7 @@
 
 from verbenapost.coordination.scheduling.commands import Command, StartTask
 from verbenapost.coordination.scheduling.incarnations import (
+    has_crashed,
     has_incarnation_ended,
 )
 from verbenapost.coordination.scheduling.moment import Moment
@@ -106,7 +107,11 @@
             if link.ended or link.worker.reachable:
                 continue
             if _is_listed_as_ended(link, vm_list, requested):
-                link.end_incarnation('its VM is listed without it')
+                entry = link.worker.entry
+                link.end_incarnation(
+                    'its VM is listed without it',
+                    crashed=has_crashed(entry, vm_list.vms.get(entry.vm)),
+                )
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
         """Return the link to the worker of a VM.
@@ -144,7 +149,10 @@
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
         if link is not None and not link.is_same_incarnation(entry):
-            link.end_incarnation('its entry shows another incarnation')
+            link.end_incarnation(
+                'its entry shows another incarnation',
+                crashed=link.worker.entry.service == entry.service,
+            )
         if link is not None and not link.ended:
             link.update(entry)
             self._ports.wake()
