--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -46,9 +46,6 @@
 RETRY_SECONDS: Final = 0.2
 
 
-Task = asyncio.Task[Any]
-
-
 class Leader:
     """Leads from a takeover until the loss of the leadership.
 
@@ -220,7 +217,7 @@
             # A takeover that can't read the store must fail, not wait.
             following.result()
 
-    def _add_essential(self, work: Any) -> Task:
+    def _add_essential(self, work: Any) -> asyncio.Task[Any]:
         """Start a task without which this daemon must not lead.
 
         :param work: coroutine of the task.
@@ -229,7 +226,7 @@
         task.add_done_callback(self._give_up)
         return task
 
-    def _give_up(self, task: Task) -> None:
+    def _give_up(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled():
             self._ports.election.lose('a task of the leader has ended')
 
