Test: a worker kept for a suspect task has a ticket for it

Cause: keep_workers asks requires, anti-affinity and size, not the tickets of a queue's policy. It keeps a worker that may not run the step, and the one that may gets new runs beside it in each round. Callers would see: a job of such a queue whose task was lost with a worker waits for as long as the pool is busy, while a worker stands idle for it. Evidence: the test fails, kept w1 in place of w0.

--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Tasks that crash their workers, and innocent ones that ran beside them."""
 
+import dataclasses
+
 import msgpack
 import pytest
 
@@ -25,6 +27,7 @@
 )
 from verbenapost.protocol.orders import CallFaultKind, RunEndKind
 from verbenapost.state.workloads import (
+    AdviceTerms,
     CallerJobState,
     JobSpec,
     Resources,
@@ -302,6 +305,28 @@
         assert start.worker == 'w1'
 
 
+class TestKeptWorkers:
+    """Suspect jobs must not hold up others, nor wait without end."""
+
+    def add_suspect(self, pool_state, *steps, now=1.0, **changes):
+        """Add a job under whose task a worker has crashed before."""
+        job = add_job(pool_state, *steps, job=BAD, now=now, **changes)
+        next(job.tasks()).crashed_runs = (1,)
+        pool_state.suspects[BAD] = job
+        return job
+
+    def test_a_kept_worker_has_a_ticket(self):
+        """No other worker can ever start the task."""
+        pool_state = make_pool(2)
+        add_job(pool_state, StepSpec(3, SMALL), job=GOOD)
+        start_all(pool_state)
+        route = dataclasses.replace(ROUTE, advice=AdviceTerms(0.1, 0.1, 60))
+        bad = self.add_suspect(pool_state, ONE, route=route)
+        pool_state.tickets.put(next(bad.tasks()).key, {'w0': 'ticket'}, 60)
+        plan(pool_state, now=0.1)
+        assert pool_state.kept_workers == {'w0': BAD}
+
+
 class TestStoredCrashes:
     """A leader is replaced between two crashes of one task."""
 
