--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -9,7 +9,11 @@
 
 from verbenapost.coordination.scheduling.crashes import is_unproven
 from verbenapost.coordination.scheduling.jobs import Job, StepRun
-from verbenapost.coordination.scheduling.placement import is_permitted
+from verbenapost.coordination.scheduling.placement import (
+    Tickets,
+    filter_by_ticket,
+    is_permitted,
+)
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import (
     Worker,
@@ -86,18 +90,21 @@
             jobs = self._unproven_jobs[worker.entry.worker]
             jobs.add(job.spec.job)
 
-    def keep_workers(self, step: StepRun, count: int) -> None:
+    def keep_workers(
+        self, step: StepRun, count: int, tickets: Tickets | None
+    ) -> None:
         """Keep workers free of other starts for a step that found none.
 
         :param step: step of a suspect job with tasks that wait.
         :param count: number of workers to keep, if the limit permits it.
+        :param tickets: tickets by worker, where a policy restricts the choice.
         """
         size = compute_booking(step.spec)
         limit = max(1, len(self._ready) // KEPT_DIVISOR)
         room = max(0, limit - len(self.kept))
         eligible = [
             worker
-            for worker in self._ready
+            for worker in filter_by_ticket(self._ready, tickets)
             if is_permitted(step, worker)
             and size.fits(worker.entry.capacity)
             and not self._is_taken(worker)
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -117,7 +117,7 @@
             yield from self._place_short(step, waiting[:limit], tickets)
         if self._isolation.is_isolated(step.job) and step.has_waiting():
             count = len(waiting) if step.spec.gang else 1
-            self._isolation.keep_workers(step, count)
+            self._isolation.keep_workers(step, count, tickets)
 
     def _place_isolated(
         self,
