Tests: no worker is kept for a task that has no room there

Cause: a worker is kept for a suspect task if the task fits into the whole capacity. Where long-running tasks hold that room it never fits, so the worker is kept without end; beside short tasks, until the longest has ended. Evidence: both tests fail, no start in place of one, 60 s later as well.

--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -315,6 +315,47 @@
         pool_state.suspects[BAD] = job
         return job
 
+    def run_long(self, pool_state, *sizes):
+        """Fill the workers one after the other with long-running tasks."""
+        for number, size in enumerate(sizes):
+            step = StepSpec(1, size, long_running=True, requires=f'k{number}')
+            add_job(pool_state, step, job=f'{number:016x}')
+        assert len(start_all(pool_state)) == len(sizes)
+        for name in pool_state.workers:
+            prove(pool_state, name, PROOF_SECONDS)
+
+    def make_labelled_pool(self, count):
+        return make_pool_state(
+            *(
+                make_entry(f'w{row}', labels=(f'k{row}', 'r1'))
+                for row in range(count)
+            )
+        )
+
+    def test_a_long_running_task_starts_on_a_kept_worker(self):
+        """The suspect task waits there until short tasks end."""
+        pool_state = self.make_labelled_pool(2)
+        self.run_long(pool_state, SMALL, CAPACITY)
+        add_job(pool_state, StepSpec(1, SMALL), job=GOOD)
+        start_all(pool_state)
+        prove(pool_state, 'w0', PROOF_SECONDS)
+        self.add_suspect(pool_state, StepSpec(1, Resources(3000, 100)))
+        plan(pool_state, now=1)
+        lasting = StepSpec(1, SMALL, long_running=True)
+        add_job(pool_state, lasting, job=OTHER, now=1)
+        starts = start_all(pool_state, now=1.1)
+        assert [start.task.key.job for start in starts] == [OTHER]
+
+    def test_a_worker_that_never_has_room_is_not_kept(self):
+        """Long-running tasks hold the room that the suspect task needs."""
+        pool_state = self.make_labelled_pool(1)
+        self.run_long(pool_state, SMALL)
+        self.add_suspect(pool_state, StepSpec(1, CAPACITY))
+        plan(pool_state, now=1)
+        add_job(pool_state, ONE, job=GOOD, now=1)
+        starts = start_all(pool_state, now=60)
+        assert [start.task.key.job for start in starts] == [GOOD]
+
     def test_a_kept_worker_has_a_ticket(self):
         """No other worker can ever start the task."""
         pool_state = make_pool(2)
