Keep a worker for a suspect task only once it has room

Change: a worker is kept for a short task only if it has the capacity now, so only until its runs are proven. For long-running tasks capacity is awaited as with reservations. A suspect task larger than what is free waits as any other would.

--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -99,14 +99,13 @@
         :param count: number of workers to keep, if the limit permits it.
         :param tickets: tickets by worker, where a policy restricts the choice.
         """
-        size = compute_booking(step.spec)
         limit = max(1, len(self._ready) // KEPT_DIVISOR)
         room = max(0, limit - len(self.kept))
         eligible = [
             worker
             for worker in filter_by_ticket(self._ready, tickets)
             if is_permitted(step, worker)
-            and size.fits(worker.entry.capacity)
+            and _may_fit(step, worker)
             and not self._is_taken(worker)
         ]
         eligible.sort(key=lambda worker: self._rank(worker, step))
@@ -133,5 +132,17 @@
         return name in self.kept or not self._suspects.keys().isdisjoint(jobs)
 
 
+def _may_fit(step: StepRun, worker: Worker) -> bool:
+    """Return whether a worker is worth keeping for a step.
+
+    Capacity that is not free yet is awaited for long-running tasks only, as
+    reservations do.
+    """
+    size = compute_booking(step.spec)
+    if step.spec.long_running:
+        return size.fits(worker.entry.capacity)
+    return worker.has_capacity(size)
+
+
 def _find_unproven_jobs(worker: Worker) -> set[str]:
     return {task.key.job for task in worker.tasks.values() if is_unproven(task)}
