Test: a long-running task starts before many suspect tasks

Cause: suspect steps are placed first, and one of them takes each worker that is proven, in round after round; a worker with a suspect run gets no other. Callers would see: after the crash of a worker with many jobs, a long-running task with room everywhere waits until all of them had their turn.

--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -356,6 +356,27 @@
         starts = start_all(pool_state, now=60)
         assert [start.task.key.job for start in starts] == [GOOD]
 
+    def test_a_long_running_task_starts_before_many_suspect_ones(self):
+        """Each worker has a suspect run at any time until all are proven."""
+        pool_state = make_pool(2)
+        for number in range(12):
+            job = add_job(pool_state, ONE, job=f'{number:016x}')
+            next(job.tasks()).crashed_runs = (1,)
+            pool_state.suspects[job.spec.job] = job
+        start_all(pool_state)
+        lasting = StepSpec(1, SMALL, long_running=True)
+        good = add_job(pool_state, lasting, job=OTHER)
+        now = 0.0
+        while not next(good.tasks()).state.placed:
+            now += PROOF_SECONDS
+            for name, worker in pool_state.workers.items():
+                prove(pool_state, name, now)
+                for run in StartedRuns(worker).rows:
+                    run.worker = name
+                    end_run(pool_state, run)
+            start_all(pool_state, now=now)
+        assert now <= PROOF_SECONDS
+
     def test_a_kept_worker_has_a_ticket(self):
         """No other worker can ever start the task."""
         pool_state = make_pool(2)
