--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -66,9 +66,17 @@
             self._unaffected = ready
 
     def sort(self, steps: list[StepRun]) -> None:
-        """Move the steps of suspect jobs to the front."""
+        """Move the steps of suspect and of long-running jobs to the front.
+
+        A long-running job has to keep its tasks, and suspect runs may take all
+        workers in turn.
+        """
         if self._suspects:
-            steps.sort(key=lambda step: not self.is_isolated(step.job))
+            steps.sort(
+                key=lambda step: (
+                    not step.job.long_running and not self.is_isolated(step.job)
+                )
+            )
 
     def is_isolated(self, job: Job) -> bool:
         """Return whether a job's tasks start apart from other jobs."""
@@ -89,6 +97,8 @@
         if self._suspects:
             jobs = self._unproven_jobs[worker.entry.worker]
             jobs.add(job.spec.job)
+        if self.is_isolated(job):
+            self._unaffected = None
 
     def keep_workers(
         self, step: StepRun, count: int, tickets: Tickets | None
@@ -111,6 +121,7 @@
         eligible.sort(key=lambda worker: self._rank(worker, step))
         for worker in eligible[: min(count, room)]:
             self.kept[worker.entry.worker] = step.job.spec.job
+            self._unaffected = None
 
     def _rank(self, worker: Worker, step: StepRun) -> tuple[bool, bool, int]:
         name = worker.entry.worker
