Test: a job that kills its worker is not started without end

Cause: the job owner requeues what a lost or restarted worker ran and counts no failure (transitions.make_requeue). docs/design/jobs.md names it as a limit, since blame for a lost worker would set aside the jobs of a VM that reboots. Callers would see: one heavy job takes worker after worker down until somebody cancels it; the jobs beside it are lost with each worker. Evidence: the test fails; after 300 s of virtual time it is still running and more workers were killed than a failing job may have failures.

--- a/verbenapost/coordination/jobs/tests/test_owner.py
+++ b/verbenapost/coordination/jobs/tests/test_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from standins.tasks import TaskRunner
 from standins.virtualtime import run_virtual
 from verbenapost.coordination.jobs.tests.site import (
     POOL,
@@ -9,7 +10,7 @@
     find_faults,
     make_job,
 )
-from verbenapost.coordination.jobs.transitions import make_cancel
+from verbenapost.coordination.jobs.transitions import MAX_FAILURES, make_cancel
 
 
 async def submit(member, *records):
@@ -258,3 +259,26 @@
             return waited
 
         assert run_virtual(scenario) < 60
+
+
+class TestJobThatKillsItsWorker:
+    """Each worker that starts it restarts at once, with all its tasks lost."""
+
+    def test_it_is_not_started_without_end(self):
+        async def scenario(now):
+            site = JobSite(now, vms=6)
+            member = site.make_member('m1')
+            member.own()
+            (job,) = await submit(member, make_job(seconds=600))
+            kills = 0
+            while now() < 300:
+                await asyncio.sleep(0.1)
+                for address, runner in site.runners.items():
+                    if job in runner.tasks:
+                        kills += 1
+                        site.runners[address] = TaskRunner()
+            state = site.read_jobs()[job].state
+            await member.close()
+            return state, kills <= MAX_FAILURES
+
+        assert run_virtual(scenario) == ('unable', True)
