Test: a crash that shows only after the leases have lapsed counts

Cause: where no list of VMs can be read and the worker is away for longer than its leases, its tasks are freed before its new incarnation shows; the crash is then counted against none (worker lost, tasks=0, suspects=0). Callers would see: the task is started without end, and its workers crash.

--- a/verbenapost/scheduler/tests/test_crashes.py
+++ b/verbenapost/scheduler/tests/test_crashes.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from standins.fleet import workers
 from standins.fleet.workers import RETURN_SECONDS, RunCrashed, RunStarted
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     FAILED,
@@ -121,6 +125,35 @@
         )
 
 
+class TestLeasesThatLapseFirst:
+    """The crash shows only later: there is no list of VMs meanwhile."""
+
+    @pytest.mark.parametrize('expires', [False, True])
+    def test_the_task_is_given_up(self, play, monkeypatch, expires):
+        """The worker is back after nine seconds; its entry may expire."""
+        monkeypatch.setattr(workers, 'RETURN_SECONDS', 9)
+
+        async def expire_entries(world):
+            while True:
+                await asyncio.sleep(0.1)
+                for name, worker in world.workers.items():
+                    if not worker.up:
+                        world.store.remove(f'{WORKER_PREFIX}{name}')
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            expiring = asyncio.create_task(expire_entries(world))
+            if not expires:
+                expiring.cancel()
+            await world.submit(name_crashing(1), STEPS)
+            await asyncio.sleep(90)
+            expiring.cancel()
+            states = set((await read_states(world)).values())
+            return check_rules(world), states
+
+        assert play(scenario) == ([], {FAILED})
+
+
 class TestCrashedRack:
     """Each run of a crashed rack is as suspect as the others."""
 
