Count a crash that shows only after the leases have lapsed

Change: the runs that were not proven when the leases lapsed are kept with the worker; another incarnation under its name counts against them, an answer of the same clears them. A link that ended meanwhile is kept for that as long as it has such runs. Not covered: a worker that returns under another name while no list is read.

--- a/verbenapost/coordination/scheduling/crashes.py
+++ b/verbenapost/coordination/scheduling/crashes.py
@@ -40,6 +40,14 @@
     return task.state.placed and not task.proven
 
 
+def note_lapse(worker: Worker) -> None:
+    """Record that the leases of a worker lapse; it may have crashed.
+
+    :param worker: the worker, whose tasks are still booked.
+    """
+    worker.lapsed_runs = (*worker.lapsed_runs, *_list_unproven(worker))
+
+
 def note_crash(pool_state: PoolState, worker: Worker) -> CrashVerdict:
     """Count a crash against the tasks that may have caused it.
 
@@ -51,18 +59,20 @@
     from other jobs, so that another crash shows the job that causes it.
 
     :param pool_state: state of the worker's pool.
-    :param worker: the crashed worker, whose tasks are still booked.
+    :param worker: the crashed worker, whose tasks are still booked unless
+        their leases have lapsed.
     """
-    unproven = [task for task in worker.tasks.values() if is_unproven(task)]
-    alone = len({task.key.job for task in unproven}) == 1
+    unproven = [*worker.lapsed_runs, *_list_unproven(worker)]
+    worker.lapsed_runs = ()
+    alone = len({task.key.job for task, _ in unproven}) == 1
     isolated = alone and not worker.has_unknown_runs
     suspects: list[Task] = []
-    for task in unproven:
-        job = pool_state.jobs[task.key.job]
-        if job.state.ended:
+    for task, run in unproven:
+        job = pool_state.jobs.get(task.key.job)
+        if job is None or job.state.ended:
             continue
-        if task.run not in task.crashed_runs:
-            task.crashed_runs = (*task.crashed_runs, task.run)
+        if run not in task.crashed_runs:
+            task.crashed_runs = (*task.crashed_runs, run)
         pool_state.suspects[task.key.job] = job
         pool_state.mark_changed(job)
         suspects.append(task)
@@ -98,5 +108,11 @@
     ]
 
 
+def _list_unproven(worker: Worker) -> list[tuple[Task, int]]:
+    return [
+        (task, task.run) for task in worker.tasks.values() if is_unproven(task)
+    ]
+
+
 def _is_exhausted(task: Task) -> bool:
     return len(task.crashed_runs) >= MAX_CRASHES
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -39,6 +39,8 @@
     :param reserved: capacity that is kept for tasks that have yet to start.
     :param has_unknown_runs: whether there are reported runs of unknown size.
     :param tasks: tasks that are booked.
+    :param lapsed_runs: runs that were not proven when their leases lapsed,
+        with their tasks.
     """
 
     entry: WorkerEntry
@@ -52,6 +54,7 @@
     reserved: Resources = dataclasses.field(default_factory=Resources)
     has_unknown_runs: bool = False
     tasks: dict[TaskKey, Task] = dataclasses.field(default_factory=dict)
+    lapsed_runs: tuple[tuple[Task, int], ...] = ()
 
     @property
     def rack(self) -> str:
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -173,9 +173,14 @@
         )
 
     def _forget_ended(self) -> None:
-        """Drop the links of ended incarnations; each VM move ends one."""
+        """Drop the links of ended incarnations; each VM move ends one.
+
+        Whether a worker has crashed may show only when it registers again.
+        """
         self.links = {
-            name: link for name, link in self.links.items() if not link.ended
+            name: link
+            for name, link in self.links.items()
+            if not link.ended or link.worker.lapsed_runs
         }
 
     def _find_live_by_vm(self, vm: str) -> list[WorkerLink]:
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -9,6 +9,7 @@
 from verbenapost.coordination.scheduling.crashes import (
     CrashVerdict,
     note_crash,
+    note_lapse,
 )
 from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.pacing import pace_worker
@@ -151,15 +152,16 @@
         :param crashed: whether the worker ended without an order, so that one
             of its runs may have caused that.
         """
-        if self.ended:
+        worker = self.worker
+        late = self.ended
+        if late and not (crashed and worker.lapsed_runs):
             return
         self.ended = True
-        worker = self.worker
         verdict = CrashVerdict()
         # A worker that was about to leave may have ended for that reason.
         if crashed and not worker.leaving and not worker.entry.draining:
             verdict = note_crash(self.pool_state, worker)
-        lost = self.pool_state.remove_worker(self.name)
+        lost = [] if late else self.pool_state.remove_worker(self.name)
         self.ports.log.warning(
             'worker lost',
             worker=self.name,
@@ -245,6 +247,7 @@
         if not worker.reachable:
             self.ports.log.info('worker reached', worker=self.name)
         worker.reachable = True
+        worker.lapsed_runs = ()
         ends = self._ends.filter_new(report.ends)
         for end in ends:
             self.ports.log.info(
@@ -313,6 +316,7 @@
         worker.reachable = False
         if not self.clock.is_lapsed(read_clock()):
             return
+        note_lapse(worker)
         if worker.listed:
             self._free_lapsed_tasks()
         else:
