Tests: workers kept for a gang are those on which it fits whole

Cause: keep_workers keeps single workers, up to half of the pool, each with room for one member, and does not ask whether the gang fits. Callers would see: a suspect gang on more than half of the workers never starts in a busy pool; workers stay idle without end for one that never fits.

--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -377,6 +377,42 @@
             start_all(pool_state, now=now)
         assert now <= PROOF_SECONDS
 
+    def test_no_worker_is_kept_for_a_gang_that_does_not_fit(self):
+        """Long-running tasks hold the room of one of its members."""
+        pool_state = self.make_labelled_pool(2)
+        self.run_long(pool_state, SMALL, CAPACITY)
+        gang = StepSpec(2, Resources(2000, 100), gang=True)
+        self.add_suspect(pool_state, gang)
+        plan(pool_state, now=1)
+        add_job(pool_state, ONE, job=GOOD, now=1)
+        starts = start_all(pool_state, now=60)
+        assert [start.task.key.job for start in starts] == [GOOD]
+
+    def test_a_gang_on_most_workers_starts_in_a_busy_pool(self):
+        """New runs start on each worker before the last one is proven."""
+        pool_state = make_pool(4)
+        gang = StepSpec(4, SMALL, gang=True, anti_affinity=1)
+        bad = None
+        running = []
+        for number in range(40):
+            now = number / 10
+            for name in pool_state.workers:
+                prove(pool_state, name, now)
+            while running and running[0].task.started_at < now - 0.5:
+                end_run(pool_state, running.pop(0), now=now)
+            spread = StepSpec(4, Resources(100, 10), anti_affinity=1)
+            add_job(pool_state, spread, job=f'{number:015x}9', now=now)
+            if number == 10:
+                bad = self.add_suspect(pool_state, gang, now=now)
+            running.extend(
+                start
+                for start in start_all(pool_state, now=now)
+                if start.task.key.job != BAD
+            )
+            if bad and all(task.state.placed for task in bad.tasks()):
+                break
+        assert now < 2
+
     def test_a_kept_worker_has_a_ticket(self):
         """No other worker can ever start the task."""
         pool_state = make_pool(2)
