Keep the workers on which a suspect gang fits whole

Change: the workers that the gang would get are kept, those kept before first, more than half of the pool too, since they wait for proofs only; none if the gang does not fit now.

--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -8,9 +8,10 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.crashes import is_unproven
-from verbenapost.coordination.scheduling.jobs import Job, StepRun
+from verbenapost.coordination.scheduling.jobs import Job, StepRun, Task
 from verbenapost.coordination.scheduling.placement import (
     Tickets,
+    choose_gang_workers,
     filter_by_ticket,
     is_permitted,
 )
@@ -100,13 +101,10 @@
         if self.is_isolated(job):
             self._unaffected = None
 
-    def keep_workers(
-        self, step: StepRun, count: int, tickets: Tickets | None
-    ) -> None:
-        """Keep workers free of other starts for a step that found none.
+    def keep_worker(self, step: StepRun, tickets: Tickets | None) -> None:
+        """Keep a worker free of other starts for a step, within the limit.
 
         :param step: step of a suspect job with tasks that wait.
-        :param count: number of workers to keep, if the limit permits it.
         :param tickets: tickets by worker, where a policy restricts the choice.
         """
         limit = max(1, len(self._ready) // KEPT_DIVISOR)
@@ -119,10 +117,31 @@
             and not self._is_taken(worker)
         ]
         eligible.sort(key=lambda worker: self._rank(worker, step))
-        for worker in eligible[: min(count, room)]:
+        for worker in eligible[: min(1, room)]:
             self.kept[worker.entry.worker] = step.job.spec.job
             self._unaffected = None
 
+    def keep_gang_workers(
+        self, step: StepRun, waiting: Sequence[Task], tickets: Tickets | None
+    ) -> None:
+        """Keep the workers of a gang, unless it would not fit on them now.
+
+        :param step: step of a suspect job whose gang waits.
+        :param waiting: members of the gang.
+        :param tickets: tickets by worker, where a policy restricts the choice.
+        """
+        job = step.job.spec.job
+        found = [row for row in self._ready if not self._is_taken(row)]
+        kept = [
+            row for row in found if self._previous.get(row.entry.worker) == job
+        ]
+        for workers in (kept, found):
+            chosen = choose_gang_workers(step, waiting, workers, tickets)
+            if chosen is not None:
+                self.kept.update((row.entry.worker, job) for row in chosen)
+                self._unaffected = None
+                return
+
     def _rank(self, worker: Worker, step: StepRun) -> tuple[bool, bool, int]:
         name = worker.entry.worker
         return (
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -116,8 +116,10 @@
         else:
             yield from self._place_short(step, waiting[:limit], tickets)
         if self._isolation.is_isolated(step.job) and step.has_waiting():
-            count = len(waiting) if step.spec.gang else 1
-            self._isolation.keep_workers(step, count, tickets)
+            if step.spec.gang:
+                self._isolation.keep_gang_workers(step, waiting, tickets)
+            else:
+                self._isolation.keep_worker(step, tickets)
 
     def _place_isolated(
         self,
