--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -8,8 +8,13 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.crashes import is_unproven
-from verbenapost.coordination.scheduling.jobs import Job, StepRun
-from verbenapost.coordination.scheduling.placement import is_permitted
+from verbenapost.coordination.scheduling.jobs import Job, StepRun, Task
+from verbenapost.coordination.scheduling.placement import (
+    Tickets,
+    choose_gang_workers,
+    filter_by_ticket,
+    is_permitted,
+)
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import (
     Worker,
@@ -62,9 +67,17 @@
             self._unaffected = ready
 
     def sort(self, steps: list[StepRun]) -> None:
-        """Move the steps of suspect jobs to the front."""
+        """Move the steps of suspect and of long-running jobs to the front.
+
+        A long-running job has to keep its tasks, and suspect runs may take all
+        workers in turn.
+        """
         if self._suspects:
-            steps.sort(key=lambda step: not self.is_isolated(step.job))
+            steps.sort(
+                key=lambda step: (
+                    not step.job.long_running and not self.is_isolated(step.job)
+                )
+            )
 
     def is_isolated(self, job: Job) -> bool:
         """Return whether a job's tasks start apart from other jobs."""
@@ -85,26 +98,49 @@
         if self._suspects:
             jobs = self._unproven_jobs[worker.entry.worker]
             jobs.add(job.spec.job)
+        if self.is_isolated(job):
+            self._unaffected = None
 
-    def keep_workers(self, step: StepRun, count: int) -> None:
-        """Keep workers free of other starts for a step that found none.
+    def keep_worker(self, step: StepRun, tickets: Tickets | None) -> None:
+        """Keep a worker free of other starts for a step, within the limit.
 
         :param step: step of a suspect job with tasks that wait.
-        :param count: number of workers to keep, if the limit permits it.
+        :param tickets: tickets by worker, where a policy restricts the choice.
         """
-        size = compute_booking(step.spec)
         limit = max(1, len(self._ready) // KEPT_DIVISOR)
         room = max(0, limit - len(self.kept))
         eligible = [
             worker
-            for worker in self._ready
+            for worker in filter_by_ticket(self._ready, tickets)
             if is_permitted(step, worker)
-            and size.fits(worker.entry.capacity)
+            and _may_fit(step, worker)
             and not self._is_taken(worker)
         ]
         eligible.sort(key=lambda worker: self._rank(worker, step))
-        for worker in eligible[: min(count, room)]:
+        for worker in eligible[: min(1, room)]:
             self.kept[worker.entry.worker] = step.job.spec.job
+            self._unaffected = None
+
+    def keep_gang_workers(
+        self, step: StepRun, waiting: Sequence[Task], tickets: Tickets | None
+    ) -> None:
+        """Keep the workers of a gang, unless it would not fit on them now.
+
+        :param step: step of a suspect job whose gang waits.
+        :param waiting: members of the gang.
+        :param tickets: tickets by worker, where a policy restricts the choice.
+        """
+        job = step.job.spec.job
+        found = [row for row in self._ready if not self._is_taken(row)]
+        kept = [
+            row for row in found if self._previous.get(row.entry.worker) == job
+        ]
+        for workers in (kept, found):
+            chosen = choose_gang_workers(step, waiting, workers, tickets)
+            if chosen is not None:
+                self.kept.update((row.entry.worker, job) for row in chosen)
+                self._unaffected = None
+                return
 
     def _rank(self, worker: Worker, step: StepRun) -> tuple[bool, bool, int]:
         name = worker.entry.worker
@@ -126,5 +162,17 @@
         return name in self.kept or not self._suspects.keys().isdisjoint(jobs)
 
 
+def _may_fit(step: StepRun, worker: Worker) -> bool:
+    """Return whether a worker is worth keeping for a step.
+
+    Capacity that is not free yet is awaited for long-running tasks only, as
+    reservations do.
+    """
+    size = compute_booking(step.spec)
+    if step.spec.long_running:
+        return size.fits(worker.entry.capacity)
+    return worker.has_capacity(size)
+
+
 def _find_unproven_jobs(worker: Worker) -> set[str]:
     return {task.key.job for task in worker.tasks.values() if is_unproven(task)}
--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -1,5 +1,7 @@
 """Tasks that crash their workers, and innocent ones that ran beside them."""
 
+import dataclasses
+
 import msgpack
 import pytest
 
@@ -25,6 +27,7 @@
 )
 from verbenapost.protocol.orders import CallFaultKind, RunEndKind
 from verbenapost.state.workloads import (
+    AdviceTerms,
     CallerJobState,
     JobSpec,
     Resources,
@@ -302,6 +305,126 @@
         assert start.worker == 'w1'
 
 
+class TestKeptWorkers:
+    """Suspect jobs must not hold up others, nor wait without end."""
+
+    def add_suspect(self, pool_state, *steps, now=1.0, **changes):
+        """Add a job under whose task a worker has crashed before."""
+        job = add_job(pool_state, *steps, job=BAD, now=now, **changes)
+        next(job.tasks()).crashed_runs = (1,)
+        pool_state.suspects[BAD] = job
+        return job
+
+    def run_long(self, pool_state, *sizes):
+        """Fill the workers one after the other with long-running tasks."""
+        for number, size in enumerate(sizes):
+            step = StepSpec(1, size, long_running=True, requires=f'k{number}')
+            add_job(pool_state, step, job=f'{number:016x}')
+        assert len(start_all(pool_state)) == len(sizes)
+        for name in pool_state.workers:
+            prove(pool_state, name, PROOF_SECONDS)
+
+    def make_labelled_pool(self, count):
+        return make_pool_state(
+            *(
+                make_entry(f'w{row}', labels=(f'k{row}', 'r1'))
+                for row in range(count)
+            )
+        )
+
+    def test_a_long_running_task_starts_on_a_kept_worker(self):
+        """The suspect task waits there until short tasks end."""
+        pool_state = self.make_labelled_pool(2)
+        self.run_long(pool_state, SMALL, CAPACITY)
+        add_job(pool_state, StepSpec(1, SMALL), job=GOOD)
+        start_all(pool_state)
+        prove(pool_state, 'w0', PROOF_SECONDS)
+        self.add_suspect(pool_state, StepSpec(1, Resources(3000, 100)))
+        plan(pool_state, now=1)
+        lasting = StepSpec(1, SMALL, long_running=True)
+        add_job(pool_state, lasting, job=OTHER, now=1)
+        starts = start_all(pool_state, now=1.1)
+        assert [start.task.key.job for start in starts] == [OTHER]
+
+    def test_a_worker_that_never_has_room_is_not_kept(self):
+        """Long-running tasks hold the room that the suspect task needs."""
+        pool_state = self.make_labelled_pool(1)
+        self.run_long(pool_state, SMALL)
+        self.add_suspect(pool_state, StepSpec(1, CAPACITY))
+        plan(pool_state, now=1)
+        add_job(pool_state, ONE, job=GOOD, now=1)
+        starts = start_all(pool_state, now=60)
+        assert [start.task.key.job for start in starts] == [GOOD]
+
+    def test_a_long_running_task_starts_before_many_suspect_ones(self):
+        """Each worker has a suspect run at any time until all are proven."""
+        pool_state = make_pool(2)
+        for number in range(12):
+            job = add_job(pool_state, ONE, job=f'{number:016x}')
+            next(job.tasks()).crashed_runs = (1,)
+            pool_state.suspects[job.spec.job] = job
+        start_all(pool_state)
+        lasting = StepSpec(1, SMALL, long_running=True)
+        good = add_job(pool_state, lasting, job=OTHER)
+        now = 0.0
+        while not next(good.tasks()).state.placed:
+            now += PROOF_SECONDS
+            for name, worker in pool_state.workers.items():
+                prove(pool_state, name, now)
+                for run in StartedRuns(worker).rows:
+                    run.worker = name
+                    end_run(pool_state, run)
+            start_all(pool_state, now=now)
+        assert now <= PROOF_SECONDS
+
+    def test_no_worker_is_kept_for_a_gang_that_does_not_fit(self):
+        """Long-running tasks hold the room of one of its members."""
+        pool_state = self.make_labelled_pool(2)
+        self.run_long(pool_state, SMALL, CAPACITY)
+        gang = StepSpec(2, Resources(2000, 100), gang=True)
+        self.add_suspect(pool_state, gang)
+        plan(pool_state, now=1)
+        add_job(pool_state, ONE, job=GOOD, now=1)
+        starts = start_all(pool_state, now=60)
+        assert [start.task.key.job for start in starts] == [GOOD]
+
+    def test_a_gang_on_most_workers_starts_in_a_busy_pool(self):
+        """New runs start on each worker before the last one is proven."""
+        pool_state = make_pool(4)
+        gang = StepSpec(4, SMALL, gang=True, anti_affinity=1)
+        bad = None
+        running = []
+        for number in range(40):
+            now = number / 10
+            for name in pool_state.workers:
+                prove(pool_state, name, now)
+            while running and running[0].task.started_at < now - 0.5:
+                end_run(pool_state, running.pop(0), now=now)
+            spread = StepSpec(4, Resources(100, 10), anti_affinity=1)
+            add_job(pool_state, spread, job=f'{number:015x}9', now=now)
+            if number == 10:
+                bad = self.add_suspect(pool_state, gang, now=now)
+            running.extend(
+                start
+                for start in start_all(pool_state, now=now)
+                if start.task.key.job != BAD
+            )
+            if bad and all(task.state.placed for task in bad.tasks()):
+                break
+        assert now < 2
+
+    def test_a_kept_worker_has_a_ticket(self):
+        """No other worker can ever start the task."""
+        pool_state = make_pool(2)
+        add_job(pool_state, StepSpec(3, SMALL), job=GOOD)
+        start_all(pool_state)
+        route = dataclasses.replace(ROUTE, advice=AdviceTerms(0.1, 0.1, 60))
+        bad = self.add_suspect(pool_state, ONE, route=route)
+        pool_state.tickets.put(next(bad.tasks()).key, {'w0': 'ticket'}, 60)
+        plan(pool_state, now=0.1)
+        assert pool_state.kept_workers == {'w0': BAD}
+
+
 class TestStoredCrashes:
     """A leader is replaced between two crashes of one task."""
 
