--- a/verbenapost/scheduler/tests/test_histories.py
+++ b/verbenapost/scheduler/tests/test_histories.py
@@ -385,7 +385,7 @@
 
         assert play(scenario, seed=seed) == ([], {})
 
-    @pytest.mark.parametrize('seed', [*range(10), 15, 25, 36, 37, 50, 53])
+    @pytest.mark.parametrize('seed', [*range(10), 15, 20, 25, 36, 37, 50, 53])
     @pytest.mark.parametrize('standby', [0, None])
     def test_tasks_that_crash_workers_break_no_rule(self, play, seed, standby):
         async def scenario(world):
