--- a/verbenapost/scheduler/tests/test_oddentries.py
+++ b/verbenapost/scheduler/tests/test_oddentries.py
@@ -95,12 +95,12 @@
 def write_entry(world, name='odd', **changed):
     """Write an entry that no worker of the world has written."""
     value = json.dumps(VALID | changed).encode()
-    world.store.write(f'servers/{name}', value)
+    world.store.write(f'{WORKER_PREFIX}{name}', value)
 
 
 def write_odd_entries(world, suffix):
     for number, value in enumerate(ODD_VALUES):
-        world.store.write(f'servers/{number}-{suffix}', value)
+        world.store.write(f'{WORKER_PREFIX}{number}-{suffix}', value)
 
 
 async def complete_jobs(world, numbers, seconds=15):
@@ -255,7 +255,7 @@
         with capture_logs() as logs:
             assert play(scenario) == ({200}, {COMPLETED})
         failed = [row for row in logs if row['event'] == 'change not applied']
-        assert {row['key'] for row in failed} == {'servers/odd'}
+        assert {row['key'] for row in failed} == {f'{WORKER_PREFIX}odd'}
         assert all(row['exc_info'] for row in failed)
 
     def test_leader_that_fails_gives_up_the_leadership(self, play, monkeypatch):
