Share the busy pool of two tests on moves

The test of a VM missing in one read repeated the first fourteen lines of the one before it. The asserted values are the same; test_capacity.py passes.

--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -75,8 +75,8 @@
         assert moves == [MoveVm('s0', 'begun')]
         assert len(planner.pending_moves) == 1
 
-    def test_a_busy_vm_is_emptied_and_then_moved(self):
-        planner = CapacityPlanner(None)
+    def make_busy_pool(self):
+        """Return a pool whose VMs are all busy, its starts and all VMs."""
         pool_state = make_pool_state(
             *(make_entry(f'a{row}') for row in range(3))
         )
@@ -87,6 +87,11 @@
             for name, row in pool_state.workers.items()
         ]
         views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        return pool_state, starts, views
+
+    def test_a_busy_vm_is_emptied_and_then_moved(self):
+        planner = CapacityPlanner(None)
+        pool_state, starts, views = self.make_busy_pool()
         demands = {'ended': 0, 'begun': 10}
         assert plan_moves(planner, demands, views) == []
         (name,) = planner.pending_moves
@@ -97,16 +102,7 @@
 
     def test_a_vm_missing_in_one_read_is_moved_or_works_on(self):
         planner = CapacityPlanner(None)
-        pool_state = make_pool_state(
-            *(make_entry(f'a{row}') for row in range(3))
-        )
-        add_job(pool_state, StepSpec(3, CAPACITY))
-        starts = start_all(pool_state)
-        views = [
-            make_view(name, 'ended', worker=row)
-            for name, row in pool_state.workers.items()
-        ]
-        views += [make_view(f'b{row}', 'begun') for row in range(2)]
+        pool_state, starts, views = self.make_busy_pool()
         demands = {'ended': 0, 'begun': 10}
         assert plan_moves(planner, demands, views) == []
         (name,) = planner.pending_moves
