--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:review" PYTHONDONTWRITEBYTECODE=1
-python3 -c 'import platformstandin, workerstandin, deployment'
+python3 -c 'import deployment, platformstandin, proxystandin, workerstandin'
 for script in review/[1-5]/case.py; do
     if [ -f "$script" ]; then
         python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' \
--- a/review/platformstandin.py
+++ b/review/platformstandin.py
@@ -360,6 +360,15 @@
         """Record that an end was taken note of."""
         self.taken.append((time.monotonic(), worker.name, *row[1:4]))
 
+    def silence_workers(self):
+        """Let all open connections to workers go silent; new ones work."""
+        counts = {
+            machine.worker.name: machine.worker.proxy.silence()
+            for machine in self.machines.values()
+            if machine.worker is not None
+        }
+        self.record(f'open connections to workers go silent: {counts}')
+
     def find_overlaps(self):
         """Return the pairs of runs of one subtask that ran side by side."""
         spans = {}
--- a/review/workerstandin.py
+++ b/review/workerstandin.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from proxystandin import Proxy
+
 #: Longest lease of a run in milliseconds (``max_hold_ms``).
 MAX_HOLD_MS = 6000
 
@@ -58,6 +60,7 @@
         self._numbers = 0
         self._refused_runs = {}
         self._ended = asyncio.Event()
+        self.proxy = None
         self._runner = None
         self._clock_task = None
 
@@ -74,7 +77,8 @@
         site = web.TCPSite(self._runner, '127.0.0.1', 0)
         await site.start()
         port = self._runner.addresses[0][1]
-        self.address = f'127.0.0.1:{port}'
+        self.proxy = Proxy(port)
+        self.address = await self.proxy.start()
         self._clock_task = asyncio.create_task(self._advance())
         self.platform.register(self)
 
@@ -87,6 +91,7 @@
             self.platform.note_end(self, task, run.number, 'killed')
         self.runs.clear()
         self._clock_task.cancel()
+        await self.proxy.stop()
         await self._runner.cleanup()
 
     def read_clock(self):
