--- a/review/deployment.py
+++ b/review/deployment.py
@@ -316,12 +316,14 @@
         try:
             async with asyncio.timeout(LONGEST_SECONDS):
                 broken = await play(deployment, trouble)
-        except (NotRunError, TimeoutError) as fault:
+        except Exception as fault:
+            # Any fault of the case itself is no verdict on the rule.
             deployment.record(f'not run: {fault!r}')
             print(f'not run: {fault!r}')
             return NOT_RUN
         finally:
-            await deployment.close()
+            with contextlib.suppress(Exception):
+                await deployment.close()
             _keep_logs(deployment)
         for line in broken:
             deployment.record(f'BROKEN: {line}')
