--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,88 +1,97 @@
-"""A rack crashes, and the leader is killed while its workers are away."""
+"""The open connections to the workers go silent once; new ones work."""
 
 import asyncio
-import signal
+import time
 
 from deployment import make_route, make_service, run_case
 
-PREFIX = '/match/'
-STEP = {'count': 2, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 300}
-TERMS = {'decide_ms': 250, 'period_ms': 10, 'valid_ms': 3000}
+WATCH, PLAN = '/watch/', '/plan/'
+LASTING_JOB = '5c0e7a21d94b36f8'
+LASTING = {
+    'count': 5,
+    'cpu': 2000,
+    'mem_mb': 500,
+    'estimate_ms': 700,
+    'long_running': True,
+    'may_miss': 1,
+}
+SHORT = {'count': 22, 'cpu': 1000, 'mem_mb': 100, 'estimate_ms': 400}
 
-#: Seconds between two jobs, and the number of jobs.
-INTERVAL = 0.3
-JOBS = 60
+#: Seconds before and after the connections go silent, and between two jobs.
+BEFORE_SECONDS = 6
+AFTER_SECONDS = 40
+INTERVAL = 0.5
 
-#: Seconds after the first job at which the rack crashes, for how long, and
-#: seconds after that at which the leader is killed.
-CRASH_AT = 1.5
-CRASH_SECONDS = 7.4
-KILL_AFTER = 4.7
+#: The queue's demand comes by turns: seconds without a job around that moment.
+PAUSE_BEFORE_SECONDS = 1
+PAUSE_AFTER_SECONDS = 12.5
 
-#: Seconds after which the platform starts a killed process again.
-RESTART_SECONDS = 1.0
-
-#: Seconds after the last job at which jobs are asked for (``finish_s``).
-FINISH_SECONDS = 14
+#: A lasting subtask may be without a run for 6 s after its last one, and then
+#: for less than 3 s, with 4 s before them that are calm.
+GAP_SECONDS = 6 + 3
+CALM_SECONDS = 4
 
 
 async def play(deployment, trouble):
-    """Submit jobs to a queue with a policy; another service loses its rack."""
+    """Run a lasting job and short ones; look for gaps of the lasting one."""
     platform = deployment.platform
-    platform.advice = TERMS
-    for _ in range(2):
-        await platform.add_machine('booking', rack='r1')
-    for _ in range(2):
-        await platform.add_machine('weighing', rack='r2')
+    for rack in ('r1', 'r2', 'r3'):
+        await platform.add_machine('routing', cpu=16000, rack=rack)
     platform.configure(
         1,
         [
-            make_route('match', PREFIX, 'booking', recommendation=TERMS),
-            make_route('recon', '/recon/', 'weighing'),
+            make_route('watch', WATCH, 'routing', target_latency_ms=2500),
+            make_route('plan', PLAN, 'routing'),
         ],
-        [make_service('booking'), make_service('weighing')],
+        [make_service('routing')],
     )
-    await deployment.start_daemons(3, advice=True)
-    troubling = platform.spawn(_trouble(deployment)) if trouble else None
-    accepted = []
-    for number in range(JOBS):
-        job = f'{number + 1:016x}'
-        daemon = deployment.daemons[number % len(deployment.daemons)]
-        status = await deployment.submit_once(
-            PREFIX, job, [STEP], 'work_ms=300', daemon, advised=True
+    await deployment.start_daemons(2)
+    await deployment.submit(WATCH, LASTING_JOB, [LASTING], 'text')
+    await asyncio.sleep(1)
+    await _submit_jobs(deployment, BEFORE_SECONDS)
+    await asyncio.sleep(PAUSE_BEFORE_SECONDS)
+    silent_at = time.monotonic()
+    if trouble:
+        platform.silence_workers()
+    await asyncio.sleep(PAUSE_AFTER_SECONDS)
+    await _submit_jobs(deployment, AFTER_SECONDS - PAUSE_AFTER_SECONDS)
+    await deployment.read_state(WATCH, LASTING_JOB)
+    return list(_find_gaps(deployment, silent_at))
+
+
+async def _submit_jobs(deployment, seconds):
+    """Submit two jobs at a time, which ask for more than the pool holds."""
+    for _ in range(round(seconds / INTERVAL)):
+        first = len(deployment.platform.jobs)
+        await asyncio.gather(
+            *(
+                deployment.submit_once(
+                    PLAN, f'{first + index:016x}', [SHORT], 'work_ms=400', row
+                )
+                for index, row in enumerate(deployment.daemons)
+            )
         )
-        if status == 200:
-            accepted.append(job)
         await asyncio.sleep(INTERVAL)
-    if troubling is not None:
-        await troubling
-    await asyncio.sleep(FINISH_SECONDS - 3)
-    before = {row[2].partition('.')[0] for row in platform.starts}
-    running = len(platform.starts) - len(platform.ends)
-    await asyncio.sleep(3)
-    started = {row[2].partition('.')[0] for row in platform.starts}
-    broken = []
-    for job in accepted:
-        state = await deployment.read_state(PREFIX, job)
-        if state != 'completed' and job not in before | started:
-            broken.append(
-                f'LOST: job {job} is shown as {state} {FINISH_SECONDS} s after '
-                f'the end of the traffic; it has never run, and {running} runs '
-                'were there 3 s before'
-            )
-    return broken
 
 
-async def _trouble(deployment):
-    await asyncio.sleep(CRASH_AT)
-    await deployment.platform.crash_rack('r2', CRASH_SECONDS)
-    await asyncio.sleep(KILL_AFTER)
-    leader = deployment.find_leader()
-    deployment.record(f'platform: {leader.name} is killed')
-    leader.send(signal.SIGKILL)
-    await leader.process.wait()
-    await asyncio.sleep(RESTART_SECONDS)
-    await leader.start()
+def _find_gaps(deployment, silent_at):
+    platform = deployment.platform
+    now = time.monotonic()
+    for index in range(LASTING['count']):
+        task = f'{LASTING_JOB}.0.0.{index}'
+        starts = [row[0] for row in platform.starts if row[2] == task]
+        ends = [row[0] for row in platform.ends if row[2] == task]
+        if not starts:
+            yield f'LOST: {task} has never run'
+        for end in ends:
+            start = min((at for at in starts if at > end), default=now)
+            calm_from = max(end + GAP_SECONDS - 3, silent_at + CALM_SECONDS)
+            if start - calm_from >= 3:
+                yield (
+                    f'LOST: {task} had no run for {start - end:.1f} s, from '
+                    f'{end - silent_at:.1f} s after the connections went '
+                    'silent, with all workers up and empty'
+                )
 
 
 run_case(play, __file__)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,73 +1,88 @@
-"""A queue is removed while a job of it runs, and the daemons are restarted."""
+"""A rack crashes, and the leader is killed while its workers are away."""
 
 import asyncio
+import signal
 
-from deployment import NotRunError, make_route, make_service, run_case
+from deployment import make_route, make_service, run_case
 
-JOB = '5c0e7a21d94b36f8'
-PREFIX = '/plan/'
-STEP = {'count': 3, 'cpu': 1000, 'mem_mb': 100, 'estimate_ms': 9000}
-MAX_ATTEMPTS = 4
+PREFIX = '/match/'
+STEP = {'count': 2, 'cpu': 500, 'mem_mb': 100, 'estimate_ms': 300}
+TERMS = {'decide_ms': 250, 'period_ms': 10, 'valid_ms': 3000}
 
-#: Seconds for which a run of the job works, and for which one fails.
-WORK_SECONDS = 14
-FAILED_SECONDS = 12
+#: Seconds between two jobs, and the number of jobs.
+INTERVAL = 0.3
+JOBS = 60
+
+#: Seconds after the first job at which the rack crashes, for how long, and
+#: seconds after that at which the leader is killed.
+CRASH_AT = 1.5
+CRASH_SECONDS = 7.4
+KILL_AFTER = 4.7
+
+#: Seconds after which the platform starts a killed process again.
+RESTART_SECONDS = 1.0
+
+#: Seconds after the last job at which jobs are asked for (``finish_s``).
+FINISH_SECONDS = 14
 
 
 async def play(deployment, trouble):
-    """Let one run of a job fail once after a restart."""
+    """Submit jobs to a queue with a policy; another service loses its rack."""
     platform = deployment.platform
-    for _ in range(3):
-        await platform.add_machine('routing')
-    plan = make_route('plan', PREFIX, 'routing', max_attempts=MAX_ATTEMPTS)
-    other = make_route('other', '/other/', 'routing')
-    services = [make_service('routing')]
-    platform.configure(1, [plan, other], services)
-
-    def draw_run(_worker, task, _run):
-        failed = task.endswith('.0') and not any(
-            end[2] == task for end in platform.ends
+    platform.advice = TERMS
+    for _ in range(2):
+        await platform.add_machine('booking', rack='r1')
+    for _ in range(2):
+        await platform.add_machine('weighing', rack='r2')
+    platform.configure(
+        1,
+        [
+            make_route('match', PREFIX, 'booking', recommendation=TERMS),
+            make_route('recon', '/recon/', 'weighing'),
+        ],
+        [make_service('booking'), make_service('weighing')],
+    )
+    await deployment.start_daemons(3, advice=True)
+    troubling = platform.spawn(_trouble(deployment)) if trouble else None
+    accepted = []
+    for number in range(JOBS):
+        job = f'{number + 1:016x}'
+        daemon = deployment.daemons[number % len(deployment.daemons)]
+        status = await deployment.submit_once(
+            PREFIX, job, [STEP], 'work_ms=300', daemon, advised=True
         )
-        if failed:
-            return FAILED_SECONDS, 'failed'
-        return WORK_SECONDS, 'done'
-
-    platform.draw_run = draw_run
-    await deployment.start_daemons(2)
-    await deployment.submit(PREFIX, JOB, [STEP], 'text')
-    await asyncio.sleep(0.5)
-    if trouble:
-        platform.configure(2, [other], services)
-    await asyncio.sleep(0.5)
-    for daemon in deployment.daemons:
-        await daemon.restart()
-        await deployment.wait_ready()
-        deployment.record(f'operator: {daemon.name} was stopped and started')
-    if trouble:
-        platform.configure(3, [plan, other], services)
-    await _wait_for_end(platform)
-    state = ''
-    for _ in range(35):
-        state = await deployment.read_state(PREFIX, JOB)
-        if state in {'completed', 'failed', 'cancelled'}:
-            break
-        await asyncio.sleep(1)
-    ends = [how for *_, how in platform.ends if how == 'failed']
-    deployment.record(f'ends failed: {len(ends)}, max_attempts {MAX_ATTEMPTS}')
-    if state == 'completed':
-        return []
-    return [
-        f'LOST: job {JOB} is shown as {state} after {len(ends)} failed run; '
-        f'max_attempts is {MAX_ATTEMPTS}'
-    ]
+        if status == 200:
+            accepted.append(job)
+        await asyncio.sleep(INTERVAL)
+    if troubling is not None:
+        await troubling
+    await asyncio.sleep(FINISH_SECONDS - 3)
+    before = {row[2].partition('.')[0] for row in platform.starts}
+    running = len(platform.starts) - len(platform.ends)
+    await asyncio.sleep(3)
+    started = {row[2].partition('.')[0] for row in platform.starts}
+    broken = []
+    for job in accepted:
+        state = await deployment.read_state(PREFIX, job)
+        if state != 'completed' and job not in before | started:
+            broken.append(
+                f'LOST: job {job} is shown as {state} {FINISH_SECONDS} s after '
+                f'the end of the traffic; it has never run, and {running} runs '
+                'were there 3 s before'
+            )
+    return broken
 
 
-async def _wait_for_end(platform):
-    for _ in range(400):
-        await asyncio.sleep(0.1)
-        if any(how == 'failed' for *_, how in platform.ends):
-            return
-    raise NotRunError('no run has failed')
+async def _trouble(deployment):
+    await asyncio.sleep(CRASH_AT)
+    await deployment.platform.crash_rack('r2', CRASH_SECONDS)
+    await asyncio.sleep(KILL_AFTER)
+    leader = deployment.find_leader()
+    deployment.record(f'platform: {leader.name} is killed')
+    leader.send(signal.SIGKILL)
+    await leader.process.wait()
+    await asyncio.sleep(RESTART_SECONDS)
+    await leader.start()
 
 
 run_case(play, __file__)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,57 +1,73 @@
-"""A leader is stopped while its order of an upkeep has no answer yet."""
+"""A queue is removed while a job of it runs, and the daemons are restarted."""
 
 import asyncio
 
 from deployment import NotRunError, make_route, make_service, run_case
-from platformstandin import ANSWERED, LATE
-
-#: Seconds after which the order is carried out; the bench's range is 2 to 12.
-LATE_SECONDS = 7.6
-CAP = 2
 
 JOB = '5c0e7a21d94b36f8'
 PREFIX = '/plan/'
-STEP = {'count': 2, 'cpu': 1000, 'mem_mb': 100, 'estimate_ms': 9000}
+STEP = {'count': 3, 'cpu': 1000, 'mem_mb': 100, 'estimate_ms': 9000}
+MAX_ATTEMPTS = 4
+
+#: Seconds for which a run of the job works, and for which one fails.
+WORK_SECONDS = 14
+FAILED_SECONDS = 12
 
 
 async def play(deployment, trouble):
-    """Request a wave; the answer to its first order is not given."""
+    """Let one run of a job fail once after a restart."""
     platform = deployment.platform
-    machines = [await platform.add_machine('routing') for _ in range(8)]
-    platform.configure(
-        1,
-        [make_route('plan', PREFIX, 'routing')],
-        [make_service('routing')],
-    )
-    ordered = []
-
-    def choose_fate(kind, machine):
-        ordered.append(machine)
-        if trouble and len(ordered) == 1:
-            return LATE, LATE_SECONDS
-        return ANSWERED, 0
-
-    platform.choose_fate = choose_fate
-    await deployment.start_daemons(3)
-    platform.request_wave(1, [row.name for row in machines], 24, CAP)
-    for _ in range(100):
-        await asyncio.sleep(0.05)
-        if ordered:
-            break
-    else:
-        raise NotRunError('no upkeep was ordered')
+    for _ in range(3):
+        await platform.add_machine('routing')
+    plan = make_route('plan', PREFIX, 'routing', max_attempts=MAX_ATTEMPTS)
+    other = make_route('other', '/other/', 'routing')
+    services = [make_service('routing')]
+    platform.configure(1, [plan, other], services)
+
+    def draw_run(_worker, task, _run):
+        failed = task.endswith('.0') and not any(
+            end[2] == task for end in platform.ends
+        )
+        if failed:
+            return FAILED_SECONDS, 'failed'
+        return WORK_SECONDS, 'done'
+
+    platform.draw_run = draw_run
+    await deployment.start_daemons(2)
+    await deployment.submit(PREFIX, JOB, [STEP], 'text')
+    await asyncio.sleep(0.5)
     if trouble:
-        leader = deployment.find_leader()
-        deployment.record(f'platform: {leader.name} is stopped by SIGTERM')
-        platform.spawn(leader.restart())
-    await deployment.submit(PREFIX, JOB, [STEP], 'work_ms=9000')
-    await asyncio.sleep(24)
+        platform.configure(2, [other], services)
+    await asyncio.sleep(0.5)
+    for daemon in deployment.daemons:
+        await daemon.restart()
+        await deployment.wait_ready()
+        deployment.record(f'operator: {daemon.name} was stopped and started')
+    if trouble:
+        platform.configure(3, [plan, other], services)
+    await _wait_for_end(platform)
+    state = ''
+    for _ in range(35):
+        state = await deployment.read_state(PREFIX, JOB)
+        if state in {'completed', 'failed', 'cancelled'}:
+            break
+        await asyncio.sleep(1)
+    ends = [how for *_, how in platform.ends if how == 'failed']
+    deployment.record(f'ends failed: {len(ends)}, max_attempts {MAX_ATTEMPTS}')
+    if state == 'completed':
+        return []
     return [
-        f'LIMIT: the upkeep of {machine} (wave {wave}, cap {CAP}) began while '
-        f'{down} were down for theirs'
-        for _, machine, wave, down in platform.upkeeps
-        if len(down) >= CAP
+        f'LOST: job {JOB} is shown as {state} after {len(ends)} failed run; '
+        f'max_attempts is {MAX_ATTEMPTS}'
     ]
 
 
+async def _wait_for_end(platform):
+    for _ in range(400):
+        await asyncio.sleep(0.1)
+        if any(how == 'failed' for *_, how in platform.ends):
+            return
+    raise NotRunError('no run has failed')
+
+
 run_case(play, __file__)
--- a/review/platformstandin.py
+++ b/review/platformstandin.py
@@ -12,12 +12,11 @@
 
 from aiohttp import web
 
-from workerstandin import Worker
+from workerstandin import HEARTBEAT_SECONDS, Worker
 
-#: Seconds of a move, of an upkeep and between two pings of a worker.
+#: Seconds of a move and of an upkeep.
 MOVE_SECONDS = 1.5
 MAINTENANCE_SECONDS = 2.0
-HEARTBEAT_SECONDS = 1.5
 
 #: What happens to an order: it is carried out and answered; it is carried out
 #: and its answer is lost; it gets no answer and is carried out late.
@@ -39,6 +38,24 @@
         self.history = []
         self._changed = asyncio.Event()
         self._numbers = itertools.count(1001)
+        self.down = False
+
+    @web.middleware
+    async def refuse_while_down(self, request, handler):
+        """Answer 503 while the store is down; nothing is done then."""
+        if self.down and request.path.startswith('/-/kv-'):
+            return web.json_response({}, status=503)
+        return await handler(request)
+
+    async def go_down(self, seconds):
+        """Be down for some seconds; leases pause meanwhile."""
+        self.down = True
+        await asyncio.sleep(seconds)
+        self.leases = {
+            lease: (ttl_ms, until + seconds)
+            for lease, (ttl_ms, until) in self.leases.items()
+        }
+        self.down = False
 
     def put(self, key, value, lease=0):
         """Write a key as the operator or a worker does."""
@@ -69,7 +86,7 @@
             await asyncio.sleep(0.01)
             now = time.monotonic()
             for lease, (_, until) in list(self.leases.items()):
-                if now > until:
+                if now > until and not self.down:
                     self._end_lease(lease)
 
     def _write(self, key, value, lease):
@@ -140,11 +157,13 @@
                 if row['revision'] > after and row['key'].startswith(prefix)
             ]
             left = until - time.monotonic()
+            if self.down:
+                return web.json_response({}, status=503)
             if found or left <= 0:
                 body = {'events': found, 'store_revision': self.revision}
                 return web.json_response(body)
             try:
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(min(left, 0.1)):
                     await self._changed.wait()
             except TimeoutError:
                 continue
@@ -246,7 +265,7 @@
 
     async def start(self):
         """Listen on a free port."""
-        app = web.Application()
+        app = web.Application(middlewares=[self.store.refuse_while_down])
         self.store.add_routes(app.router)
         app.router.add_get('/-/machines', self._handle_machines)
         app.router.add_post('/-/machine-move', self._handle_move)
@@ -285,7 +304,9 @@
         return machine
 
     def register(self, worker):
-        """Write the entry of a worker."""
+        """Write the entry of a worker and return whether that succeeded."""
+        if self.store.down:
+            return False
         entry = {
             'service': worker.service,
             'address': worker.address,
@@ -305,6 +326,7 @@
             f'service {worker.service}'
         )
         self.store.put(f'servers/{worker.name}', json.dumps(entry).encode())
+        return True
 
     def configure(self, version, routes, services):
         """Write a manifest; its confirmation is immediate."""
@@ -358,6 +380,10 @@
 
     def note_taken(self, worker, row):
         """Record that an end was taken note of."""
+        self.record(
+            f'worker {worker.name}: end {row[0]} of {row[1]} run {row[2]} '
+            f'{row[3]} is taken note of'
+        )
         self.taken.append((time.monotonic(), worker.name, *row[1:4]))
 
     def silence_workers(self):
--- a/review/proxystandin.py
+++ b/review/proxystandin.py
@@ -18,6 +18,7 @@
         self._tasks = set()
         self._connections = {}
         self._numbers = 0
+        self.refusing = False
 
     async def start(self):
         """Listen on a free port and return its address."""
@@ -34,6 +35,11 @@
             self._connections[number] = True
         return len(self._connections)
 
+    def reset(self):
+        """Close all connections, as a process that ends does."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def stop(self):
         """Close all connections."""
         self._server.close()
@@ -42,6 +48,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
+        if self.refusing:
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         self._numbers += 1
--- a/review/workerstandin.py
+++ b/review/workerstandin.py
@@ -18,6 +18,9 @@
 #: Milliseconds from the start of a lasting subtask until it is at work.
 STARTUP_MS = 700
 
+#: Seconds between two pings.
+HEARTBEAT_SECONDS = 1.5
+
 #: Ends of runs that one report lists at most.
 MAX_LISTED_ENDS = 500
 
@@ -51,6 +54,13 @@
         self.platform = platform
         self.address = ''
         self.up = True
+        self._begin_life()
+        self.proxy = None
+        self._runner = None
+        self._clock_task = None
+
+    def _begin_life(self):
+        """Begin anew: a life holds and knows nothing of those before."""
         self.born = round(time.time() * 1000)
         self.runs = {}
         self.ends = []
@@ -60,9 +70,25 @@
         self._numbers = 0
         self._refused_runs = {}
         self._ended = asyncio.Event()
-        self.proxy = None
-        self._runner = None
-        self._clock_task = None
+
+    async def restart(self, seconds):
+        """Crash, and start again under the same id and address.
+
+        The entry is written at the start and with each ping until the store
+        has taken it.
+        """
+        self.platform.record(f'worker {self.name}: crashes')
+        for task, run in list(self.runs.items()):
+            self.platform.note_end(self, task, run.number, 'killed')
+        self.runs.clear()
+        self.proxy.refusing = True
+        self.proxy.reset()
+        await asyncio.sleep(seconds)
+        self._begin_life()
+        self.proxy.refusing = False
+        self.platform.record(f'worker {self.name}: starts again')
+        while not self.platform.register(self):
+            await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def start(self):
         """Listen on a free port and register."""
