Advice: iterate over the pools that there are

Cause: PoolStateSet handed out the iterator of its dictionary, and Advisor.run awaits between two pools; a pool that is added meanwhile ends the task with a RuntimeError, which is only logged, so that no daemon asks for advice until another one leads.

Of the loops of the product that await in their bodies no other one is over a collection that another task changes.

--- a/verbenapost/scheduler/poolstates.py
+++ b/verbenapost/scheduler/poolstates.py
@@ -16,8 +16,11 @@
         self._pool_states: dict[str, PoolState] = {}
 
     def __iter__(self) -> Iterator[PoolState]:
-        """Yield the pool states."""
-        return iter(self._pool_states.values())
+        """Yield the pool states that there are now.
+
+        A pool may be added while the caller awaits between two of them.
+        """
+        return iter(tuple(self._pool_states.values()))
 
     def find(self, service: str) -> PoolState:
         """Return the state of a service's pool."""
