Leader: give up when any task of it fails

Followers and recorder were guarded; the controller, the removal of old jobs, the links to workers and the orders to them were not, and their failures were only logged.

A TaskSet now tells its owner of a failed task, and the leader gives up its leadership, so that a successor starts all tasks again.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -22,7 +22,7 @@
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LinkPorts
-from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.scheduler.tasks import NoteFailure, TaskSet
 from verbenapost.state.workloads import WorkerEntry
 
 
@@ -32,6 +32,7 @@
     :param pool_states: states of all pools.
     :param configuration: the operator configuration.
     :param ports: dependencies of the links.
+    :param note_failure: called after a task of a link has failed.
     :param log: logger.
     :ivar links: links by worker.
     :ivar tasks: tasks of the links.
@@ -42,10 +43,11 @@
         pool_states: PoolStateSet,
         configuration: ConfigurationFollower,
         ports: LinkPorts,
+        note_failure: NoteFailure,
         log: Any,
     ) -> None:
         self.links: dict[str, WorkerLink] = {}
-        self.tasks = TaskSet()
+        self.tasks = TaskSet(note_failure)
         self._by_vm: dict[str, list[WorkerLink]] = {}
         self._pool_states = pool_states
         self._configuration = configuration
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -62,7 +62,7 @@
         self._started_at = read_clock()
         self._longest_lease = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
-        self._tasks = TaskSet()
+        self._tasks = TaskSet(self._give_up)
         self._round_seconds: float = 0
         self._window = OrderWindow()
         self._first_pool = 0
@@ -96,6 +96,7 @@
                 send,
                 make_logger('worker'),
             ),
+            self._give_up,
             make_logger('fleet'),
         )
         self._controller: FleetController | None = None
@@ -223,13 +224,21 @@
         :param work: coroutine of the task.
         """
         task = self._tasks.add(work)
-        task.add_done_callback(self._give_up)
+        task.add_done_callback(self._note_end)
         return task
 
-    def _give_up(self, task: asyncio.Task[Any]) -> None:
+    def _note_end(self, task: asyncio.Task[Any]) -> None:
         if not task.cancelled():
             self._ports.election.lose('a task of the leader has ended')
 
+    def _give_up(self, fault: BaseException) -> None:
+        """Give up the leadership, since a task of the leader has failed.
+
+        What the task would have done is missing from then on, while the lease
+        would be renewed. A successor starts all tasks again.
+        """
+        self._ports.election.lose(f'a task of the leader has failed: {fault!r}')
+
     async def _wait_for_work(self) -> None:
         try:
             async with asyncio.timeout(ROUND_SECONDS):
--- a/verbenapost/scheduler/tasks.py
+++ b/verbenapost/scheduler/tasks.py
@@ -1,17 +1,24 @@
 """Groups of asyncio tasks with a common owner."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from verbenapost.daemon.logs import make_logger
 
+#: Called with the exception that has ended a task.
+NoteFailure = Callable[[BaseException], None]
+
 
 class TaskSet:
-    """Starts tasks, logs their exceptions and cancels them together."""
+    """Starts tasks, logs their exceptions and cancels them together.
+
+    :param note_failure: called after a task has ended with an exception.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, note_failure: NoteFailure | None = None) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._note_failure = note_failure
         self._log = make_logger('tasks')
 
     def add(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
@@ -35,3 +42,5 @@
         fault = task.exception()
         if fault is not None:
             self._log.error('task failed', task=repr(task), exc_info=fault)
+            if self._note_failure is not None:
+                self._note_failure(fault)
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -82,6 +82,9 @@
     def holds_lease(self):
         return True
 
+    def lose(self, reason):
+        raise AssertionError(reason)
+
 
 class Recorder:
     """Collects writes until a test sets their outcome."""
@@ -160,6 +163,7 @@
             PoolStateSet(2),
             ConfigurationFollower(make_logger('configuration')),
             link.ports,
+            link.ports.election.lose,
             make_logger('fleet'),
         )
         fleet.links['w0'] = link
