Daemon: start a permanent task again after it has failed

With an injected failure, daemons kept an old configuration for good, took a dead daemon for the leader, or nobody led while the lease ran out or was no longer renewed.

TaskSet.keep starts such work again after 0.5 s. It is used for the followers, the campaign and the leading of a daemon, the connections between daemons and the probe of the direct way to the store.

--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -53,10 +53,10 @@
 
     def start(self) -> None:
         """Start to follow the store and to campaign."""
-        self._tasks.add(self._operator_follower.run())
-        self._tasks.add(self._leader_follower.run())
-        self._tasks.add(self._campaign())
-        self._tasks.add(self._lead())
+        self._tasks.keep(self._operator_follower.run)
+        self._tasks.keep(self._leader_follower.run)
+        self._tasks.keep(self._campaign)
+        self._tasks.keep(self._lead)
 
     async def resign(self) -> None:
         """Write pending records and give up the leadership, if held."""
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -1,6 +1,7 @@
 """Connections between the leader and the other daemons."""
 
 import asyncio
+import functools
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
@@ -72,7 +73,7 @@
         self._server = await loop.create_server(
             self._accept, host, port, backlog=BACKLOG
         )
-        self._tasks.add(self._send_heartbeats())
+        self._tasks.keep(self._send_heartbeats)
 
     async def stop(self) -> None:
         """Close every connection."""
@@ -169,7 +170,7 @@
 
     def start(self) -> None:
         """Start to follow the leadership."""
-        self._tasks.add(self._run())
+        self._tasks.keep(self._run)
 
     def stop_relaying(self) -> None:
         """Tell the leader to relay its calls through other daemons."""
@@ -228,7 +229,9 @@
         )
         link = PeerLink(link_identity, (host, int(port)), RECONNECT_SECONDS)
         self._link = link
-        self._connecting = self._tasks.add(link.run(self._deliver))
+        self._connecting = self._tasks.keep(
+            functools.partial(link.run, self._deliver)
+        )
 
     def _disconnect(self) -> None:
         if self._connecting is not None:
--- a/verbenapost/scheduler/storetransport.py
+++ b/verbenapost/scheduler/storetransport.py
@@ -112,7 +112,7 @@
             return
         self._failing = True
         self._log.warning('store not reached directly')
-        self._tasks.add(self._probe_direct_way())
+        self._tasks.keep(self._probe_direct_way)
 
     async def _probe_direct_way(self) -> None:
         while not is_processed(await self._local.send(self._direct_probe)):
--- a/verbenapost/scheduler/tasks.py
+++ b/verbenapost/scheduler/tasks.py
@@ -2,10 +2,16 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, Final
 
 from verbenapost.daemon.logs import make_logger
 
+#: Seconds after which work that has failed is started again.
+RESTART_SECONDS: Final = 0.5
+
+#: Returns a new coroutine of some work.
+MakeWork = Callable[[], Coroutine[Any, Any, None]]
+
 #: Called with the exception that has ended a task.
 NoteFailure = Callable[[BaseException], None]
 
@@ -28,6 +34,13 @@
         task.add_done_callback(self._drop)
         return task
 
+    def keep(self, make_work: MakeWork) -> asyncio.Task[Any]:
+        """Start a task whose work is started again whenever it fails.
+
+        :param make_work: returns a new coroutine of the work.
+        """
+        return self.add(self._run_again(make_work))
+
     async def close(self) -> None:
         """Cancel all tasks and wait until they have finished."""
         tasks = list(self._tasks)
@@ -35,6 +48,16 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _run_again(self, make_work: MakeWork) -> None:
+        while True:
+            try:
+                await make_work()
+            except Exception:
+                self._log.exception('task failed, starting it again')
+            else:
+                return
+            await asyncio.sleep(RESTART_SECONDS)
+
     def _drop(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
--- a/verbenapost/scheduler/tests/test_failedtasks.py
+++ b/verbenapost/scheduler/tests/test_failedtasks.py
@@ -5,8 +5,12 @@
 import pytest
 from structlog.testing import capture_logs
 
+from verbenapost.platform.names import OPERATOR_PREFIX
 from verbenapost.scheduler.cleanup import Cleanup
 from verbenapost.scheduler.controller import FleetController
+from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.follower import PrefixFollower
+from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.runorders import RunOrders
 from verbenapost.scheduler.tests.scenarios import (
@@ -65,3 +69,51 @@
         with capture_logs() as logs:
             assert play(scenario, standby_vms=1) == (2, {COMPLETED})
         assert [row for row in logs if row['event'] == 'task failed']
+
+
+class TestTasksOfADaemon:
+    """A failure of what each daemon does all the time leaves nothing out."""
+
+    @pytest.mark.parametrize('prefix', [OPERATOR_PREFIX, LEADER_KEY])
+    def test_a_failed_follower_goes_on(self, play, monkeypatch, prefix):
+        watch = PrefixFollower._watch
+        failing = {'d0', 'd1', 'd2'}
+        since = []
+
+        async def fail(follower):
+            if follower._prefix == prefix and failing and since:
+                failing.pop()
+                raise OverflowError('injected')
+            return await watch(follower)
+
+        monkeypatch.setattr(PrefixFollower, '_watch', fail)
+
+        async def scenario(world):
+            first = await wait_for_leader(world)
+            since.append(world.now())
+            await asyncio.sleep(3)
+            world.configure(version=2)
+            await first.kill()
+            await asyncio.sleep(5)
+            await wait_for_leader(world)
+            return {
+                daemon.ports.configuration.current.version
+                for daemon in world.daemons.values()
+                if daemon.alive
+            }
+
+        assert play(scenario) == {2}
+
+    @pytest.mark.parametrize('name', ['_renew', '_write_claim'])
+    def test_a_failed_campaign_goes_on(self, play, monkeypatch, name):
+        fail_once(monkeypatch, Election, name)
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            states = await complete_jobs(world)
+            leader = await wait_for_leader(world)
+            await leader.kill()
+            await wait_for_leader(world)
+            return states
+
+        assert play(scenario, daemons=2) == {COMPLETED}
