Jobs: store the terms of the queue with the job

Cause: a removed queue's terms were only in the memory of a process; another process took the defaults of Route, with one attempt and without advice, and kept them when the queue was back. A leader that hears of a new queue later than the entry which accepts a job of it did the same.

An entry now stores the route with the job, and a leader falls back on it. That works whoever leads, since each leader reads the record anyway. A record without terms, of an older version, gets three attempts and a warning.

--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -155,8 +155,11 @@
         }
         self.store.write(f'op/wave/{number}', json.dumps(fields).encode())
 
-    def configure(self, version=1, max_attempts=3):
-        """Write the operators' configuration."""
+    def configure(self, version=1, max_attempts=3, *, removed=False):
+        """Write the operators' configuration.
+
+        :param removed: whether the configuration is without the queue.
+        """
         route = {
             'name': 'plan',
             'hostname': HOST,
@@ -169,7 +172,7 @@
         }
         fields = {
             'version': version,
-            'routes': [route],
+            'routes': [] if removed else [route],
             'services': [
                 {'name': SERVICE},
                 {'name': STANDBY, 'standby': True},
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -133,7 +133,9 @@
     ) -> EntryAnswer:
         try:
             spec = decode_job(name, route, request.body)
-            spec = dataclasses.replace(spec, submitted_at=time.time())
+            spec = dataclasses.replace(
+                spec, submitted_at=time.time(), terms=route
+            )
         except FieldError as refusal:
             return refuse(Status.INVALID, str(refusal))
         if self._outage_detector.is_unavailable(read_clock()):
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from typing import Any, Final
 
 from verbenapost.coordination.scheduling.commands import Command
 from verbenapost.coordination.scheduling.jobs import Job
@@ -15,6 +15,10 @@
 from verbenapost.state.submissions import unpack_job
 from verbenapost.state.workloads import CallerJobState, JobSpec, Route
 
+#: Attempts for each task of a job whose record lacks the terms of its queue,
+#: while no configuration has the queue. Records of older versions lack them.
+FALLBACK_MAX_ATTEMPTS: Final = 3
+
 Send = Callable[[PoolState, list[Command]], None]
 
 
@@ -118,11 +122,8 @@
             job.restore(progress.value, progress.revision)
             if job.state.ended:
                 job.ended_at = read_clock()
-        route = self._configuration.find_route(spec.route)
         pool_state = self._pool_states.find(spec.service)
-        pool_state.add_job(
-            job, route or Route(spec.route, '', '', spec.service)
-        )
+        pool_state.add_job(job, self._find_route(job))
         self._pool_states_by_job[spec.job] = pool_state
         self._log.info(
             'job taken',
@@ -137,6 +138,24 @@
         if spec.job in self._cancelled:
             self._cancel(spec.job)
 
+    def _find_route(self, job: Job) -> Route:
+        """Return the route of a job, which may have been removed."""
+        spec = job.spec
+        route = self._configuration.find_route(spec.route) or spec.terms
+        if route is not None:
+            return route
+        if not job.state.ended:
+            self._log.warning(
+                'terms of the queue not known', job=spec.job, route=spec.route
+            )
+        return Route(
+            spec.route,
+            '',
+            '',
+            spec.service,
+            max_attempts=FALLBACK_MAX_ATTEMPTS,
+        )
+
     def _cancel(self, name: str) -> None:
         self._cancelled.add(name)
         pool_state = self._pool_states_by_job.get(name)
--- a/verbenapost/scheduler/recorder.py
+++ b/verbenapost/scheduler/recorder.py
@@ -217,12 +217,14 @@
 
 
 def strip_spec(job: Job) -> JobSpec:
-    """Return the submission of an ended job without payload and steps.
+    """Return the submission of an ended job without payload, steps and terms.
 
-    The key still shows that the job is known. Its payload and steps would only
-    make the takeover of the next leader slower.
+    The key still shows that the job is known. The rest would only make the
+    takeover of the next leader slower.
     """
-    return dataclasses.replace(job.spec, payload='', steps=(), repetitions=0)
+    return dataclasses.replace(
+        job.spec, payload='', steps=(), repetitions=0, terms=None
+    )
 
 
 def _resolve(
--- a/verbenapost/state/submissions.py
+++ b/verbenapost/state/submissions.py
@@ -6,9 +6,15 @@
 
 import msgpack
 
-from verbenapost.state.workloads import JobSpec, Resources, StepSpec
+from verbenapost.state.workloads import (
+    AdviceTerms,
+    JobSpec,
+    Resources,
+    Route,
+    StepSpec,
+)
 
-_Record = TypeVar('_Record', JobSpec, StepSpec, Resources)
+_Record = TypeVar('_Record', JobSpec, StepSpec, Resources, Route, AdviceTerms)
 
 #: Types of the values of a field, by the field's own type.
 _ACCEPTED: Final[dict[Any, tuple[type, ...]]] = {
@@ -22,7 +28,9 @@
 def pack_job(spec: JobSpec) -> bytes:
     """Return a job as bytes for the store.
 
-    >>> spec = JobSpec('5c0e7a21d94b36f8', 'plan', 'x', (StepSpec(2),))
+    >>> route = Route('plan', 'host', '/plan/', 'routing', max_attempts=3)
+    >>> steps = (StepSpec(2),)
+    >>> spec = JobSpec('5c0e7a21d94b36f8', 'plan', 'x', steps, terms=route)
     >>> unpack_job(pack_job(spec)) == spec
     True
     """
@@ -41,7 +49,8 @@
             _read_step(row, number)
             for number, row in enumerate(fields.pop('steps'))
         )
-        return _check_fields(JobSpec(steps=steps, **fields))
+        terms = _read_terms(fields.pop('terms', None))
+        return _check_fields(JobSpec(steps=steps, terms=terms, **fields))
     except (AttributeError, KeyError, TypeError) as fault:
         raise ValueError(f'malformed job: {fault}') from fault
 
@@ -54,6 +63,15 @@
     return _check_fields(StepSpec(size=size, after=after, **row))
 
 
+def _read_terms(row: dict[str, Any] | None) -> Route | None:
+    if row is None:
+        return None
+    advice = row.pop('advice', None)
+    if advice is not None:
+        advice = _check_fields(AdviceTerms(**advice))
+    return _check_fields(Route(advice=advice, **row))
+
+
 def _check_fields(record: _Record) -> _Record:
     """Return a record whose texts, numbers and flags are valid.
 
--- a/verbenapost/state/workloads.py
+++ b/verbenapost/state/workloads.py
@@ -92,6 +92,49 @@
     may_miss: int = 0
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceTerms:
+    """Cost and lifetime of a policy service's advice on allowed workers.
+
+    :param decide: seconds for each request.
+    :param per_worker: additional seconds for each worker in the request.
+    :param valid: seconds for which a ticket is valid.
+    """
+
+    decide: float
+    per_worker: float
+    valid: float
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Queue of jobs, its submission address and the service that runs them.
+
+    :param name: unique name.
+    :param host: host to which callers address their requests.
+    :param prefix: prefix of the path of these requests.
+    :param service: service whose workers run the tasks.
+    :param priority: priority of the queue; 0 is the most urgent.
+    :param max_attempts: failures of one task after which its job fails.
+    :param slack_factor: run time that a job may take, as a multiple of the run
+        time of its longest chain of steps.
+    :param target_latency: seconds that a job may take in addition.
+    :param advice: terms of the policy service, or ``None`` for no policy.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1
+    target_latency: float = 0
+    advice: AdviceTerms | None = None
+
+
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobSpec:
@@ -108,6 +151,8 @@
         single immediate one.
     :param start_at: Unix time of the first occurrence in seconds.
     :param interval: seconds between two occurrences.
+    :param terms: the route when the job was accepted; ``None`` if the job has
+        ended, or was stored by a version without this field.
     """
 
     job: str
@@ -119,6 +164,7 @@
     repetitions: int = 0
     start_at: float = 0
     interval: float = 0
+    terms: Route | None = None
 
 
 @final
@@ -159,49 +205,6 @@
         return self not in {CallerJobState.QUEUED, CallerJobState.RUNNING}
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdviceTerms:
-    """Cost and lifetime of a policy service's advice on allowed workers.
-
-    :param decide: seconds for each request.
-    :param per_worker: additional seconds for each worker in the request.
-    :param valid: seconds for which a ticket is valid.
-    """
-
-    decide: float
-    per_worker: float
-    valid: float
-
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
-    """Queue of jobs, its submission address and the service that runs them.
-
-    :param name: unique name.
-    :param host: host to which callers address their requests.
-    :param prefix: prefix of the path of these requests.
-    :param service: service whose workers run the tasks.
-    :param priority: priority of the queue; 0 is the most urgent.
-    :param max_attempts: failures of one task after which its job fails.
-    :param slack_factor: run time that a job may take, as a multiple of the run
-        time of its longest chain of steps.
-    :param target_latency: seconds that a job may take in addition.
-    :param advice: terms of the policy service, or ``None`` for no policy.
-    """
-
-    name: str
-    host: str
-    prefix: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1
-    target_latency: float = 0
-    advice: AdviceTerms | None = None
-
-
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePool:
