HTTP: use no older connection after a call without an answer

Cause: the pool hands out idle connections, and a call that times out closes only its own. After a burst there are 13 to 15 of them for each worker, and holds use them up one after the other, 2.25 s each.

A server whose call got no answer in time now gets a new pool of connections; calls under way keep theirs. One lost call is what a silent connection costs, on the way to workers, the store, the machines' interface and through relays, as all use this transport.

--- a/verbenapost/platform/http.py
+++ b/verbenapost/platform/http.py
@@ -9,15 +9,10 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from verbenapost.platform.connections import ConnectionPools
 from verbenapost.platform.fields import Fields
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 
-#: Seconds for which an idle connection is kept, since a new one costs more.
-IDLE_SECONDS: Final = 60.0
-
-#: Seconds to connect; a VM without power doesn't refuse a connection.
-CONNECT_SECONDS: Final = 1.0
-
 #: Errors that occur before any byte of the request is sent.
 _BEFORE_SENDING: Final = (
     aiohttp.ClientConnectorError,
@@ -27,7 +22,6 @@
 #: have is a ``UnicodeError``; a header with a line break, a ``ValueError``.
 _AFTER_SENDING: Final = (
     aiohttp.ClientError,
-    asyncio.TimeoutError,
     OSError,
     ValueError,
 )
@@ -128,7 +122,7 @@
     """Sends calls over pooled connections of this process."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._pools = ConnectionPools()
 
     async def send(
         self,
@@ -138,48 +132,27 @@
 
         :param call: the call.
         """
+        pool = self._pools.find(call.address)
         try:
             async with asyncio.timeout(call.timeout):
-                return await self._send(call)
+                status, payload = await pool.exchange(
+                    call.method,
+                    f'http://{call.address}{call.path}',
+                    call.payload,
+                    dict(call.headers),
+                )
         except _BEFORE_SENDING as fault:
             return Err(CallFault(CallFaultKind.NOT_DONE, repr(fault)))
+        except TimeoutError as fault:
+            await self._pools.replace(call.address, pool)
+            return Err(CallFault(CallFaultKind.UNKNOWN, repr(fault)))
         except _AFTER_SENDING as fault:
             return Err(CallFault(CallFaultKind.UNKNOWN, repr(fault)))
+        return Ok(EncodedAnswer(status, payload))
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
-
-    async def _send(
-        self,
-        call: EncodedCall,
-    ) -> Result[EncodedAnswer, CallFault]:
-        request = self._find_session().request(
-            call.method,
-            f'http://{call.address}{call.path}',
-            data=call.payload,
-            headers=call.headers,
-        )
-        async with request as response:
-            payload = await response.read()
-            return Ok(EncodedAnswer(response.status, payload))
-
-    def _find_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=IDLE_SECONDS,
-                use_dns_cache=False,
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector,
-                timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS),
-                auto_decompress=False,
-                skip_auto_headers=('User-Agent', 'Accept-Encoding'),
-            )
-        return self._session
+        await self._pools.close()
 
 
 class HttpClient:
