VMs: a confirmed order ends only the worker that was there before

Cause: the answer 200 to a move or an upkeep ended the newest live worker of the VM. It says that the operation is done, perhaps by an attempt whose answer got lost, or for an earlier leader; by then the VM's next worker may have joined. Its runs were freed and started elsewhere while they went on, and the worker got no holds and no work until another daemon led.

A move now ends the worker that the VM had when the order was begun, unless it is of the destination pool already. After an upkeep the next list of VMs decides, as the upkeep may have been done before this leader knew of it.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from standins.fleet.workers import FleetWorker
+from verbenapost.platform.cloud import CLOUD_TIMEOUT
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.state.workloads import FleetVm, FleetVmState
 
@@ -39,6 +40,8 @@
     :param world: the simulated deployment.
     :param standby: name of the pool whose VMs are off.
     :ivar maintained: maintenance of all VMs, in order.
+    :ivar lost_answers: number of the next orders that are carried out and get
+        no answer.
     :ivar hidden: VMs that the next read of the list leaves out.
     """
 
@@ -46,6 +49,7 @@
         self.world = world
         self.standby = standby
         self.maintained = []
+        self.lost_answers = 0
         self.hidden = set()
         self.token = 0
         self._states = {}
@@ -159,9 +163,16 @@
     async def move(self, vm, pool, token):
         """Move a VM into another pool."""
         await asyncio.sleep(0.004)
-        return self.world.cloud.move(vm, pool, token)
+        return await self._answer(self.world.cloud.move(vm, pool, token))
 
     async def maintain(self, vm, wave, token):
         """Begin a VM's maintenance."""
         await asyncio.sleep(0.004)
-        return self.world.cloud.maintain(vm, wave, token)
+        return await self._answer(self.world.cloud.maintain(vm, wave, token))
+
+    async def _answer(self, outcome):
+        if not self.world.cloud.lost_answers:
+            return outcome
+        self.world.cloud.lost_answers -= 1
+        await asyncio.sleep(CLOUD_TIMEOUT)
+        return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -298,15 +298,20 @@
                 vm.capacity.cpu / _MILLI,
                 read_clock() + self._join_seconds,
             )
+        # A further attempt may be answered after the VM's next worker joined.
+        link = self._fleet.find_elsewhere(move.vm, move.pool)
         answer = await self._orders.move(move.vm, move.pool)
         if isinstance(answer, Err):
             self._joining.pop(move.vm, None)
             uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
             self._fleet.readmit(move.vm, uncertain=uncertain)
             return
-        self._fleet.end_by_vm(move.vm, 'its VM has moved')
-        self._vm_list.update(
-            dataclasses.replace(
-                vm, pool=move.pool, state=FleetVmState.MOVING, worker=''
+        if link is not None:
+            link.end_incarnation('its VM has moved')
+        listed = self._vm_list.vms.get(move.vm)
+        if listed is not None and listed.pool != move.pool:
+            self._vm_list.update(
+                dataclasses.replace(
+                    listed, pool=move.pool, state=FleetVmState.MOVING, worker=''
+                )
             )
-        )
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -23,7 +23,7 @@
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.tasks import NoteFailure, TaskSet
-from verbenapost.state.workloads import WorkerEntry
+from verbenapost.state.workloads import FleetVmState, WorkerEntry
 
 
 class WorkerFleet:
@@ -100,13 +100,17 @@
     def end_replaced_incarnations(
         self, vm_list: VmList, requested: Moment
     ) -> None:
-        """End the unreachable incarnations that have ended by the VM list.
+        """End the incarnations that have ended by the VM list.
+
+        Only an incarnation that can't be reached may have ended unasked.
 
         :param vm_list: all VMs.
         :param requested: time at which the list was requested.
         """
         for link in list(self.links.values()):
-            if link.ended or link.worker.reachable:
+            if link.ended or self._settle_maintenance(link, vm_list, requested):
+                continue
+            if link.worker.reachable:
                 continue
             if _is_listed_as_ended(link, vm_list, requested):
                 entry = link.worker.entry
@@ -138,15 +142,40 @@
         if link is not None and not uncertain:
             link.worker.leaving = False
 
-    def end_by_vm(self, vm: str, reason: str) -> None:
-        """End the incarnation that ran on a VM.
+    def find_elsewhere(self, vm: str, pool: str) -> WorkerLink | None:
+        """Return the link to a VM's worker unless it is of a pool.
 
         :param vm: name of the VM.
-        :param reason: reason for the log.
+        :param pool: pool into which the VM is about to move.
         """
         link = self.find_by_vm(vm)
-        if link is not None:
-            link.end_incarnation(reason)
+        if link is None or link.worker.entry.service == pool:
+            return None
+        return link
+
+    def _settle_maintenance(
+        self, link: WorkerLink, vm_list: VmList, requested: Moment
+    ) -> bool:
+        """End an incarnation whose VM's maintenance was confirmed.
+
+        The platform confirms maintenance that it has done before, also for an
+        earlier leader. The VM is up with this worker then, which lives on.
+
+        :param link: link to the worker.
+        :param vm_list: all VMs.
+        :param requested: time at which the list was requested.
+        :returns: whether the list shows the outcome.
+        """
+        vm = vm_list.vms.get(link.worker.entry.vm)
+        confirmed_at = link.maintained_at
+        if confirmed_at is None or vm is None or requested.now < confirmed_at:
+            return False
+        link.maintained_at = None
+        if vm.state is FleetVmState.UP and vm.worker == link.name:
+            link.worker.leaving = False
+        else:
+            link.end_incarnation('its VM is in maintenance')
+        return True
 
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -49,6 +49,9 @@
     :param ports: dependencies of the link.
     :ivar ended: whether the incarnation has ended.
     :ivar known_since: local seconds at which the entry was first read.
+    :ivar maintained_at: local seconds at which the maintenance of the worker's
+        VM was confirmed, until a later list of VMs shows whether it has ended
+        this incarnation.
     :ivar clock: leases granted, and the offset of the worker's clock.
     :ivar orders: sends starts and stops to the worker.
     """
@@ -58,6 +61,7 @@
     ) -> None:
         self.ended = False
         self.known_since = read_clock()
+        self.maintained_at: float | None = None
         self.clock = LeaseClock()
         self.worker = worker
         self._started_at_ms = worker.entry.started_at_ms
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -96,6 +96,8 @@
     async def _maintain(
         self, order: MaintainVm, progress: WaveProgress
     ) -> None:
+        # A further attempt may be answered after the VM's next worker joined.
+        link = self._fleet.find_by_vm(order.vm)
         answer = await self._orders.maintain(order.vm, order.wave)
         if isinstance(answer, Err):
             uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
@@ -104,6 +106,8 @@
             )
             self._fleet.readmit(order.vm, uncertain=uncertain)
             return
-        self._planner.note_begun(progress, order.vm, read_clock())
-        self._fleet.end_by_vm(order.vm, 'its VM is in maintenance')
+        now = read_clock()
+        self._planner.note_begun(progress, order.vm, now)
+        if link is not None:
+            link.maintained_at = now
         await self._status.note_begun(order.wave, progress.begun)
