Links: follow a worker that has started again under its identity

Cause: a hold after a pause carried the number of the former life's last end, so that the new life forgot ends that nobody had read; its report was dropped by its clock before its start was compared; and runs that had been started on the new life counted as lost with the former one.

After an unanswered hold or a pause of 0.2 s the next one acknowledges nothing. The start of the life is compared first. The link goes on with the new life: runs that the former one had listed are free at once, the others once the new one's report lacks them, and nothing starts there before its entry is read.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -180,10 +180,7 @@
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
         if link is not None and not link.is_same_incarnation(entry):
-            link.end_incarnation(
-                'its entry shows another incarnation',
-                crashed=link.worker.entry.service == entry.service,
-            )
+            self._replace_incarnation(link, entry)
         if link is not None and not link.ended:
             link.update(entry)
             self._ports.wake()
@@ -203,6 +200,17 @@
             draining=entry.draining,
         )
 
+    def _replace_incarnation(
+        self, link: WorkerLink, entry: WorkerEntry
+    ) -> None:
+        same_pool = link.worker.entry.service == entry.service
+        if same_pool and not link.ended:
+            link.restart(entry.started_at_ms)
+            return
+        link.end_incarnation(
+            'its entry shows another incarnation', crashed=same_pool
+        )
+
     def _forget_ended(self) -> None:
         """Drop the links of ended incarnations; each VM move ends one.
 
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -1,6 +1,7 @@
 """The link to one worker: its leases and reports."""
 
 import asyncio
+import dataclasses
 from collections.abc import Sequence
 from typing import Any, Final
 
@@ -40,6 +41,10 @@
 #: Seconds between two attempts to reach a worker.
 RETRY_SECONDS: Final = 0.25
 
+#: Longest pause between an answer of a worker and the next lease renewal, in
+#: seconds, within which the worker can't have started again unnoticed.
+MAX_UNWATCHED_SECONDS: Final = 0.2
+
 
 class WorkerLink:
     """Renews the leases of one worker incarnation and reads its reports.
@@ -65,6 +70,9 @@
         self.clock = LeaseClock()
         self.worker = worker
         self._started_at_ms = worker.entry.started_at_ms
+        # Reports requested before this are of an earlier incarnation.
+        self._restarted_at: float = 0
+        self._answered_at: float = 0
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
@@ -107,7 +115,7 @@
         answer = await self.ports.client.hold(
             self.worker.entry,
             self.ports.election.token,
-            self._ends.acknowledged,
+            self._choose_acknowledged(sent_at),
             deadline,
             wait,
         )
@@ -127,7 +135,7 @@
         """Return whether an entry is of this link's incarnation."""
         known = self.worker.entry
         return (entry.started_at_ms, entry.service) == (
-            known.started_at_ms,
+            self._started_at_ms,
             known.service,
         )
 
@@ -149,6 +157,42 @@
             self.worker.listed = False
             self.ports.log.info('worker entry removed', worker=self.name)
 
+    def restart(self, started_at_ms: int) -> None:
+        """Follow the worker's next incarnation, which has the same identity.
+
+        Runs that the former incarnation has listed have ended with it. Others
+        stay booked until the next one reports, since their starts may have
+        reached it. Nothing else is started there before its entry shows its
+        capacity.
+
+        :param started_at_ms: start of the incarnation in Unix milliseconds.
+        """
+        now = read_clock()
+        worker = self.worker
+        verdict = self._note_crash()
+        lost = [task for task in worker.tasks.values() if task.proven]
+        for task in lost:
+            self.pool_state.free_task(task)
+        self.ports.log.warning(
+            'worker restarted',
+            worker=self.name,
+            tasks=len(lost),
+            suspects=len(verdict.suspects),
+        )
+        self._started_at_ms = started_at_ms
+        self._restarted_at = now
+        self._ends = RunEndTracker()
+        self._last_clock = 0
+        self.clock = LeaseClock()
+        self.clock.note_unknown_lease(now, self.ports.hold_seconds)
+        worker.entry = dataclasses.replace(
+            worker.entry, started_at_ms=started_at_ms
+        )
+        worker.reconciled = False
+        worker.listed = False
+        self._log_suspects(verdict)
+        self._give_up(verdict)
+
     def end_incarnation(self, reason: str, *, crashed: bool = False) -> None:
         """End the incarnation and free its tasks.
 
@@ -161,10 +205,7 @@
         if late and not (crashed and worker.lapsed_runs):
             return
         self.ended = True
-        verdict = CrashVerdict()
-        # A worker that was about to leave may have ended for that reason.
-        if crashed and not worker.leaving and not worker.entry.draining:
-            verdict = note_crash(self.pool_state, worker)
+        verdict = self._note_crash() if crashed else CrashVerdict()
         lost = [] if late else self.pool_state.remove_worker(self.name)
         self.ports.log.warning(
             'worker lost',
@@ -197,6 +238,23 @@
             return True
         return False
 
+    def _note_crash(self) -> CrashVerdict:
+        worker = self.worker
+        # A worker that was about to leave may have ended for that reason.
+        if worker.leaving or worker.entry.draining:
+            return CrashVerdict()
+        return note_crash(self.pool_state, worker)
+
+    def _choose_acknowledged(self, now: float) -> int:
+        """Return the number of the last ended run that is stored.
+
+        A worker may have started again under its identity since it was last
+        heard of. It numbers the ends of its runs anew, and would forget those
+        that nobody has read; so such a worker is first asked for all of them.
+        """
+        watched = now - self._answered_at <= MAX_UNWATCHED_SECONDS
+        return self._ends.acknowledged if self._answered and watched else 0
+
     def _log_suspects(self, verdict: CrashVerdict) -> None:
         for task in verdict.suspects:
             self.ports.log.info(
@@ -239,14 +297,16 @@
 
     async def _apply_report(self, report: WorkerReport, sent_at: float) -> None:
         now = read_clock()
+        if report.started_at_ms not in {None, self._started_at_ms}:
+            if sent_at < self._restarted_at:
+                return
+            self.restart(report.started_at_ms)
         if report.clock < self._last_clock:
             # A newer answer arrived earlier, on another connection.
             return
+        self._answered_at = now
         self._last_clock = report.clock
         self.clock.observe(report.clock, now, now)
-        if report.started_at_ms not in {None, self._started_at_ms}:
-            self.end_incarnation('the worker has restarted', crashed=True)
-            return
         worker = self.worker
         if not worker.reachable:
             self.ports.log.info('worker reached', worker=self.name)
