Leader: nothing starts once its tasks are closed

Seen by the review by reading, now shown by a test: a leader that closes cancels its links before its followers, so a worker that registers in that moment got a link which nobody cancels. When the daemon led again, that link held the worker with the token of the new term and the knowledge of the old one, and stopped runs that it didn't know.

A closed TaskSet cancels what is added to it.

Evidence: the new test of test_regained.py failed without the change (one task of the earlier term went on) and passes now.

--- a/verbenapost/scheduler/tasks.py
+++ b/verbenapost/scheduler/tasks.py
@@ -25,11 +25,22 @@
     def __init__(self, note_failure: NoteFailure | None = None) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
         self._note_failure = note_failure
+        self._closed = False
         self._log = make_logger('tasks')
 
+    def __len__(self) -> int:
+        """Return the number of tasks that have not ended."""
+        return len(self._tasks)
+
     def add(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Start a task."""
+        """Start a task, which does nothing once the tasks are closed.
+
+        A task that is being cancelled, or that belongs to another owner, may
+        still call this.
+        """
         task = asyncio.create_task(work)
+        if self._closed:
+            task.cancel()
         self._tasks.add(task)
         task.add_done_callback(self._drop)
         return task
@@ -42,7 +53,8 @@
         return self.add(self._run_again(make_work))
 
     async def close(self) -> None:
-        """Cancel all tasks and wait until they have finished."""
+        """Cancel all tasks, also later ones, and wait for their end."""
+        self._closed = True
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/verbenapost/scheduler/tests/test_regained.py
+++ b/verbenapost/scheduler/tests/test_regained.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from standins.fleet.workers import FleetWorker
+from standins.fleet.world import SERVICE, WORKER_CAPACITY
+from verbenapost.protocol.orders import KeyChange
 from verbenapost.scheduler import election as election_module
 from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.tests.scenarios import wait_for_leader
@@ -30,3 +33,22 @@
             return [pair for pair in sorted(tokens) if len(set(pair)) > 1]
 
         assert play(scenario, daemons=1, standby_vms=0) == []
+
+    def test_nothing_of_an_earlier_term_goes_on(self, play):
+        """A link of an earlier term used the token of the next one."""
+
+        async def scenario(world):
+            daemon = await wait_for_leader(world)
+            former = daemon.core._leader
+            daemon.ports.election.lose('test')
+            while daemon.core._leader is former:
+                await asyncio.sleep(0.01)
+            # The worker registers while the leader closes.
+            late = FleetWorker(world, 'w9', SERVICE, WORKER_CAPACITY)
+            late.register()
+            item = world.store.items['servers/w9']
+            former._fleet.apply_change(KeyChange(item.key, item.value, 1))
+            await asyncio.sleep(1)
+            return len(former._fleet.tasks)
+
+        assert play(scenario, daemons=1) == 0
