Election: lead only by a claim whose lease is renewed

The key counts as this attempt's only with its lease.

Evidence: TestLateClaim failed before the change (it led and renewed lease 2) and passes now.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -138,7 +138,7 @@
         return 0 if item is None else item.revision
 
     def _put(self, key, value, lease):
-        self.items[key] = KeyValue(key, value, self.revision)
+        self.items[key] = KeyValue(key, value, self.revision, lease)
         self._lease_by_key.pop(key, None)
         if lease:
             self._lease_by_key[key] = lease
--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -360,6 +360,7 @@
         _read_key(fields),
         base64.b64decode(read_text(fields, 'value', '')),
         read_count(fields, 'revision'),
+        read_count(fields, 'lease', 0),
     )
 
 
--- a/verbenapost/protocol/orders.py
+++ b/verbenapost/protocol/orders.py
@@ -58,11 +58,18 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyValue:
-    """Key of the store with its value."""
+    """Key of the store with its value.
+
+    :param key: the key.
+    :param value: its value.
+    :param revision: revision of its last change.
+    :param lease: lease with which the key ends, or 0.
+    """
 
     key: str
     value: bytes
     revision: int
+    lease: int = 0
 
 
 @final
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -279,7 +279,7 @@
                 Write(LAST_LEADER_KEY, claim.pack()),
             ),
         )
-        revision = await self._commit_claim(transaction, claim)
+        revision = await self._commit_claim(transaction, claim, lease.ok_value)
         if revision is None:
             await asyncio.sleep(POLL_SECONDS)
             return
@@ -297,11 +297,13 @@
         self,
         transaction: Transaction,
         claim: Leadership,
+        lease: int,
     ) -> int | None:
         """Commit a claim and return its revision, or ``None`` if it lost.
 
         After a failed commit the key is read back, since the commit may have
-        been applied.
+        been applied. An earlier claim of this process may have been applied
+        late; its lease is another one, which nobody renews.
         """
         answer = await self._store.commit(transaction)
         if isinstance(answer, Ok):
@@ -309,9 +311,9 @@
         found = await self._store.read_key(LEADER_KEY)
         if isinstance(found, Err) or found.ok_value is None:
             return None
-        if found.ok_value.value != claim.pack():
-            return None
-        return found.ok_value.revision
+        item = found.ok_value
+        own = (item.value, item.lease) == (claim.pack(), lease)
+        return item.revision if own else None
 
     async def _renew(self) -> None:
         sent_at = read_clock()
--- a/verbenapost/scheduler/tests/test_takeover.py
+++ b/verbenapost/scheduler/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """Reads of a new leader, and the order of candidates."""
 
+import asyncio
+
 import pytest
 from result import Err, Ok
 
@@ -9,9 +11,15 @@
 from verbenapost.daemon.logs import make_logger
 from verbenapost.platform.http import Answer
 from verbenapost.platform.store import PAGE_ATTEMPTS, PlatformStore
-from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.protocol.orders import (
+    CallFault,
+    CallFaultKind,
+    KeyValue,
+    TransactionConflict,
+)
 from verbenapost.scheduler import election as election_module
 from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.recorder import strip_spec
 from verbenapost.scheduler.settings import Processor
 from verbenapost.scheduler.storecalls import StoreCallObserver
@@ -96,3 +104,51 @@
         longest = 2 * election_module.CAMPAIGN_JITTER
         delays = {election._choose_delay() > longest for _ in range(50)}
         assert delays == {waits}
+
+
+class LateStore:
+    """Applies the first claim late, right before the second one.
+
+    :ivar renewed: leases that were renewed.
+    """
+
+    def __init__(self):
+        self.renewed = set()
+        self.items = {}
+        self._granted = 0
+        self._claims = []
+
+    async def read_key(self, key):
+        return Ok(self.items.get(key))
+
+    async def grant_lease(self, _seconds):
+        self._granted += 1
+        return Ok(self._granted)
+
+    async def renew_lease(self, lease):
+        self.renewed.add(lease)
+        return Ok(None)
+
+    async def commit(self, claim):
+        self._claims.append(claim)
+        if len(self._claims) == 1:
+            return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+        for row in self._claims[0].writes:
+            item = KeyValue(row.key, row.value, 1, row.lease)
+            self.items[row.key] = item
+        return Err(TransactionConflict(list(self.items.values())))
+
+
+class TestLateClaim:
+    async def test_a_claim_with_another_lease_is_not_led_by(self, monkeypatch):
+        """A leader renewed a lease while its key ended with another one."""
+        monkeypatch.setattr(election_module, 'RETRY_SECONDS', 0.01)
+        store = LateStore()
+        election = Election(store, make_settings('d0'), make_logger('election'))
+        running = asyncio.create_task(election.run())
+        while LEADER_KEY not in store.items:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        leads = election.leads
+        running.cancel()
+        assert (leads, store.renewed) == (False, set())
