Waves: store orders before they are sent

Cause: an order without an answer was known to the leader that had sent it alone, and may take effect later than the pause of 4 s after a takeover. Fencing tokens apply to each VM separately, so that orders for other VMs don't prevent it.

The VMs of orders are now stored before the orders are sent. The next leader counts them as down for as long as an order may take effect, and orders them again first. One write for each batch of orders.

The stand-in of the cloud now checks a token for each VM, as the platform does; with one token for all VMs the fault didn't show.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -42,6 +42,8 @@
     :ivar maintained: maintenance of all VMs, in order.
     :ivar lost_answers: number of the next orders that are carried out and get
         no answer.
+    :ivar late_orders: seconds after which each of the next orders is carried
+        out, without an answer.
     :ivar hidden: VMs that the next read of the list leaves out.
     """
 
@@ -50,8 +52,9 @@
         self.standby = standby
         self.maintained = []
         self.lost_answers = 0
+        self.late_orders = []
         self.hidden = set()
-        self.token = 0
+        self._tokens = {}
         self._states = {}
         self._pools = {}
         self._workers = {}
@@ -100,9 +103,9 @@
         return Ok(None)
 
     def _check(self, vm, token):
-        if token < self.token:
+        if token < self._tokens.get(vm, 0):
             return CallFault(CallFaultKind.FENCED, 'fence')
-        self.token = token
+        self._tokens[vm] = token
         if self._states[vm] is not FleetVmState.UP:
             return CallFault(CallFaultKind.BUSY, 'busy')
         return None
@@ -163,16 +166,22 @@
     async def move(self, vm, pool, token):
         """Move a VM into another pool."""
         await asyncio.sleep(0.004)
-        return await self._answer(self.world.cloud.move(vm, pool, token))
+        return await self._send(self.world.cloud.move, vm, pool, token)
 
     async def maintain(self, vm, wave, token):
         """Begin a VM's maintenance."""
         await asyncio.sleep(0.004)
-        return await self._answer(self.world.cloud.maintain(vm, wave, token))
-
-    async def _answer(self, outcome):
-        if not self.world.cloud.lost_answers:
-            return outcome
-        self.world.cloud.lost_answers -= 1
+        return await self._send(self.world.cloud.maintain, vm, wave, token)
+
+    async def _send(self, carry_out, *order):
+        core = self.world.cloud
+        if core.late_orders:
+            loop = asyncio.get_running_loop()
+            loop.call_later(core.late_orders.pop(0), carry_out, *order)
+        else:
+            outcome = carry_out(*order)
+            if not core.lost_answers:
+                return outcome
+            core.lost_answers -= 1
         await asyncio.sleep(CLOUD_TIMEOUT)
         return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -155,10 +155,13 @@
         }
         self.store.write(f'op/wave/{number}', json.dumps(fields).encode())
 
-    def configure(self, version=1, max_attempts=3, *, removed=False):
+    def configure(
+        self, version=1, max_attempts=3, *, removed=False, standby=True
+    ):
         """Write the operators' configuration.
 
         :param removed: whether the configuration is without the queue.
+        :param standby: whether there is a pool of VMs that are off.
         """
         route = {
             'name': 'plan',
@@ -170,13 +173,13 @@
             'slack_factor': 1.6,
             'target_latency_ms': 600,
         }
+        services = [{'name': SERVICE}]
+        if standby:
+            services.append({'name': STANDBY, 'standby': True})
         fields = {
             'version': version,
             'routes': [] if removed else [route],
-            'services': [
-                {'name': SERVICE},
-                {'name': STANDBY, 'standby': True},
-            ],
+            'services': services,
             'limits': {},
         }
         self.store.write('op/config', json.dumps(fields).encode())
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.capacity import VmView
@@ -44,6 +44,9 @@
     :param begun: VMs whose maintenance has begun.
     :param down: local seconds until which each VM counts as down at least.
     :param emptying: VMs that are being emptied.
+    :param ordered: VMs for which an order may be sent or may have been sent,
+        also by a former leader, and that are not known to have begun.
+    :param inherited: those of them that only a former leader has ordered.
     """
 
     wave: MaintenanceWave
@@ -52,6 +55,20 @@
     begun: set[str] = dataclasses.field(default_factory=set)
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
+    ordered: set[str] = dataclasses.field(default_factory=set)
+    inherited: set[str] = dataclasses.field(default_factory=set)
+
+    def note_former_orders(self, vms: Collection[str]) -> None:
+        """Record that a former leader may have ordered VMs until now.
+
+        Such an order may still take effect, so the VMs count as down.
+
+        :param vms: names of the VMs.
+        """
+        self.ordered.update(vms)
+        self.inherited.update(vms)
+        until = self.seen_at + UNCONFIRMED_ORDER_SECONDS
+        self.down.update(dict.fromkeys(vms, until))
 
     def is_complete(self, vm_list: VmList) -> bool:
         """Return whether maintenance has begun on every VM of the fleet.
@@ -93,23 +110,31 @@
             and view.vm.state is FleetVmState.UP
         ]
         due.sort(key=_rank)
+        due.sort(key=lambda view: view.vm.vm not in progress.inherited)
         self._choose_emptying(progress, due, now)
         if now < progress.quiet_until:
             return []
         free = max(0, progress.wave.cap - _count_down(progress, views))
-        chosen = [view for view in due if view.empty][:free]
-        for empty in chosen:
-            _mark_leaving(empty)
+        empty = [view for view in due if view.empty]
+        # A VM that counts as down for a former leader's order may be ordered
+        # again, which also prevents a late effect of that order.
+        chosen = [view for view in empty if view.vm.vm in progress.inherited]
+        others = [view for view in empty if view not in chosen]
+        chosen.extend(others[:free])
+        for leaving in chosen:
+            _mark_leaving(leaving)
         return [MaintainVm(view.vm.vm, progress.wave.number) for view in chosen]
 
     def note_ordered(self, progress: WaveProgress, vm: str) -> None:
         """Record that an order is being sent; the VM counts as down."""
         progress.down[vm] = math.inf
+        progress.inherited.discard(vm)
         progress.emptying.discard(vm)
 
     def note_begun(self, progress: WaveProgress, vm: str, now: float) -> None:
         """Record that a VM's maintenance has begun."""
         progress.begun.add(vm)
+        progress.ordered.discard(vm)
         progress.down[vm] = now + self._maintenance + RETURN_MARGIN_SECONDS
 
     def note_failed(
@@ -130,6 +155,8 @@
         progress.down.pop(vm, None)
         if outcome_unknown:
             progress.down[vm] = now + UNCONFIRMED_ORDER_SECONDS
+        else:
+            progress.ordered.discard(vm)
 
     def _drop_returned(
         self,
--- a/verbenapost/scheduler/keys.py
+++ b/verbenapost/scheduler/keys.py
@@ -7,6 +7,7 @@
 LEADER_KEY: Final = 'vp/leader'
 LAST_LEADER_KEY: Final = 'vp/last'
 WAVE_PREFIX: Final = 'vp/wave/'
+WAVE_ORDERS_PREFIX: Final = 'vp/orders/'
 SUBMITTED_PREFIX: Final = 'vp/in/'
 PROGRESS_PREFIX: Final = 'vp/at/'
 
@@ -47,6 +48,11 @@
     return f'{WAVE_PREFIX}{wave}'
 
 
+def make_wave_orders_key(wave: int) -> str:
+    """Return the key of the VMs of a wave for which an order may be sent."""
+    return f'{WAVE_ORDERS_PREFIX}{wave}'
+
+
 def parse_submitted(key: str) -> SubmittedKey:
     """Parse a key under the submission prefix.
 
--- a/verbenapost/scheduler/tests/test_repeatedorders.py
+++ b/verbenapost/scheduler/tests/test_repeatedorders.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from verbenapost.scheduler.tests.scenarios import (
     check_rules,
     name_long_running,
@@ -16,6 +18,9 @@
     return sum(len(row.runs) for row in world.workers.values() if row.up)
 
 
+BUSY_STEP = [{'count': 1, 'cpu': 6000, 'mem_mb': 100}]
+
+
 def is_in_use(leader, vm):
     """Return whether a leader has a worker for new tasks on a VM."""
     link = leader.core._leader._fleet.find_by_vm(vm)
@@ -62,3 +67,28 @@
             return is_in_use(leader, 'vm-w3'), len(world.cloud.maintained)
 
         assert play(scenario, standby_vms=0) == (True, 1)
+
+
+class TestLateMaintenanceOfAFormerLeader:
+    """More VMs were down than allowed (LIMIT, listed by the review)."""
+
+    CAP = 2
+
+    @pytest.mark.parametrize('end', ['stop', 'kill'])
+    @pytest.mark.parametrize('seconds', [4.2, 7.6, 12])
+    def test_it_counts_as_down_until_then(self, play, end, seconds):
+        async def scenario(world):
+            world.configure(version=2, standby=False)
+            leader = await wait_for_leader(world)
+            world.cloud.late_orders = [seconds]
+            vms = [row.vm for row in world.workers.values()]
+            world.request_wave(1, vms, duration=24, cap=self.CAP)
+            while world.cloud.late_orders:
+                await asyncio.sleep(0.01)
+            await getattr(leader, end)()
+            # Work on the VM of the late order, so that its turn is last.
+            await world.submit(name_long_running(1), BUSY_STEP, daemon='d2')
+            await asyncio.sleep(30)
+            return max(row.down for row in world.cloud.maintained)
+
+        assert play(scenario, workers=8, standby_vms=0) == self.CAP
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -18,7 +18,7 @@
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.vmorders import VmOrders
 from verbenapost.scheduler.wavelog import WaveLog
-from verbenapost.scheduler.wavestatus import WaveStatus
+from verbenapost.scheduler.wavestatus import WaveRecord, WaveStatus
 from verbenapost.state.workloads import MaintenanceWave
 
 #: Seconds after a takeover during which no maintenance begins, since the VM
@@ -72,24 +72,35 @@
             if progress is None or self._status.is_complete(wave.number):
                 continue
             self._log.note_waiting(progress, views, now)
-            for order in self._planner.plan(progress, views, now):
-                self._planner.note_ordered(progress, order.vm)
-                self._orders.begin(
-                    order.vm, self._maintain(order, progress), finish
-                )
+            orders = self._planner.plan(progress, views, now)
+            if await self._store_orders(progress, orders):
+                self._send(progress, orders, finish)
             if progress.is_complete(vm_list) and not progress.down:
                 await self._status.complete(wave.number)
 
+    def _send(
+        self,
+        progress: WaveProgress,
+        orders: Sequence[MaintainVm],
+        finish: Callable[[], None],
+    ) -> None:
+        for order in orders:
+            self._planner.note_ordered(progress, order.vm)
+            self._orders.begin(
+                order.vm, self._maintain(order, progress), finish
+            )
+
     async def _find_progress(
         self, wave: MaintenanceWave, now: float
     ) -> WaveProgress | None:
         progress = self._progress.get(wave.number)
         if progress is None:
-            begun = await self._status.begin(wave.number)
-            if begun is None:
+            record = await self._status.begin(wave.number)
+            if record is None:
                 return None
             progress = WaveProgress(wave, now, self._quiet_until)
-            progress.begun.update(begun)
+            progress.begun.update(record.begun)
+            progress.note_former_orders(record.ordered)
             self._progress[wave.number] = progress
         return progress
 
@@ -110,4 +121,24 @@
         self._planner.note_begun(progress, order.vm, now)
         if link is not None:
             link.maintained_at = now
-        await self._status.note_begun(order.wave, progress.begun)
+        await self._store(progress)
+
+    async def _store_orders(
+        self, progress: WaveProgress, orders: Sequence[MaintainVm]
+    ) -> bool:
+        """Store orders before they are sent; return whether they may be.
+
+        An order without an answer may take effect seconds later, when another
+        daemon leads.
+        """
+        vms = {order.vm for order in orders}
+        if vms <= progress.ordered:
+            return True
+        progress.ordered |= vms
+        return await self._store(progress)
+
+    async def _store(self, progress: WaveProgress) -> bool:
+        record = WaveRecord(
+            frozenset(progress.begun), frozenset(progress.ordered)
+        )
+        return await self._status.store(progress.wave.number, record)
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -1,7 +1,8 @@
 """Stored state of maintenance waves."""
 
+import dataclasses
 import json
-from typing import Any
+from typing import Any, final
 
 from result import Err
 
@@ -11,7 +12,24 @@
 from verbenapost.platform.store import PlatformStore
 from verbenapost.protocol.orders import ExpectedRevision, Transaction, Write
 from verbenapost.scheduler.election import Election
-from verbenapost.scheduler.keys import LEADER_KEY, make_wave_key
+from verbenapost.scheduler.keys import (
+    LEADER_KEY,
+    make_wave_key,
+    make_wave_orders_key,
+)
+
+
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaveRecord:
+    """What is stored of a wave for later leaders.
+
+    :param begun: VMs whose maintenance has begun.
+    :param ordered: other VMs for which an order may have been sent.
+    """
+
+    begun: frozenset[str] = frozenset()
+    ordered: frozenset[str] = frozenset()
 
 
 class WaveStatus:
@@ -32,35 +50,34 @@
         self._election = election
         self._log = log
         self._complete: set[int] = set()
-        self._begun: dict[int, frozenset[str]] = {}
+        self._records: dict[int, WaveRecord] = {}
 
     def is_complete(self, wave: int) -> bool:
         """Return whether a wave is completed."""
         return wave in self._complete
 
-    async def begin(self, wave: int) -> frozenset[str] | None:
+    async def begin(self, wave: int) -> WaveRecord | None:
         """Store that a wave is running.
 
-        :returns: the VMs whose maintenance has begun, or ``None`` when they
-            could not be read.
+        :returns: what earlier leaders stored, or ``None`` when it could not be
+            read.
         """
-        found = await self._store.read_key(make_wave_key(wave))
-        if isinstance(found, Err):
-            self._log.warning(
-                'wave status not read', wave=wave, fault=str(found.err_value)
-            )
+        begun = await self._read(wave, make_wave_key(wave))
+        ordered = await self._read(wave, make_wave_orders_key(wave))
+        if begun is None or ordered is None:
             return None
-        begun: frozenset[str] = frozenset()
-        if found.ok_value is not None:
-            begun = self._decode(wave, found.ok_value.value)
-        self._begun[wave] = begun
-        await self._write(wave, completed=False)
-        return begun
-
-    async def note_begun(self, wave: int, begun: set[str]) -> None:
-        """Store the VMs whose maintenance has begun, for later leaders."""
-        self._begun[wave] = frozenset(begun)
-        await self._write(wave, completed=False)
+        record = WaveRecord(begun, ordered - begun)
+        await self.store(wave, record)
+        return record
+
+    async def store(self, wave: int, record: WaveRecord) -> bool:
+        """Store a wave's VMs for later leaders; return whether that is known.
+
+        :param wave: number of the wave.
+        :param record: the wave's VMs.
+        """
+        self._records[wave] = record
+        return await self._write(wave, completed=False)
 
     async def complete(self, wave: int) -> None:
         """Store that a wave is completed."""
@@ -68,8 +85,19 @@
             self._complete.add(wave)
             self._log.info('wave completed', wave=wave)
 
+    async def _read(self, wave: int, key: str) -> frozenset[str] | None:
+        found = await self._store.read_key(key)
+        if isinstance(found, Err):
+            self._log.warning(
+                'wave status not read', wave=wave, fault=str(found.err_value)
+            )
+            return None
+        if found.ok_value is None:
+            return frozenset()
+        return self._decode(wave, found.ok_value.value)
+
     def _decode(self, wave: int, packed: bytes) -> frozenset[str]:
-        """Return the VMs that have begun, none if another writer's value.
+        """Return the VMs of a record, none if another writer's value.
 
         An order for a VM that has begun already is confirmed by the platform
         without an effect.
@@ -84,11 +112,12 @@
             return frozenset()
 
     async def _write(self, wave: int, *, completed: bool) -> bool:
-        begun = json.dumps(sorted(self._begun.get(wave, ()))).encode()
+        record = self._records.get(wave, WaveRecord())
         transaction = Transaction(
             (ExpectedRevision(LEADER_KEY, self._election.revision),),
             (
-                Write(make_wave_key(wave), begun),
+                Write(make_wave_key(wave), _encode(record.begun)),
+                Write(make_wave_orders_key(wave), _encode(record.ordered)),
                 Write(
                     f'{WAVE_STATUS_PREFIX}{wave}',
                     encode_wave_status(completed=completed),
@@ -104,3 +133,7 @@
                 fault=str(answer.err_value),
             )
         return not isinstance(answer, Err)
+
+
+def _encode(vms: frozenset[str]) -> bytes:
+    return json.dumps(sorted(vms)).encode()
