--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -9,7 +9,6 @@
 
 from verbenapost.coordination.scheduling.crashes import (
     CrashVerdict,
-    note_crash,
     note_lapse,
 )
 from verbenapost.coordination.scheduling.leases import LeaseClock
@@ -27,7 +26,8 @@
 )
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
-from verbenapost.state.workloads import CallerJobState, WorkerEntry
+from verbenapost.scheduler.workercrashes import WorkerCrashes
+from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds that a worker may wait for an ended run before it answers. Leases
 #: are renewed at this interval and have to outlast a change of the leader.
@@ -76,6 +76,7 @@
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
+        self._crashes = WorkerCrashes(worker, pool_state, ports)
         self._ends = RunEndTracker()
         self._last_clock = 0
         # A worker that doesn't answer gets no further lease, since its leases
@@ -169,7 +170,7 @@
         """
         now = read_clock()
         worker = self.worker
-        verdict = self._note_crash()
+        verdict = self._crashes.note()
         lost = [task for task in worker.tasks.values() if task.proven]
         for task in lost:
             self.pool_state.free_task(task)
@@ -190,8 +191,7 @@
         )
         worker.reconciled = False
         worker.listed = False
-        self._log_suspects(verdict)
-        self._give_up(verdict)
+        self._crashes.judge(verdict)
 
     def end_incarnation(self, reason: str, *, crashed: bool = False) -> None:
         """End the incarnation and free its tasks.
@@ -205,7 +205,7 @@
         if late and not (crashed and worker.lapsed_runs):
             return
         self.ended = True
-        verdict = self._note_crash() if crashed else CrashVerdict()
+        verdict = self._crashes.note() if crashed else CrashVerdict()
         lost = [] if late else self.pool_state.remove_worker(self.name)
         self.ports.log.warning(
             'worker lost',
@@ -214,8 +214,7 @@
             tasks=len(lost),
             suspects=len(verdict.suspects),
         )
-        self._log_suspects(verdict)
-        self._give_up(verdict)
+        self._crashes.judge(verdict)
         self.ports.wake()
 
     def count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
@@ -238,13 +237,6 @@
             return True
         return False
 
-    def _note_crash(self) -> CrashVerdict:
-        worker = self.worker
-        # A worker that was about to leave may have ended for that reason.
-        if worker.leaving or worker.entry.draining:
-            return CrashVerdict()
-        return note_crash(self.pool_state, worker)
-
     def _choose_acknowledged(self, now: float) -> int:
         """Return the number of the last ended run that is stored.
 
@@ -255,35 +247,6 @@
         watched = now - self._answered_at <= MAX_UNWATCHED_SECONDS
         return self._ends.acknowledged if self._answered and watched else 0
 
-    def _log_suspects(self, verdict: CrashVerdict) -> None:
-        for task in verdict.suspects:
-            self.ports.log.info(
-                'worker crashed under a run',
-                job=task.key.job,
-                task=task.key.position,
-                run=task.run,
-                worker=self.name,
-                crashes=len(task.crashed_runs),
-            )
-
-    def _give_up(self, verdict: CrashVerdict) -> None:
-        """End the job of a task that crashes its workers."""
-        if not verdict.culprits:
-            return
-        name = verdict.culprits[0].key.job
-        self.ports.log.warning(
-            'job given up',
-            job=name,
-            reason='its task crashes the workers on which it starts',
-            tasks=[task.key.position for task in verdict.culprits],
-            worker=self.name,
-        )
-        commands = self.pool_state.end_job(
-            self.pool_state.jobs[name], CallerJobState.FAILED
-        )
-        self.ports.recorder.mark_dirty(self.pool_state.pop_dirty_jobs())
-        self.ports.send(self.pool_state, commands)
-
     def _choose_wait(self) -> float:
         worker = self.worker
         if not worker.reconciled:
