Entry: say 'not run' of a refused job only once its key was read

What callers saw: an attempt is answered 504 and stored late, the pool is full at the next one, the read of the job's key gets no answer, and that attempt is answered 429, not run; the job runs.

An unanswered read now gives 504. A job that was never sent before gets 504 where it got 429, only while the key can't be read and the leader is reached.

--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -199,9 +199,11 @@
         return refuse(Status.UNAVAILABLE, 'the store is away; not run', retry)
 
     async def _refuse_full(self, name: str, retry: float) -> EntryAnswer:
-        """Refuse a job unless an earlier attempt stored it."""
+        """Refuse a job unless an earlier attempt may have stored it."""
         found = await self._store.read_key(make_spec_key(name))
-        if isinstance(found, Ok) and found.ok_value is not None:
+        if isinstance(found, Err):
+            return refuse(Status.TIMEOUT, 'not known whether it was stored')
+        if found.ok_value is not None:
             return EntryAnswer(Status.OK)
         self._log.info('submission refused', job=name, retry_after=retry)
         return refuse(Status.REFUSED, 'the pool is full; not run', retry)
