Links: renew no lease of a worker without the leadership's lease

Found by reading, for the users' TWICE: after a start, reports on it were requested up to five times, each with a renewal of the worker's leases, whether the leader's own lease was still valid or not. A leader that is cut off from the store, but not from a worker, so kept that worker's runs for up to 2 s longer than its successor, which can't reach the worker, counts on.

The check now stands in the renewal itself, for all its callers, and before orders on pace.

Evidence: the new test of test_link.py failed before the change (two renewals without a lease) and passes now. The users' record doesn't show this case.

--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -93,19 +93,20 @@
     async def run(self) -> None:
         """Renew the leases until the task is cancelled or the worker ends."""
         while not self.ended:
-            renewed = (
-                self.ports.election.holds_lease()
-                and await self.renew_leases(self._choose_wait())
-            )
-            if not renewed:
+            if not await self.renew_leases(self._choose_wait()):
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def renew_leases(self, wait: float) -> bool:
         """Renew the leases and apply the worker's report.
 
+        Nothing is sent without the leadership's lease: a successor counts the
+        worker's leases as lapsed by the time of its own takeover.
+
         :param wait: seconds that the worker may wait for an ended run.
         :returns: whether the worker answered or its incarnation has ended.
         """
+        if not self.ports.election.holds_lease():
+            return False
         sent_at = read_clock()
         deadline = None
         if self.clock.known and self._answered:
@@ -301,6 +302,8 @@
 
     async def _pace(self) -> None:
         for order in pace_worker(self.worker):
+            if not self.ports.election.holds_lease():
+                return
             answer = await self.ports.client.pace(
                 self.worker.entry,
                 order.task.key,
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -25,6 +25,7 @@
     WorkerReport,
 )
 from verbenapost.scheduler import link as link_module
+from verbenapost.scheduler import startups as startups_module
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.inheritance import Takeover, end_inherited_pause
@@ -78,9 +79,10 @@
 
 class Election:
     token = 1
+    valid = True
 
     def holds_lease(self):
-        return True
+        return self.valid
 
     def lose(self, reason):
         raise AssertionError(reason)
@@ -248,6 +250,26 @@
         assert asyncio.run(scenario()) == 0
 
 
+class TestExpiredLeadership:
+    """A leader that is cut off from the store; another one may lead."""
+
+    async def test_no_lease_of_a_worker_is_renewed(self, monkeypatch):
+        """Reports on started tasks renewed leases beside a successor."""
+        clock = Clock()
+        pool_state, client, link = make_link(clock, monkeypatch)
+        add_job(pool_state, StepSpec(1, SMALL))
+        await link.renew_leases(0)
+        (start,) = plan(pool_state, now=clock.now)
+        pool_state.note_started(start.task, start.run, clock.now)
+        pool_state.suspects[start.task.key.job] = next(
+            iter(pool_state.jobs.values())
+        )
+        monkeypatch.setattr(startups_module, 'PROOF_SECONDS', 0)
+        link.ports.election.valid = False
+        await startups_module.follow_proofs(link, pool_state)
+        assert len(client.leases) == 1
+
+
 class TestUnwatchedWorker:
     """It may have started again, and number the ends of its runs anew."""
 
