--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -103,9 +103,9 @@
         election: Election = self._ports.election
         while True:
             await election.won.wait()
-            self._leader = Leader(self._ports)
             reason = 'the leader task has ended'
             try:
+                self._leader = Leader(self._ports)
                 await self._leader.run()
             except Exception:
                 # The lease is renewed by another task, so that without this
--- a/verbenapost/scheduler/tests/test_failedtasks.py
+++ b/verbenapost/scheduler/tests/test_failedtasks.py
@@ -6,11 +6,13 @@
 from structlog.testing import capture_logs
 
 from verbenapost.platform.names import OPERATOR_PREFIX
+from verbenapost.scheduler import core as core_module
 from verbenapost.scheduler.cleanup import Cleanup
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.follower import PrefixFollower
 from verbenapost.scheduler.keys import LEADER_KEY
+from verbenapost.scheduler.leader import Leader
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.runorders import RunOrders
 from verbenapost.scheduler.tests.scenarios import (
@@ -70,6 +72,24 @@
             assert play(scenario, standby_vms=1) == (2, {COMPLETED})
         assert [row for row in logs if row['event'] == 'task failed']
 
+    def test_a_leader_that_cannot_be_made_gives_up(self, play, monkeypatch):
+        failing = [True]
+
+        def make(ports):
+            if failing:
+                failing.clear()
+                raise OverflowError('injected')
+            return Leader(ports)
+
+        monkeypatch.setattr(core_module, 'Leader', make)
+
+        async def scenario(world):
+            await asyncio.sleep(3)
+            leader = await wait_for_leader(world)
+            return leader.ports.election.token, await complete_jobs(world)
+
+        assert play(scenario) == (2, {COMPLETED})
+
 
 class TestTasksOfADaemon:
     """A failure of what each daemon does all the time leaves nothing out."""
