Followers: list the keys after three failed requests

Cause: a follower goes on from the last revision that it knows, and a watch returns each version since, here several manifests with over a thousand routes. That didn't arrive within the watch's timeout, and was asked for again until the store had dropped the history; the listing that followed took 0.65 s.

After three failures in a row a follower lists the keys, which gives the last value of each.

Evidence: the new test failed before the change.

--- a/verbenapost/scheduler/follower.py
+++ b/verbenapost/scheduler/follower.py
@@ -22,6 +22,11 @@
 #: are ignored.
 MAX_REMOVED_REVISIONS: Final = 20_000
 
+#: Failed requests in a row after which the keys are listed. A watch returns
+#: each change since the last one; after an outage they can be too many to
+#: arrive in time, while a listing holds the last value of each key.
+MAX_FAILURES: Final = 3
+
 Notify = Callable[[KeyChange], None]
 
 
@@ -74,15 +79,21 @@
         self._revisions: dict[str, int] = {}
         self._position = _Position()
         self._lost = False
+        self._failures = 0
 
     async def run(self) -> None:
         """Follow until the task is cancelled."""
         while True:
             read = self._watch if self._position.listed else self._list
             fault = await read()
-            if fault is not None:
-                self._note_lost(fault)
-                await asyncio.sleep(RETRY_SECONDS)
+            if fault is None:
+                self._failures = 0
+                continue
+            self._note_lost(fault)
+            self._failures += 1
+            if self._failures >= MAX_FAILURES:
+                self._position.listed = False
+            await asyncio.sleep(RETRY_SECONDS)
 
     async def _list(self) -> CallFault | None:
         sent_at = read_clock()
--- a/verbenapost/scheduler/tests/test_follower.py
+++ b/verbenapost/scheduler/tests/test_follower.py
@@ -60,6 +60,36 @@
         return Ok(ItemPage(items, truncated=False, revision=2))
 
 
+class TestLongHistory:
+    """The changes of an outage are too many to arrive in time."""
+
+    async def test_the_keys_are_listed_again(self, monkeypatch):
+        """A daemon kept an old configuration for 11 s after an outage."""
+        monkeypatch.setattr(follower_module, 'RETRY_SECONDS', 0)
+        silent = Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+        store = Store([Ok(ChangeBatch([], 1)), *[silent] * 50])
+        applied = {}
+        follower = PrefixFollower(
+            store,
+            'p/',
+            lambda change: applied.update({change.key: change.value}),
+            make_logger('test'),
+        )
+        task = asyncio.create_task(follower.run())
+        while len(store.answers) > 49:
+            await asyncio.sleep(0)
+        item = KeyValue('p/a', b'9', 9)
+
+        async def read_range(_prefix):
+            return Ok(ItemPage([item], truncated=False, revision=9))
+
+        monkeypatch.setattr(store, 'read_range', read_range)
+        while store.answers and not applied:
+            await asyncio.sleep(0)
+        task.cancel()
+        assert applied == {'p/a': b'9'}
+
+
 class TestFailingChange:
     async def test_changes_after_it_are_applied_and_it_is_logged(self):
         applied = []
