Tests: take the prefix of worker entries from the platform's names

Cause: test_regained.py, new in, spelled the platform's key itself, which only verbenapost/platform may. Change: the name is imported, as in its sister tests. Result: both tests of the file pass; nothing of the product changed.

--- a/verbenapost/scheduler/tests/test_regained.py
+++ b/verbenapost/scheduler/tests/test_regained.py
@@ -4,6 +4,7 @@
 
 from standins.fleet.workers import FleetWorker
 from standins.fleet.world import SERVICE, WORKER_CAPACITY
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.protocol.orders import KeyChange
 from verbenapost.scheduler import election as election_module
 from verbenapost.scheduler.keys import LEADER_KEY
@@ -46,7 +47,7 @@
             # The worker registers while the leader closes.
             late = FleetWorker(world, 'w9', SERVICE, WORKER_CAPACITY)
             late.register()
-            item = world.store.items['servers/w9']
+            item = world.store.items[f'{WORKER_PREFIX}w9']
             former._fleet.apply_change(KeyChange(item.key, item.value, 1))
             await asyncio.sleep(1)
             return len(former._fleet.tasks)
