Moves: use a VM again whose move was never answered

Callers saw jobs wait although the pool had a VM for them: a VM whose move got no answer in 12 attempts, or in one attempt before an outage of the store that the leader survived, stayed marked as leaving until the next leader.

Cause: the mark was kept after an unanswered order, as the order may still be carried out, and nothing took it off once that time (15 s) was over.

Change: in each round the controller takes the mark off VMs that no order, no wave and no planned move concerns. An unanswered move counts as possible for 15 s as before. Maintenance that was confirmed still waits for the next list.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -42,6 +42,8 @@
     :ivar maintained: maintenance of all VMs, in order.
     :ivar lost_answers: number of the next orders that are carried out and get
         no answer.
+    :ivar silent_orders: number of the next orders that are not carried out and
+        get no answer.
     :ivar late_orders: seconds after which each of the next orders is carried
         out, without an answer.
     :ivar hidden: VMs that the next read of the list leaves out.
@@ -52,6 +54,7 @@
         self.standby = standby
         self.maintained = []
         self.lost_answers = 0
+        self.silent_orders = 0
         self.late_orders = []
         self.hidden = set()
         self._tokens = {}
@@ -175,7 +178,9 @@
 
     async def _send(self, carry_out, *order):
         core = self.world.cloud
-        if core.late_orders:
+        if core.silent_orders:
+            core.silent_orders -= 1
+        elif core.late_orders:
             loop = asyncio.get_running_loop()
             loop.call_later(core.late_orders.pop(0), carry_out, *order)
         else:
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -168,6 +168,7 @@
         self._forget_joined(now)
         if not self._ports.election.holds_lease():
             return
+        self._readmit_staying(now)
         self._evacuate(now)
         if not self._vm_list.vms:
             return
@@ -253,6 +254,21 @@
                 self._joining.pop(name)
                 self._stale = True
 
+    def _readmit_staying(self, now: float) -> None:
+        """Let the VMs accept work again that nothing is going to move.
+
+        The order to move such a VM got no answer and can't be carried out any
+        more.
+        """
+        departing = {
+            *self._capacity.pending_moves,
+            *self._waves.find_departing(),
+            *self._orders.find_uncertain(now),
+        }
+        for view in self._make_views():
+            if view.vm.vm not in departing and self._fleet.readmit(view.vm.vm):
+                self._log.info('VM stays', vm=view.vm.vm, pool=view.vm.pool)
+
     def _evacuate(self, now: float) -> None:
         for pool_state in self._pool_states:
             leaving = [
@@ -303,8 +319,8 @@
         answer = await self._orders.move(move.vm, move.pool)
         if isinstance(answer, Err):
             self._joining.pop(move.vm, None)
-            uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
-            self._fleet.readmit(move.vm, uncertain=uncertain)
+            if answer.err_value.kind is not CallFaultKind.UNKNOWN:
+                self._fleet.readmit(move.vm)
             return
         if link is not None:
             link.end_incarnation('its VM has moved')
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -131,16 +131,19 @@
             default=None,
         )
 
-    def readmit(self, vm: str, *, uncertain: bool) -> None:
-        """Let a VM accept work again after a failed order.
+    def readmit(self, vm: str) -> bool:
+        """Let a VM accept work again that was about to leave its pool.
 
-        :param vm: name of the VM.
-        :param uncertain: whether the order may still have an effect; the VM
-            then gets no work.
+        :param vm: name of the VM, for which no order is in progress.
+        :returns: whether the VM was about to leave; one whose maintenance was
+            confirmed still is until a list of VMs shows whether it was done.
         """
         link = self.find_by_vm(vm)
-        if link is not None and not uncertain:
-            link.worker.leaving = False
+        if link is None or link.maintained_at is not None:
+            return False
+        was_leaving = link.worker.leaving
+        link.worker.leaving = False
+        return was_leaving
 
     def find_elsewhere(self, vm: str, pool: str) -> WorkerLink | None:
         """Return the link to a VM's worker unless it is of a pool.
--- a/verbenapost/scheduler/tests/test_capacitychanges.py
+++ b/verbenapost/scheduler/tests/test_capacitychanges.py
@@ -94,11 +94,11 @@
             for worker in free:
                 worker.resize(SHRUNK)
             await asyncio.sleep(NOTICE_SECONDS)
-            pool_states = leader.core._leader._pool_states
-            held_worker = pool_states.find('routing').workers[held.name]
-            held_worker.leaving = True
+            world.request_wave(1, [held.vm], duration=60, cap=1)
             since = world.now()
             await asyncio.sleep(3)
+            pool_states = leader.core._leader._pool_states
+            assert pool_states.find('routing').workers[held.name].leaving
             moved = [
                 event
                 for event in world.history
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -78,6 +78,16 @@
             if progress.is_complete(vm_list) and not progress.down:
                 await self._status.complete(wave.number)
 
+    def find_departing(self) -> set[str]:
+        """Return the VMs that are emptied for maintenance or ordered."""
+        return {
+            vm
+            for number, progress in self._progress.items()
+            if number in self._configuration.waves
+            and not self._status.is_complete(number)
+            for vm in progress.emptying | progress.ordered
+        }
+
     def _send(
         self,
         progress: WaveProgress,
@@ -115,7 +125,8 @@
             self._planner.note_failed(
                 progress, order.vm, read_clock(), outcome_unknown=uncertain
             )
-            self._fleet.readmit(order.vm, uncertain=uncertain)
+            if not uncertain:
+                self._fleet.readmit(order.vm)
             return
         now = read_clock()
         self._planner.note_begun(progress, order.vm, now)
