VM list: read it again if an order ended while it was on its way

A list that was requested before an order ended and arrived after it took the mark off that says 'read the list again', so for up to 1 s a VM was shown in the pool, and with the worker, that it had before the order.

Cause: the mark was taken off when the list arrived, not when it was requested.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -46,6 +46,7 @@
         get no answer.
     :ivar late_orders: seconds after which each of the next orders is carried
         out, without an answer.
+    :ivar list_seconds: seconds for which a list is on its way.
     :ivar hidden: VMs that the next read of the list leaves out.
     """
 
@@ -56,6 +57,7 @@
         self.lost_answers = 0
         self.silent_orders = 0
         self.late_orders = []
+        self.list_seconds = 0
         self.hidden = set()
         self._tokens = {}
         self._states = {}
@@ -164,7 +166,9 @@
     async def list_vms(self):
         """Return the VM list."""
         await asyncio.sleep(0.004)
-        return Ok(self.world.cloud.list_vms())
+        listed = self.world.cloud.list_vms()
+        await asyncio.sleep(self.world.cloud.list_seconds)
+        return Ok(listed)
 
     async def move(self, vm, pool, token):
         """Move a VM into another pool."""
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -198,8 +198,11 @@
 
     async def _replace_list(self) -> None:
         requested = read_moment()
+        # An order that ends from now on may not show in this list.
+        self._stale = False
         listed = await self._cloud.list_vms()
         if isinstance(listed, Err):
+            self._stale = True
             self._log.warning(
                 'VM list not read',
                 fault=listed.err_value.kind.value,
@@ -207,7 +210,6 @@
             )
             return
         self._listed_at = read_clock()
-        self._stale = False
         self._log_changes(listed.ok_value)
         self._vm_list.replace(listed.ok_value)
         self._fleet.end_replaced_incarnations(self._vm_list, requested)
