Workers: keep what is known of an incarnation apart from the next

A worker may start again under its identity, with a new clock and new numbers of ends.

What callers could see: a subtask that was done started again (TWICE), as its end was forgotten before it was stored, or a worker that got no work any more.

Causes, all of one kind, each with a test that failed before: - Ends of the incarnation before, stored after the restart, counted as stored ends of the next one with the same numbers, which the worker then forgot. - An answer of its former address, by then that of another worker (421), ended the next incarnation. - A list of VMs requested before the restart ended the next incarnation. - A worker counted as watched from the arrival of its answer. An answer that is on its way for a second may be older than a restart, and the next hold would then let the new incarnation forget ends that nobody has read. - A start answered with a clock that starts anew was not taken as a sign.

Change: an Incarnation holds the clock, leases and ends of one start of a worker; each call keeps the one to which it was sent. An answer is dated by the worker's own clock, which may be slow but not fast. The fake worker of the tests answered a hold only after 0.5 s, which now counts as an answer that may be 0.5 s old; it answers within 0.1 s, its silence still takes 0.5 s.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -247,7 +247,9 @@
     vm = vm_list.vms.get(entry.vm)
     if vm is None and not (entry.vm and vm_list.has_left(entry.vm)):
         return False
-    return has_incarnation_ended(entry, vm, link.known_since, requested)
+    return has_incarnation_ended(
+        entry, vm, link.incarnation.known_since, requested
+    )
 
 
 def _is_reachable(link: WorkerLink) -> bool:
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -11,11 +11,9 @@
     CrashVerdict,
     note_lapse,
 )
-from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.reports import ReportReconciler
-from verbenapost.coordination.scheduling.runends import RunEndTracker
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import (
@@ -24,6 +22,7 @@
     RunEnd,
     WorkerReport,
 )
+from verbenapost.scheduler.incarnation import Incarnation
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
 from verbenapost.scheduler.workercrashes import WorkerCrashes
@@ -41,23 +40,18 @@
 #: Seconds between two attempts to reach a worker.
 RETRY_SECONDS: Final = 0.25
 
-#: Longest pause between an answer of a worker and the next lease renewal, in
-#: seconds, within which the worker can't have started again unnoticed.
-MAX_UNWATCHED_SECONDS: Final = 0.2
-
 
 class WorkerLink:
-    """Renews the leases of one worker incarnation and reads its reports.
+    """Renews the leases of one worker and reads its reports.
 
     :param worker: the worker, as listed in the state of its pool.
     :param pool_state: state of the worker's pool.
     :param ports: dependencies of the link.
     :ivar ended: whether the incarnation has ended.
-    :ivar known_since: local seconds at which the entry was first read.
     :ivar maintained_at: local seconds at which the maintenance of the worker's
         VM was confirmed, until a later list of VMs shows whether it has ended
         this incarnation.
-    :ivar clock: leases granted, and the offset of the worker's clock.
+    :ivar incarnation: the incarnation that is followed.
     :ivar orders: sends starts and stops to the worker.
     """
 
@@ -65,25 +59,19 @@
         self, worker: Worker, pool_state: PoolState, ports: LinkPorts
     ) -> None:
         self.ended = False
-        self.known_since = read_clock()
         self.maintained_at: float | None = None
-        self.clock = LeaseClock()
         self.worker = worker
-        self._started_at_ms = worker.entry.started_at_ms
-        # Reports requested before this are of an earlier incarnation.
-        self._restarted_at: float = 0
-        self._answered_at: float = 0
+        # The previous leader may have granted leases until it was replaced.
+        self.incarnation = Incarnation(
+            worker.entry.started_at_ms, read_clock(), ports.hold_seconds
+        )
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
         self._crashes = WorkerCrashes(worker, pool_state, ports)
-        self._ends = RunEndTracker()
-        self._last_clock = 0
         # A worker that doesn't answer gets no further lease, since its leases
         # have to expire before its tasks may start elsewhere.
         self._answered = True
-        # The previous leader may have granted leases until it was replaced.
-        self.clock.note_unknown_lease(read_clock(), ports.hold_seconds)
 
     @property
     def name(self) -> str:
@@ -108,14 +96,16 @@
         if not self.ports.election.holds_lease():
             return False
         sent_at = read_clock()
+        clock = self.incarnation.clock
         deadline = None
-        if self.clock.known and self._answered:
-            deadline = self.clock.make_deadline(
+        if clock.known and self._answered:
+            deadline = clock.make_deadline(
                 sent_at, self.ports.hold_seconds, latest=True
             )
-            self.clock.note_lease(deadline)
+            clock.note_lease(deadline)
+        entry = self.worker.entry
         answer = await self.ports.client.hold(
-            self.worker.entry,
+            entry,
             self.ports.election.token,
             self._choose_acknowledged(sent_at),
             deadline,
@@ -128,17 +118,16 @@
             return True
         self._answered = not isinstance(answer, Err)
         if isinstance(answer, Err):
-            self._note_unreachable(answer.err_value)
+            self._note_unreachable(answer.err_value, entry)
             return False
         await self._apply_report(answer.ok_value, sent_at)
         return True
 
     def is_same_incarnation(self, entry: WorkerEntry) -> bool:
         """Return whether an entry is of this link's incarnation."""
-        known = self.worker.entry
         return (entry.started_at_ms, entry.service) == (
-            self._started_at_ms,
-            known.service,
+            self.incarnation.started_at_ms,
+            self.worker.entry.service,
         )
 
     def update(self, entry: WorkerEntry) -> None:
@@ -181,12 +170,9 @@
             tasks=len(lost),
             suspects=len(verdict.suspects),
         )
-        self._started_at_ms = started_at_ms
-        self._restarted_at = now
-        self._ends = RunEndTracker()
-        self._last_clock = 0
-        self.clock = LeaseClock()
-        self.clock.note_unknown_lease(now, self.ports.hold_seconds)
+        self.incarnation = Incarnation(
+            started_at_ms, now, self.ports.hold_seconds
+        )
         worker.entry = dataclasses.replace(
             worker.entry, started_at_ms=started_at_ms
         )
@@ -225,18 +211,21 @@
             outcome = answer.err_value.kind.value
         self.ports.metrics.orders.inc({'kind': kind, 'outcome': outcome})
 
-    def handle_final_fault(self, fault: CallFault) -> bool:
+    def handle_final_fault(self, fault: CallFault, asked: WorkerEntry) -> bool:
         """Handle a fault that ends the leadership or the incarnation.
 
+        :param fault: the fault.
+        :param asked: entry of the worker to which the call was sent.
         :returns: whether the fault is of this kind.
         """
         if fault.kind is CallFaultKind.FENCED:
             self.ports.election.lose('a worker has seen a higher token')
             return True
-        if fault.kind is CallFaultKind.OTHER_INCARNATION:
+        if fault.kind is not CallFaultKind.OTHER_INCARNATION:
+            return False
+        if _locate(asked) == _locate(self.worker.entry):
             self.end_incarnation('another incarnation answers', crashed=True)
-            return True
-        return False
+        return True
 
     def _choose_acknowledged(self, now: float) -> int:
         """Return the number of the last ended run that is stored.
@@ -245,8 +234,8 @@
         heard of. It numbers the ends of its runs anew, and would forget those
         that nobody has read; so such a worker is first asked for all of them.
         """
-        watched = now - self._answered_at <= MAX_UNWATCHED_SECONDS
-        return self._ends.acknowledged if self._answered and watched else 0
+        watched = self._answered and self.incarnation.is_watched(now)
+        return self.incarnation.ends.acknowledged if watched else 0
 
     def _choose_wait(self) -> float:
         worker = self.worker
@@ -261,22 +250,23 @@
 
     async def _apply_report(self, report: WorkerReport, sent_at: float) -> None:
         now = read_clock()
-        if report.started_at_ms not in {None, self._started_at_ms}:
-            if sent_at < self._restarted_at:
+        if report.started_at_ms not in {None, self.incarnation.started_at_ms}:
+            if sent_at < self.incarnation.known_since:
+                # The answer was given by an earlier incarnation.
                 return
             self.restart(report.started_at_ms)
-        if report.clock < self._last_clock:
+        incarnation = self.incarnation
+        if report.clock < incarnation.last_clock:
             # A newer answer arrived earlier, on another connection.
             return
-        self._answered_at = now
-        self._last_clock = report.clock
-        self.clock.observe(report.clock, now, now)
+        incarnation.note_reading(report.clock, sent_at)
+        incarnation.clock.observe(report.clock, now, now)
         worker = self.worker
         if not worker.reachable:
             self.ports.log.info('worker reached', worker=self.name)
         worker.reachable = True
         worker.lapsed_runs = ()
-        ends = self._ends.filter_new(report.ends)
+        ends = incarnation.ends.filter_new(report.ends)
         for end in ends:
             self.ports.log.info(
                 'run ended',
@@ -298,14 +288,15 @@
         self.ports.send(self.pool_state, commands)
         self.ports.wake()
         await self._pace()
-        await self._store_ends(ends, written)
+        await _store_ends(incarnation, ends, written)
 
     async def _pace(self) -> None:
         for order in pace_worker(self.worker):
             if not self.ports.election.holds_lease():
                 return
+            entry = self.worker.entry
             answer = await self.ports.client.pace(
-                self.worker.entry,
+                entry,
                 order.task.key,
                 order.run,
                 order.pace,
@@ -319,21 +310,12 @@
                 outcome=str(answer.err()),
             )
             if isinstance(answer, Err):
-                self.handle_final_fault(answer.err_value)
+                self.handle_final_fault(answer.err_value, entry)
             else:
                 order.task.pace = order.pace
 
-    async def _store_ends(
-        self,
-        ends: list[RunEnd],
-        written: Sequence[asyncio.Future[bool]],
-    ) -> None:
-        """Acknowledge ended runs once the store has the resulting changes."""
-        if ends and all(await asyncio.gather(*written)):
-            self._ends.note_stored(ends)
-
-    def _note_unreachable(self, fault: CallFault) -> None:
-        if self.handle_final_fault(fault):
+    def _note_unreachable(self, fault: CallFault, asked: WorkerEntry) -> None:
+        if self.handle_final_fault(fault, asked):
             return
         worker = self.worker
         if worker.reachable:
@@ -344,7 +326,7 @@
                 detail=fault.detail,
             )
         worker.reachable = False
-        if not self.clock.is_lapsed(read_clock()):
+        if not self.incarnation.clock.is_lapsed(read_clock()):
             return
         note_lapse(worker)
         if worker.listed:
@@ -359,3 +341,18 @@
                 'leases lapsed', worker=self.name, tasks=len(lost)
             )
             self.ports.wake()
+
+
+async def _store_ends(
+    incarnation: Incarnation,
+    ends: list[RunEnd],
+    written: Sequence[asyncio.Future[bool]],
+) -> None:
+    """Acknowledge ended runs once the store has the resulting changes."""
+    if ends and all(await asyncio.gather(*written)):
+        incarnation.ends.note_stored(ends)
+
+
+def _locate(entry: WorkerEntry) -> tuple[int, str]:
+    """Return the incarnation and the address that an entry names."""
+    return entry.started_at_ms, entry.address
--- a/verbenapost/scheduler/runorders.py
+++ b/verbenapost/scheduler/runorders.py
@@ -6,13 +6,14 @@
 from result import Err, Result
 
 from verbenapost.coordination.scheduling.commands import StartTask, StopTask
-from verbenapost.coordination.scheduling.leases import LeaseClock
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import CallFault, CallFaultKind, RunStart
+from verbenapost.scheduler.incarnation import Incarnation
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.startups import follow_proofs, follow_startup
+from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds within which a start has to reach its worker; the worker refuses a
 #: start that arrives later.
@@ -30,14 +31,14 @@
     """Link over which orders are sent.
 
     :ivar ended: whether the worker's incarnation has ended.
-    :ivar clock: leases granted, and the offset of the worker's clock.
+    :ivar incarnation: the worker's incarnation that is followed.
     :ivar worker: the worker.
     :ivar pool_state: state of the worker's pool.
     :ivar ports: dependencies of the link.
     """
 
     ended: bool
-    clock: LeaseClock
+    incarnation: Incarnation
     worker: Worker
     pool_state: PoolState
     ports: LinkPorts
@@ -52,7 +53,7 @@
     def count_call(self, kind: str, answer: Result[Any, CallFault]) -> None:
         """Count a call by its outcome."""
 
-    def handle_final_fault(self, fault: CallFault) -> bool:
+    def handle_final_fault(self, fault: CallFault, asked: WorkerEntry) -> bool:
         """Handle a fault that ends the leadership or the incarnation."""
 
 
@@ -71,15 +72,16 @@
     async def start(self, command: StartTask) -> None:
         """Send a start and record its outcome."""
         task = command.task
-        if not self._link.clock.known or not self._ports.election.holds_lease():
+        entry = self._link.worker.entry
+        incarnation = self._link.incarnation
+        clock = incarnation.clock
+        if not clock.known or not self._ports.election.holds_lease():
             self._fail_start(
-                command, CallFault(CallFaultKind.NOT_DONE, 'not sent')
+                command, CallFault(CallFaultKind.NOT_DONE, 'not sent'), entry
             )
             return
-        deadline = self._link.clock.make_deadline(
-            read_clock(), START_DEADLINE_SECONDS
-        )
-        self._link.clock.note_lease(deadline)
+        deadline = clock.make_deadline(read_clock(), START_DEADLINE_SECONDS)
+        clock.note_lease(deadline)
         order = RunStart(
             task.key,
             command.run,
@@ -90,14 +92,16 @@
             command.ticket,
         )
         sent_at = read_clock()
-        answer = await self._send_start(order, sent_at)
+        floor = incarnation.last_clock
+        answer = await self._send_start(entry, order, sent_at)
         if isinstance(answer, Err):
-            self._fail_start(command, answer.err_value)
+            self._fail_start(command, answer.err_value, entry)
             if answer.err_value.kind is CallFaultKind.UNKNOWN:
                 await self._resolve_unknown_start(command)
             return
         now = read_clock()
-        self._link.clock.observe(answer.ok_value, sent_at, now)
+        if incarnation.note_reading(answer.ok_value, sent_at, floor):
+            clock.observe(answer.ok_value, sent_at, now)
         self._pool_state.note_started(task, command.run, now)
         await self._follow_proofs()
         await follow_startup(self._link, self._pool_state, task)
@@ -107,8 +111,9 @@
         for _ in range(STOP_ATTEMPTS):
             if self._link.ended or not self._ports.election.holds_lease():
                 return
+            entry = self._link.worker.entry
             answer = await self._ports.client.stop(
-                self._link.worker.entry,
+                entry,
                 command.task.key,
                 command.run,
                 self._ports.election.token,
@@ -119,7 +124,7 @@
                     command.task, command.run, read_clock()
                 )
                 return
-            if self._link.handle_final_fault(answer.err_value):
+            if self._link.handle_final_fault(answer.err_value, entry):
                 return
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
@@ -134,14 +139,12 @@
             self._follows_proofs = False
 
     async def _send_start(
-        self, order: RunStart, sent_at: float
+        self, entry: WorkerEntry, order: RunStart, sent_at: float
     ) -> Result[int, CallFault]:
         window = self._ports.window
         window.begin()
         try:
-            answer = await self._ports.client.start(
-                self._link.worker.entry, order
-            )
+            answer = await self._ports.client.start(entry, order)
         finally:
             now = read_clock()
             window.end(now - sent_at, now)
@@ -163,7 +166,9 @@
         ):
             await self._link.renew_leases(0)
 
-    def _fail_start(self, command: StartTask, fault: CallFault) -> None:
+    def _fail_start(
+        self, command: StartTask, fault: CallFault, asked: WorkerEntry
+    ) -> None:
         self._ports.log.info(
             'start not confirmed',
             job=command.task.key.job,
@@ -176,5 +181,5 @@
         self._pool_state.note_start_failed(
             command.task, command.run, fault.kind, read_clock()
         )
-        self._link.handle_final_fault(fault)
+        self._link.handle_final_fault(fault, asked)
         self._ports.wake()
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -1,8 +1,81 @@
 """Answers, entries and lists that speak of an earlier time than they arrive."""
 
 import asyncio
+import dataclasses
 
-from verbenapost.scheduler.tests.scenarios import wait_for_leader
+import pytest
+from result import Err, Ok
+
+from standins.fleet.world import STANDBY
+from verbenapost.coordination.scheduling.tests.sample import (
+    SMALL,
+    add_job,
+    plan,
+)
+from verbenapost.protocol.orders import (
+    CallFault,
+    CallFaultKind,
+    RunEnd,
+    RunEndKind,
+)
+from verbenapost.scheduler import runorders as runorders_module
+from verbenapost.scheduler.keys import LEADER_KEY
+from verbenapost.scheduler.tests.links import (
+    Clock,
+    Recorder,
+    make_link,
+)
+from verbenapost.scheduler.tests.scenarios import (
+    check_rules,
+    name_long_running,
+    wait_for_leader,
+)
+from verbenapost.state.workloads import StepSpec
+
+LONG_STEP = [{'count': 4, 'cpu': 500, 'mem_mb': 100, 'long_running': True}]
+
+
+def count_runs(world):
+    return sum(len(row.runs) for row in world.workers.values() if row.up)
+
+
+def is_in_use(world, worker):
+    """Return whether the leader may start tasks on a worker."""
+    leader = world.find_leader()
+    link = leader.core._leader._fleet.find_by_vm(worker.vm)
+    return (
+        link is not None
+        and link.name == worker.name
+        and link.worker.accepts_tasks(world.now() + 1000)
+    )
+
+
+class TestListBeforeARestart:
+    """A worker that had started again got no work any more (issue 35)."""
+
+    def test_ends_only_the_incarnation_before(self, play):
+        async def scenario(world):
+            world.configure(version=2, standby=False)
+            await wait_for_leader(world)
+            await world.submit(name_long_running(1), LONG_STEP)
+            await asyncio.sleep(3)
+            worker = world.workers['w0']
+            worker.crash()
+            world.cloud.list_seconds = 1.5
+            await asyncio.sleep(1.2)
+            worker.restart()
+            worker.faults.unreachable = True
+            await asyncio.sleep(1.5)
+            worker.faults.unreachable = False
+            world.cloud.list_seconds = 0
+            await asyncio.sleep(4)
+            return (
+                is_in_use(world, worker),
+                count_runs(world),
+                check_rules(world),
+            )
+
+        assert play(scenario, standby_vms=0) == (True, 4, [])
 
 
 class TestListDuringAnOrder:
@@ -23,3 +96,140 @@
             return controller._needs_list(controller._listed_at)
 
         assert play(scenario, standby_vms=0)
+
+
+class TestAnswerOfTheIncarnationBefore:
+    """It was recorded as one of the worker's next start (issue 35)."""
+
+    def make_started(self, monkeypatch, recorder=None):
+        """Return a link and the start of a task on its worker."""
+        clock = Clock()
+        pool_state, client, link = make_link(clock, monkeypatch, recorder)
+        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
+        add_job(pool_state, StepSpec(1, SMALL))
+        add_job(pool_state, StepSpec(1, SMALL), job='0' * 16)
+        return clock, client, link
+
+    async def test_its_ends_do_not_count_as_stored_ends_of_the_next(
+        self, monkeypatch
+    ):
+        """An end was forgotten before it was stored (TWICE)."""
+        recorder = Recorder()
+        _, client, link = self.make_started(monkeypatch, recorder)
+        await link.renew_leases(0)
+        renewals = []
+        for start in plan(link.pool_state):
+            link.pool_state.note_started(start.task, start.run, 100)
+            done = RunEndKind.DONE
+            client.ends = [RunEnd(1, start.task.key, start.run, done, '')]
+            renewals.append(asyncio.create_task(link.renew_leases(0)))
+            await asyncio.sleep(0)
+            ends = client.ends
+            client.restart()
+        client.started_at_ms -= 1
+        client.ends = ends
+        first, _ = recorder.waiting
+        first.set_result(True)
+        await renewals[0]
+        await link.renew_leases(0)
+        for renewal in renewals[1:]:
+            renewal.cancel()
+        assert client.seen[-1] == 0
+
+    async def test_its_address_does_not_end_the_next(self, monkeypatch):
+        """Its address may by then be that of another worker."""
+        _, client, link = self.make_started(monkeypatch)
+        await link.renew_leases(0)
+        answered = asyncio.Event()
+        hold = client.hold
+
+        async def hold_elsewhere(*_call):
+            await answered.wait()
+            return Err(CallFault(CallFaultKind.OTHER_INCARNATION))
+
+        client.hold = hold_elsewhere
+        renewal = asyncio.create_task(link.renew_leases(0))
+        await asyncio.sleep(0)
+        client.hold = hold
+        client.restart()
+        await link.renew_leases(0)
+        link.update(
+            dataclasses.replace(
+                link.worker.entry,
+                started_at_ms=client.started_at_ms,
+                address='127.0.0.1:2',
+            )
+        )
+        answered.set()
+        await renewal
+        assert not link.ended
+
+
+class TestAnswerInTransit:
+    """A worker may start again while its answer is on its way (TWICE)."""
+
+    async def acknowledge(self, monkeypatch):
+        """Return a link that has acknowledged the worker's first end."""
+        clock = Clock()
+        pool_state, client, link = make_link(clock, monkeypatch)
+        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
+        add_job(pool_state, StepSpec(1, SMALL))
+        await link.renew_leases(0)
+        (start,) = plan(pool_state, now=clock.now)
+        pool_state.note_started(start.task, start.run, clock.now)
+        end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
+        client.ends.append(end)
+        renewal = asyncio.create_task(link.renew_leases(0))
+        await asyncio.sleep(0)
+        for waiting in link.ports.recorder.waiting:
+            waiting.set_result(True)
+        await renewal
+        await link.renew_leases(0)
+        assert client.seen[-1] == 1
+        return client, link
+
+    async def test_after_it_all_ends_are_read(self, monkeypatch):
+        client, link = await self.acknowledge(monkeypatch)
+        client.transit = 1
+        await link.renew_leases(0)
+        client.transit = 0
+        await link.renew_leases(0)
+        await link.renew_leases(0)
+        assert client.seen[-2:] == [0, 1]
+
+    async def test_after_a_clock_that_starts_anew_all_ends_are_read(
+        self, monkeypatch
+    ):
+        client, link = await self.acknowledge(monkeypatch)
+        (start,) = plan(link.pool_state, now=client.clock.now)
+        client.restart()
+
+        async def begin(_worker, _order):
+            return Ok(client.read_clock())
+
+        client.start = begin
+        await link.orders.start(start)
+        await link.renew_leases(0)
+        assert client.seen[-1] == 0
+
+
+class TestLateMoveOfAFormerLeader:
+    """It ends runs of the next leader, which RULES allows for late orders."""
+
+    @pytest.mark.parametrize('seconds', [4, 8, 12])
+    def test_no_task_runs_twice(self, play, seconds):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            await world.submit(name_long_running(1), LONG_STEP)
+            await asyncio.sleep(3)
+            worker = next(row for row in world.workers.values() if row.runs)
+            token = leader.ports.election.token
+            asyncio.get_running_loop().call_later(
+                seconds, world.cloud.move, worker.vm, STANDBY, token
+            )
+            await leader.kill()
+            world.store.remove(LEADER_KEY)
+            await asyncio.sleep(seconds + 8)
+            return worker.up, count_runs(world), check_rules(world)
+
+        assert play(scenario, standby_vms=0) == (False, 4, [])
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -3,36 +3,31 @@
 import asyncio
 import dataclasses
 
-from result import Err, Ok
-
 from verbenapost.coordination.scheduling.jobs import TaskState
 from verbenapost.coordination.scheduling.moment import Moment
-from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.tests.sample import (
     SMALL,
     add_job,
-    make_pool_state,
     make_row,
     plan,
 )
 from verbenapost.coordination.scheduling.vmlist import VmList
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.orders import (
-    CallFault,
-    CallFaultKind,
     RunEnd,
     RunEndKind,
-    WorkerReport,
 )
-from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler import startups as startups_module
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.inheritance import Takeover, end_inherited_pause
-from verbenapost.scheduler.link import WorkerLink
-from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.poolstates import PoolStateSet
-from verbenapost.scheduler.ports import LinkPorts
+from verbenapost.scheduler.tests.links import (
+    HOLD_SECONDS,
+    Clock,
+    Recorder,
+    make_link,
+)
 from verbenapost.state.workloads import (
     FleetVm,
     FleetVmState,
@@ -40,86 +35,10 @@
     StepSpec,
 )
 
-HOLD_SECONDS = 6
-
 #: Request of a VM list long after the worker's start.
 OLD_ENTRY = Moment(now=100.0, wall=100.0)
 
 
-class Clock:
-    def __init__(self):
-        self.now = 100.0
-
-    def read(self):
-        return self.now
-
-
-class FakeWorker:
-    """Answers lease renewals while it is up and records their deadlines."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.up = True
-        self.running = []
-        self.ends = []
-        self.leases = []
-        self.seen = []
-
-    async def hold(self, _worker, _token, seen, deadline, _wait):
-        self.clock.now += 0.5
-        self.leases.append(deadline)
-        self.seen.append(seen)
-        if not self.up:
-            return Err(CallFault(CallFaultKind.UNKNOWN, 'silent'))
-        ends = [end for end in self.ends if end.number > seen]
-        return Ok(
-            WorkerReport(round(self.clock.now * 1000), self.running, ends)
-        )
-
-
-class Election:
-    token = 1
-    valid = True
-
-    def holds_lease(self):
-        return self.valid
-
-    def lose(self, reason):
-        raise AssertionError(reason)
-
-
-class Recorder:
-    """Collects writes until a test sets their outcome."""
-
-    def __init__(self):
-        self.waiting = []
-
-    def mark_dirty(self, jobs):
-        loop = asyncio.get_running_loop()
-        futures = [loop.create_future() for _ in jobs]
-        self.waiting.extend(futures)
-        return futures
-
-
-def make_link(clock, monkeypatch, recorder=None):
-    monkeypatch.setattr(link_module, 'read_clock', clock.read)
-    pool_state = make_pool_state()
-    client = FakeWorker(clock)
-    ports = LinkPorts(
-        client,
-        Election(),
-        recorder or Recorder(),
-        HOLD_SECONDS,
-        lambda: None,
-        SchedulerMetrics(),
-        OrderWindow(),
-        lambda _pool_state, _commands: None,
-        make_logger('worker'),
-    )
-    link = WorkerLink(pool_state.workers['w0'], pool_state, ports)
-    return pool_state, client, link
-
-
 class TestSilentWorker:
     async def run_silence(self, monkeypatch, seconds):
         clock = Clock()
