Workers: ask a worker before an entry replaces its incarnation

Callers saw two runs of one subtask (TWICE): an entry with another start than the known one freed the proven tasks of a live worker, which started elsewhere while they ran on. The entry may be one that the worker wrote before it started again and that took effect late, or one of another writer. An entry of another pool ended the worker, which got no work until its entry changed.

Cause: the entry was believed, whatever the worker itself says.

Change: such an entry is a claim. Nothing is started on the worker, and it is asked at the address of the claim; its own report decides. A claim of another pool that it confirms ends the link, and the fleet adds one for the new pool. A worker that can't be reached keeps its tasks until its leases lapse or the list of VMs shows its end.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -182,18 +182,29 @@
 
     def _apply_entry(self, entry: WorkerEntry) -> None:
         link = self.links.get(entry.worker)
-        if link is not None and not link.is_same_incarnation(entry):
-            self._replace_incarnation(link, entry)
-        if link is not None and not link.ended:
+        if link is None:
+            self._add_link(entry)
+        elif link.ended:
+            if not link.is_same_incarnation(entry):
+                # It has crashed, if it has started again in its pool.
+                link.end_incarnation(
+                    'its entry shows another incarnation',
+                    crashed=link.worker.entry.service == entry.service,
+                )
+            self._add_link(entry)
+        elif link.is_same_incarnation(entry):
             link.update(entry)
             self._ports.wake()
-            return
+        else:
+            link.note_claim(entry)
+
+    def _add_link(self, entry: WorkerEntry) -> None:
         pool_state = self._pool_states.find(entry.service)
         link = WorkerLink(pool_state.set_worker(entry), pool_state, self._ports)
         self._forget_ended()
         self.links[entry.worker] = link
         self._by_vm[entry.vm] = [*self._find_live_by_vm(entry.vm), link]
-        self.tasks.add(link.run())
+        self.tasks.add(self._follow(link))
         self._log.info(
             'worker registered',
             worker=entry.worker,
@@ -203,16 +214,12 @@
             draining=entry.draining,
         )
 
-    def _replace_incarnation(
-        self, link: WorkerLink, entry: WorkerEntry
-    ) -> None:
-        same_pool = link.worker.entry.service == entry.service
-        if same_pool and not link.ended:
-            link.restart(entry.started_at_ms)
-            return
-        link.end_incarnation(
-            'its entry shows another incarnation', crashed=same_pool
-        )
+    async def _follow(self, link: WorkerLink) -> None:
+        """Run a link, and then add one for an entry that it has not used."""
+        await link.run()
+        claimed = link.claimed
+        if claimed is not None and self.links.get(link.name) is link:
+            self._apply_entry(claimed)
 
     def _forget_ended(self) -> None:
         """Drop the links of ended incarnations; each VM move ends one.
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 from result import Err, Ok
 
-from standins.fleet.world import STANDBY
+from standins.fleet.world import SERVICE, STANDBY
 from verbenapost.coordination.scheduling.tests.sample import (
     SMALL,
     add_job,
@@ -50,6 +51,53 @@
     )
 
 
+class TestEntryOfAnotherIncarnation:
+    """Tasks of a live worker started elsewhere (issue 35, TWICE).
+
+    An entry may have been written before the worker started again and take
+    effect after that, or come from another writer.
+    """
+
+    def write_entry(self, world, worker, seconds, service):
+        """Write an entry as of another start of a worker."""
+        key = f'servers/{worker.name}'
+        entry = json.loads(world.store.items[key].value)
+        entry['born'] += seconds * 1000
+        entry['service'] = service
+        world.store.write(key, json.dumps(entry).encode())
+
+    @pytest.mark.parametrize('service', [SERVICE, STANDBY])
+    @pytest.mark.parametrize('seconds', [-30, 30])
+    def test_the_worker_decides(self, play, seconds, service):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_long_running(1), LONG_STEP)
+            await asyncio.sleep(3)
+            worker = next(row for row in world.workers.values() if row.runs)
+            self.write_entry(world, worker, seconds, service)
+            await asyncio.sleep(2.5)
+            used = is_in_use(world, worker)
+            worker.register()
+            await asyncio.sleep(8)
+            return used, count_runs(world), check_rules(world)
+
+        assert play(scenario) == (True, 4, [])
+
+    def test_a_worker_that_joins_another_pool_is_used_there(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            worker = world.workers['w0']
+            worker.crash()
+            worker.service = STANDBY
+            await asyncio.sleep(0.3)
+            worker.restart()
+            await asyncio.sleep(4)
+            link = world.find_leader().core._leader._fleet.links['w0']
+            return link.pool_state.service, link.worker.reconciled
+
+        assert play(scenario, workers=2) == (STANDBY, True)
+
+
 class TestListBeforeARestart:
     """A worker that had started again got no work any more (issue 35)."""
 
