Waves: send no order whose record is not stored

More VMs could be down for a wave than allowed (LIMIT) after a takeover: an order that may take effect late has to be stored before it is sent, so that the next leader counts its VM as down.

Cause: the orders to store were noted before the outcome of the write, and the note was read as the outcome.

--- a/verbenapost/scheduler/tests/test_wavestate.py
+++ b/verbenapost/scheduler/tests/test_wavestate.py
@@ -7,7 +7,7 @@
 
 from standins.fleet.world import SERVICE
 from verbenapost.protocol.orders import CallFault, CallFaultKind
-from verbenapost.scheduler.keys import make_wave_key
+from verbenapost.scheduler.keys import make_wave_key, make_wave_orders_key
 from verbenapost.scheduler.tests.scenarios import wait_for_leader
 
 
@@ -22,9 +22,7 @@
             ]
             world.request_wave(1, vms, duration=40, cap=1)
             key = make_wave_key(1)
-            while not json.loads(
-                getattr(world.store.items.get(key), 'value', b'[]')
-            ):
+            while not read_names(world, key):
                 await asyncio.sleep(0.05)
             begun = json.loads(world.store.items[key].value)
             await leader.kill()
@@ -41,6 +39,49 @@
         assert play(scenario, standby_vms=1) == set()
 
 
+class TestUnconfirmedRecord:
+    """An order for which no record was stored (issue 35, LIMIT)."""
+
+    async def play_wave(self, world, commit):
+        """Request a wave whose records are committed in another way.
+
+        :param commit: returns the answer to a commit that stores orders.
+        :returns: names of the VMs of the wave.
+        """
+        leader = await wait_for_leader(world)
+        vms = sorted(
+            row.vm for row in world.cloud.list_vms() if row.pool == SERVICE
+        )
+        original = leader.store.commit
+        orders_key = make_wave_orders_key(1)
+
+        async def commit_otherwise(transaction):
+            values = {row.key: row.value for row in transaction.writes}
+            if json.loads(values.get(orders_key, b'[]')):
+                return await commit(transaction, original)
+            return await original(transaction)
+
+        leader.store.commit = commit_otherwise
+        world.request_wave(1, vms, duration=40, cap=1)
+        return vms
+
+    def test_is_not_sent(self, play):
+        async def scenario(world):
+            async def refuse(_transaction, _commit):
+                return Err(CallFault(CallFaultKind.NOT_DONE, 'refused'))
+
+            await self.play_wave(world, refuse)
+            await asyncio.sleep(10)
+            return world.cloud.maintained
+
+        assert play(scenario, standby_vms=1) == []
+
+
+def read_names(world, key):
+    """Return the names that a key holds, none if there is no such key."""
+    return json.loads(getattr(world.store.items.get(key), 'value', b'[]'))
+
+
 def fail_once(store, key):
     """Leave the first read of a key without an answer."""
     read_key = store.read_key
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -143,9 +143,9 @@
         daemon leads.
         """
         vms = {order.vm for order in orders}
-        if vms <= progress.ordered:
-            return True
         progress.ordered |= vms
+        if self._status.has_stored_orders(progress.wave.number, vms):
+            return True
         return await self._store(progress)
 
     async def _store(self, progress: WaveProgress) -> bool:
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from collections.abc import Collection
 from typing import Any, final
 
 from result import Err
@@ -51,11 +52,20 @@
         self._log = log
         self._complete: set[int] = set()
         self._records: dict[int, WaveRecord] = {}
+        self._stored: dict[int, WaveRecord] = {}
 
     def is_complete(self, wave: int) -> bool:
         """Return whether a wave is completed."""
         return wave in self._complete
 
+    def has_stored_orders(self, wave: int, vms: Collection[str]) -> bool:
+        """Return whether the orders for VMs are known to be stored.
+
+        :param wave: number of the wave.
+        :param vms: names of the VMs.
+        """
+        return self._stored.get(wave, WaveRecord()).ordered.issuperset(vms)
+
     async def begin(self, wave: int) -> WaveRecord | None:
         """Store that a wave is running.
 
@@ -132,7 +142,9 @@
                 completed=completed,
                 fault=str(answer.err_value),
             )
-        return not isinstance(answer, Err)
+            return False
+        self._stored[wave] = record
+        return True
 
 
 def _encode(vms: frozenset[str]) -> bytes:
