Waves: a late record doesn't replace a newer one

Cause: the write expected only the leader's key, which is the same for the whole term.

Change: each write also expects the revision that the last known one has left; a conflict shows the revision of an unanswered one, and the write is repeated.

Evidence: test_does_not_replace_a_newer_one_later, delays of 2, 6 and 14 s: 3 of 3 red before, green now.

--- a/verbenapost/scheduler/tests/test_wavestate.py
+++ b/verbenapost/scheduler/tests/test_wavestate.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+import pytest
 from result import Err
 
 from standins.fleet.world import SERVICE
@@ -76,6 +77,38 @@
 
         assert play(scenario, standby_vms=1) == []
 
+    @pytest.mark.parametrize('seconds', [2, 6, 14])
+    def test_does_not_replace_a_newer_one_later(self, play, seconds):
+        async def scenario(world):
+            delayed = []
+
+            async def delay_first(transaction, commit):
+                if delayed:
+                    return await commit(transaction)
+                delayed.append(transaction)
+                asyncio.get_running_loop().call_later(
+                    seconds, world.store.apply, transaction
+                )
+                await asyncio.sleep(1)
+                return Err(CallFault(CallFaultKind.UNKNOWN, 'no answer'))
+
+            vms = await self.play_wave(world, delay_first)
+            key = make_wave_key(1)
+            known = []
+            while len(known) < len(vms):
+                await asyncio.sleep(0.05)
+                stored = read_names(world, key)
+                assert set(known) <= set(stored)
+                known = stored
+            await asyncio.sleep(16)
+            status = json.loads(world.store.items['status/wave/1'].value)
+            return status, sorted(json.loads(world.store.items[key].value))
+
+        assert play(scenario, standby_vms=1) == (
+            {'state': 'completed'},
+            ['vm-w0', 'vm-w1', 'vm-w2', 'vm-w3'],
+        )
+
 
 def read_names(world, key):
     """Return the names that a key holds, none if there is no such key."""
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 from collections.abc import Collection
-from typing import Any, final
+from typing import Any, Final, final
 
 from result import Err
 
@@ -11,7 +11,13 @@
 from verbenapost.platform.names import WAVE_STATUS_PREFIX
 from verbenapost.platform.records import encode_wave_status
 from verbenapost.platform.store import PlatformStore
-from verbenapost.protocol.orders import ExpectedRevision, Transaction, Write
+from verbenapost.protocol.orders import (
+    CallFault,
+    ExpectedRevision,
+    Transaction,
+    TransactionConflict,
+    Write,
+)
 from verbenapost.scheduler.election import Election
 from verbenapost.scheduler.keys import (
     LEADER_KEY,
@@ -19,6 +25,10 @@
     make_wave_orders_key,
 )
 
+#: Attempts of one write. The second follows a conflict that has shown which
+#: revision an earlier write left.
+MAX_WRITE_ATTEMPTS: Final = 2
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +46,13 @@
 class WaveStatus:
     """Stores each wave's state for operators and its VMs for later leaders.
 
+    Explanation
+    ===========
+
+    A write without an answer may take effect seconds later. Each write expects
+    the revision that the last one known has left, so that a late one can't
+    replace a newer record.
+
     :param store: the store.
     :param election: leadership of this daemon.
     :param log: logger.
@@ -53,6 +70,7 @@
         self._complete: set[int] = set()
         self._records: dict[int, WaveRecord] = {}
         self._stored: dict[int, WaveRecord] = {}
+        self._revisions: dict[int, int] = {}
 
     def is_complete(self, wave: int) -> bool:
         """Return whether a wave is completed."""
@@ -123,8 +141,44 @@
 
     async def _write(self, wave: int, *, completed: bool) -> bool:
         record = self._records.get(wave, WaveRecord())
-        transaction = Transaction(
-            (ExpectedRevision(LEADER_KEY, self._election.revision),),
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            answer = await self._store.commit(
+                self._make_transaction(wave, record, completed=completed)
+            )
+            if not isinstance(answer, Err):
+                self._revisions[wave] = answer.ok_value
+                self._stored[wave] = record
+                return True
+            fault = answer.err_value
+            self._log.warning(
+                'wave status not written',
+                wave=wave,
+                completed=completed,
+                fault=str(fault),
+            )
+            if isinstance(fault, CallFault):
+                break
+            self._note_conflict(wave, fault)
+        return False
+
+    def _note_conflict(self, wave: int, conflict: TransactionConflict) -> None:
+        """Record the revision that an earlier write without an answer left."""
+        key = make_wave_key(wave)
+        self._revisions[wave] = max(
+            (item.revision for item in conflict.items if item.key == key),
+            default=0,
+        )
+
+    def _make_transaction(
+        self, wave: int, record: WaveRecord, *, completed: bool
+    ) -> Transaction:
+        return Transaction(
+            (
+                ExpectedRevision(LEADER_KEY, self._election.revision),
+                ExpectedRevision(
+                    make_wave_key(wave), self._revisions.get(wave, 0)
+                ),
+            ),
             (
                 Write(make_wave_key(wave), _encode(record.begun)),
                 Write(make_wave_orders_key(wave), _encode(record.ordered)),
@@ -134,17 +188,6 @@
                 ),
             ),
         )
-        answer = await self._store.commit(transaction)
-        if isinstance(answer, Err):
-            self._log.warning(
-                'wave status not written',
-                wave=wave,
-                completed=completed,
-                fault=str(answer.err_value),
-            )
-            return False
-        self._stored[wave] = record
-        return True
 
 
 def _encode(vms: frozenset[str]) -> bytes:
