Soak: the platform's daemon as processes, under faults and rules

It is now part of 'make soak', seeded: four daemons as processes against the simulated platform, which speaks HTTP on loopback with the same objects as in virtual time. Leaders are killed, stopped, frozen and cut (what they send arrives when the cut is over), orders for VMs lost and late, workers restarted under their identity, connections silent, the store down, slow, late or without answers; the pool grows and shrinks in bursts, and waves come.

A stand-in's wave is counted by itself for LIMIT.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,8 @@
 soak: setup
 	@$(BIN)/python -m examples.histories.soak --site=$(SITE) \
 		$(if $(SEED),--seed=$(SEED)) --minutes=$(or $(MINUTES),1)
+	@$(BIN)/python -m examples.histories.fleetsoak \
+		$(if $(SEED),--seed=$(SEED)) --minutes=$(or $(MINUTES),1)
 
 slopes: setup
 	$(BIN)/python -m bench.slopes
--- a/examples/ports.py
+++ b/examples/ports.py
@@ -28,6 +28,14 @@
     raise LookupError(f'there are no {count} free ports')
 
 
+def find_free_pair() -> int:
+    """Return the first of two ports in sequence that were free just now."""
+    while True:
+        first = find_free_ports(1)[0]
+        if first < LAST_PORT and _is_free(first + 1):
+            return first
+
+
 def _is_free(port: int) -> bool:
     with contextlib.closing(socket.socket()) as probe:
         try:
--- a/examples/processes.py
+++ b/examples/processes.py
@@ -1,6 +1,7 @@
 """Processes of a local site."""
 
 import contextlib
+import os
 import subprocess
 import sys
 import time
@@ -23,12 +24,28 @@
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, module: str, *arguments: str) -> int:
-        """Start a module of this project and return its process id."""
+    def start(
+        self,
+        name: str,
+        module: str,
+        *arguments: str,
+        folder: Path | None = None,
+        variables: dict[str, str] | None = None,
+    ) -> int:
+        """Start a module of this project and return its process id.
+
+        :param name: name of the process.
+        :param module: the module.
+        :param arguments: arguments of the module.
+        :param folder: folder of another version of the project to run.
+        :param variables: environment variables besides those of this process.
+        """
         log_path = self._folder / f'{name}.log'
         with log_path.open('ab') as log:
             process = subprocess.Popen(
                 [sys.executable, '-m', module, *arguments],
+                cwd=folder,
+                env=os.environ | (variables or {}),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -26,12 +26,14 @@
 
     :param at: virtual seconds.
     :param down: VMs that are in maintenance, this one included.
+    :param down_for_wave: those of them that are for the same wave.
     """
 
     at: float
     vm: str
     wave: int
     down: int
+    down_for_wave: int
 
 
 class FleetCloudCore:
@@ -61,6 +63,7 @@
         self.hidden = set()
         self._tokens = {}
         self._states = {}
+        self._waves = {}
         self._pools = {}
         self._workers = {}
         for worker in world.workers.values():
@@ -78,6 +81,11 @@
         self.hidden = set()
         return listed
 
+    def is_current(self, worker):
+        """Return whether a worker is that of its VM, which is up."""
+        up = self._states[worker.vm] is FleetVmState.UP
+        return up and self._workers[worker.vm] is worker
+
     def add_standby(self, name, capacity):
         """Add a VM that is off."""
         worker = FleetWorker(self.world, name, self.standby, capacity)
@@ -101,10 +109,16 @@
             return Err(fault)
         pool = self._pools[vm]
         self._begin(vm, FleetVmState.MAINTENANCE, MAINTENANCE_SECONDS, pool)
-        down = sum(
-            state is FleetVmState.MAINTENANCE for state in self._states.values()
+        self._waves[vm] = wave
+        down = [
+            name
+            for name, state in self._states.items()
+            if state is FleetVmState.MAINTENANCE
+        ]
+        same = sum(self._waves[name] == wave for name in down)
+        self.maintained.append(
+            Maintained(self.world.now(), vm, wave, len(down), same)
         )
-        self.maintained.append(Maintained(self.world.now(), vm, wave, down))
         return Ok(None)
 
     def _check(self, vm, token):
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -104,6 +104,7 @@
     """One simulated worker.
 
     :param vm: name of its VM; by default one of the worker's own.
+    :ivar address: ``IP:port`` that its entry shows.
     :ivar incarnation: Unix milliseconds of its last start.
     """
 
@@ -112,6 +113,7 @@
         self.name = name
         self.vm = vm or f'vm-{name}'
         self.service = service
+        self.address = world.draw_address(self)
         self.capacity = capacity
         self.faults = WorkerFaults()
         self.up = True
@@ -128,7 +130,7 @@
         """Write the worker's entry into the store."""
         entry = {
             'service': self.service,
-            'address': f'10.0.0.1:{int(self.name[1:]) + 1}',
+            'address': self.address,
             'zone': 'a',
             'version': 'v1',
             'slots': 8,
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -140,6 +140,10 @@
         self.workers[worker.name] = worker
         worker.register()
 
+    def draw_address(self, worker):
+        """Return the address of a worker, which needs no server here."""
+        return f'10.0.0.1:{int(worker.name[1:]) + 1}'
+
     def draw_worker_name(self):
         """Return the name of a further worker."""
         self._worker_count += 1
