Store client: notice the lost answer of a watch sooner

Cause, until now only likely: a lost answer of the watch of VM records is noticed after the watch's 1 s and the 2 s of every call, and a pause of 0.1 to 0.2 s follows. Two in a row take over 6 s.

Change: a watch fails 0.6 s after the time that it waits, the first two in a row at least, so that a slower store is followed too; the watch of VM records waits 0.5 s, and not at all after a lost answer. Each daemon of the project's own site asks for changes of VM records about twice as often for that.

--- a/standins/tests/test_store.py
+++ b/standins/tests/test_store.py
@@ -2,15 +2,23 @@
 
 import asyncio
 import socket
+import time
 
 import aiohttp
 import pytest_asyncio
 import uvicorn
 
 from standins.store import StoreApplication
+from verbenapost.coordination.directory import VmDirectory
+from verbenapost.daemon.storefollower import follow_store
 from verbenapost.protocol.errors import ErrorKind
+from verbenapost.state.vms import VM_PREFIX, VmRecord, pack_vm
 from verbenapost.transport.calllimits import CallClass, CallRate
-from verbenapost.transport.store import HttpStoreClient, StoreSettings
+from verbenapost.transport.store import (
+    WATCH_TIMEOUT,
+    HttpStoreClient,
+    StoreSettings,
+)
 
 
 class Site:
@@ -141,3 +149,39 @@
         outcome = await store.swap('vm/a', 0, b'1')
         await store.close()
         assert outcome.err().kind is ErrorKind.STORE_UNAVAILABLE
+
+
+class TestLostWatches:
+    """A VM got new work over 3 s after it was drained (KNOWN-RED, issue 20)."""
+
+    #: Seconds after which a VM that is leaving gets no new work.
+    LEAVE_SECONDS = 3
+
+    async def test_a_change_is_seen_in_time_after_two_lost_answers(self, site):
+        store = HttpStoreClient(StoreSettings(site.url))
+        directory = VmDirectory(store)
+        following = asyncio.create_task(follow_store('vms', directory))
+        await asyncio.sleep(0.3)
+        record = VmRecord('vm-1', '127.0.0.1:1', 'booking')
+        sent = store.calls['watch']
+        site.faults.lose_answer = 1
+        while store.calls['watch'] < sent + 1:
+            await asyncio.sleep(0.01)
+        began = time.monotonic()
+        await site.store.swap(f'{VM_PREFIX}vm-1', 0, pack_vm(record))
+        while store.calls['watch'] < sent + 2:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        site.faults.lose_answer = 0
+        while 'vm-1' not in directory.vms:
+            await asyncio.sleep(0.01)
+        following.cancel()
+        await store.close()
+        assert time.monotonic() - began < self.LEAVE_SECONDS
+
+    async def test_a_store_slower_than_a_watch_is_followed(self, site):
+        store = HttpStoreClient(StoreSettings(site.url))
+        site.faults.latency = WATCH_TIMEOUT + 0.4
+        batches = [await store.watch('vm/', 0, 0) for _ in range(3)]
+        await store.close()
+        assert [batch.is_ok() for batch in batches] == [False, False, True]
--- a/verbenapost/coordination/directory.py
+++ b/verbenapost/coordination/directory.py
@@ -19,7 +19,7 @@
 
 #: Seconds that one watch waits for changes. A lost answer is noticed only
 #: after this time, and a VM that is leaving receives work until then.
-WATCH_WAIT = 1.0
+WATCH_WAIT = 0.5
 
 Subscriber = Callable[[], None]
 
@@ -46,6 +46,7 @@
         self._store = store
         self._vms: dict[str, KnownVm] = {}
         self._position = 0
+        self._lost = False
         self._subscribers: list[Subscriber] = []
 
     @property
@@ -102,9 +103,15 @@
     async def follow(self, wait: float = WATCH_WAIT) -> Result[None, Failure]:
         """Wait once for changes and adopt them.
 
+        After a lost answer the store answers at once, since a change may have
+        been lost with it.
+
         :param wait: seconds to wait for a change.
         """
-        answer = await self._store.watch(VM_PREFIX, self._position, wait)
+        answer = await self._store.watch(
+            VM_PREFIX, self._position, 0 if self._lost else wait
+        )
+        self._lost = isinstance(answer, Err)
         if isinstance(answer, Err):
             return answer
         if answer.ok_value.truncated:
--- a/verbenapost/transport/store.py
+++ b/verbenapost/transport/store.py
@@ -29,6 +29,14 @@
 #: Timeout of a call, in seconds, without the time that a watch waits.
 CALL_TIMEOUT = 2.0
 
+#: Timeout of a watch, in seconds, without the time that it waits. The store
+#: answers it without any work, so a lost answer is noticed sooner.
+WATCH_TIMEOUT = 0.6
+
+#: Watches in a row without an answer after which they have the timeout of other
+#: calls, so that a store that is slower than a watch's timeout is followed too.
+MAX_QUICK_WATCHES = 2
+
 #: Attempts at one read.
 READ_ATTEMPTS = 3
 
@@ -53,6 +61,8 @@
     :param kind: name of the call in the URL.
     :param writes: whether the call changes the store.
     :param wait: seconds that the store may wait before the answer.
+    :param timeout: seconds beyond that until the call fails, 0 for those of the
+        settings.
     """
 
     kind: str
@@ -60,6 +70,7 @@
     call_class: CallClass
     writes: bool = False
     wait: float = 0
+    timeout: float = 0
 
 
 @final
@@ -145,6 +156,7 @@
         self._now = now
         self._rng = rng or random.Random()  # noqa: S311
         self._calls: Counter[str] = Counter()
+        self._lost_watches: Counter[str] = Counter()
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -223,8 +235,25 @@
         :param after: revision after which changes are returned.
         """
         body = {'prefix': prefix, 'after': after, 'wait': wait}
-        call = _Call('watch', body, classify_key(prefix), wait=wait)
-        return await self._send(call, storeanswers.parse_watch_batch)
+        call = _Call(
+            'watch',
+            body,
+            classify_key(prefix),
+            wait=wait,
+            timeout=self._choose_watch_timeout(prefix),
+        )
+        batch = await self._send(call, storeanswers.parse_watch_batch)
+        if isinstance(batch, Ok):
+            self._lost_watches.pop(prefix, None)
+        else:
+            self._lost_watches[prefix] += 1
+        return batch
+
+    def _choose_watch_timeout(self, prefix: str) -> float:
+        timeout = self._settings.call_timeout
+        if self._lost_watches[prefix] < MAX_QUICK_WATCHES:
+            timeout = min(timeout, WATCH_TIMEOUT)
+        return timeout
 
     async def _read(
         self, call: _Call, parse: Parser[_Parsed]
@@ -305,9 +334,8 @@
 
     async def _post(self, call: _Call) -> tuple[int, Any]:
         session = self._get_session()
-        limit = aiohttp.ClientTimeout(
-            total=self._settings.call_timeout + call.wait
-        )
+        timeout = call.timeout or self._settings.call_timeout
+        limit = aiohttp.ClientTimeout(total=timeout + call.wait)
         url = f'{self._settings.url}/v1/{call.kind}'
         async with session.post(url, json=call.body, timeout=limit) as answer:
             return answer.status, await answer.json()
