Workers: acknowledge no end while a start may reach another incarnation

Cause: an answer of 0.2 s ago was taken to rule out a restart. It doesn't, but a new incarnation has only runs of starts that it got.

Change: nothing is acknowledged while a start to the worker is unanswered, nor after one that got no answer until the worker has reported again. An answered start tells by its clock which incarnation has it. What remains: a hold that is overtaken by a later start, whose run ends before the hold arrives.

Evidence: TestWorkerBackAtOnce, both tests red before, green now.

--- a/verbenapost/scheduler/incarnation.py
+++ b/verbenapost/scheduler/incarnation.py
@@ -62,6 +62,20 @@
         self.last_clock = 0
         self._offset = -math.inf
         self._answered_at = -math.inf
+        self._unanswered_starts = 0
+
+    def begin_start(self) -> None:
+        """Record that a start is sent, which the next incarnation may get."""
+        self._unanswered_starts += 1
+
+    def end_start(self, *, answered: bool) -> None:
+        """Record that a start is answered, with any outcome, or has failed.
+
+        :param answered: whether there was an answer.
+        """
+        self._unanswered_starts -= 1
+        if not answered:
+            self._answered_at = -math.inf
 
     def note_reading(self, reading: int, sent: float, floor: int = 0) -> bool:
         """Record the clock reading of an answer.
@@ -82,8 +96,11 @@
         return True
 
     def is_watched(self, now: float) -> bool:
-        """Return whether the worker has answered just now.
+        """Return whether no other incarnation can have ended a run by now.
+
+        The worker has answered just now, and so has it each start.
 
         :param now: local seconds.
         """
-        return now - self._answered_at <= MAX_UNWATCHED_SECONDS
+        recent = now - self._answered_at <= MAX_UNWATCHED_SECONDS
+        return recent and not self._unanswered_starts
--- a/verbenapost/scheduler/runorders.py
+++ b/verbenapost/scheduler/runorders.py
@@ -93,10 +93,12 @@
         )
         sent_at = read_clock()
         floor = incarnation.last_clock
+        incarnation.begin_start()
         answer = await self._send_start(entry, order, sent_at)
+        incarnation.end_start(answered=not _is_unknown(answer))
         if isinstance(answer, Err):
             self._fail_start(command, answer.err_value, entry)
-            if answer.err_value.kind is CallFaultKind.UNKNOWN:
+            if _is_unknown(answer):
                 await self._resolve_unknown_start(command)
             return
         now = read_clock()
@@ -183,3 +185,9 @@
         )
         self._link.handle_final_fault(fault, asked)
         self._ports.wake()
+
+
+def _is_unknown(answer: Result[int, CallFault]) -> bool:
+    """Return whether an order may still take effect."""
+    fault = answer.err()
+    return fault is not None and fault.kind is CallFaultKind.UNKNOWN
--- a/verbenapost/scheduler/tests/links.py
+++ b/verbenapost/scheduler/tests/links.py
@@ -63,6 +63,9 @@
         self.running = []
         self.ends = []
 
+    async def stop(self, _worker, _task, _run, _token):
+        return Ok(self.read_clock())
+
     async def hold(self, _worker, _token, seen, deadline, _wait):
         self.leases.append(deadline)
         self.seen.append(seen)
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -21,6 +21,7 @@
 )
 from verbenapost.scheduler import runorders as runorders_module
 from verbenapost.scheduler.keys import LEADER_KEY
+from verbenapost.scheduler.tests import links as links_module
 from verbenapost.scheduler.tests.links import (
     Clock,
     Recorder,
@@ -281,3 +282,44 @@
             return worker.up, count_runs(world), check_rules(world)
 
         assert play(scenario, standby_vms=0) == (False, 4, [])
+
+
+class TestWorkerBackAtOnce:
+    """Its new ends were forgotten unread within 0.2 s (issue 35, TWICE)."""
+
+    async def restart_under_a_start(self, monkeypatch, answer):
+        """Let a worker start again and end the run of a start unread.
+
+        :param answer: answers the start, which the next incarnation has got.
+        :returns: numbers up to which the next renewals let it forget ends.
+        """
+        client, link = await TestAnswerInTransit().acknowledge(monkeypatch)
+        (start,) = plan(link.pool_state, now=client.clock.now)
+        client.restart()
+        client.start = answer
+        starting = asyncio.create_task(link.orders.start(start))
+        await asyncio.sleep(0)
+        done = RunEndKind.DONE
+        client.ends = [RunEnd(1, start.task.key, start.run, done, '')]
+        client.seen.clear()
+        renewal = asyncio.create_task(link.renew_leases(0))
+        await asyncio.sleep(0)
+        renewal.cancel()
+        starting.cancel()
+        return client.seen
+
+    async def test_a_start_is_under_way(self, monkeypatch):
+        async def wait(_worker, _order):
+            await asyncio.Event().wait()
+
+        assert await self.restart_under_a_start(monkeypatch, wait) == [0]
+
+    async def test_a_start_got_no_answer(self, monkeypatch):
+        async def fail(_worker, _order):
+            return Err(CallFault(CallFaultKind.UNKNOWN, 'no answer'))
+
+        async def refuse(*_call):
+            return Err(CallFault(CallFaultKind.NOT_DONE, 'refused'))
+
+        monkeypatch.setattr(links_module.FakeWorker, 'stop', refuse)
+        assert await self.restart_under_a_start(monkeypatch, fail) == [0]
