Workers: an unconfirmed entry doesn't outlast the worker's own report

A worker whose entry was replaced by another writer's, with an address that doesn't answer, got no work for as long as that entry stood: the question was asked at that address alone.

Change: the worker is asked where it is known; its next report refutes the entry or confirms it, and the entry's address is asked only if the known one doesn't answer.

Evidence: test_a_worker_is_used_though_the_address_of_the_entry_is_silent, red before, green now; the other tests of late answers pass unchanged.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -196,7 +196,7 @@
             link.update(entry)
             self._ports.wake()
         else:
-            link.note_claim(entry)
+            link.claim.note(entry)
 
     def _add_link(self, entry: WorkerEntry) -> None:
         pool_state = self._pool_states.find(entry.service)
@@ -217,7 +217,7 @@
     async def _follow(self, link: WorkerLink) -> None:
         """Run a link, and then add one for an entry that it has not used."""
         await link.run()
-        claimed = link.claimed
+        claimed = link.claim.entry
         if claimed is not None and self.links.get(link.name) is link:
             self._apply_entry(claimed)
 
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -11,7 +11,6 @@
     CrashVerdict,
     note_lapse,
 )
-from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.reports import ReportReconciler
 from verbenapost.coordination.scheduling.workers import Worker
@@ -22,6 +21,7 @@
     RunEnd,
     WorkerReport,
 )
+from verbenapost.scheduler.entryclaims import EntryClaim
 from verbenapost.scheduler.incarnation import Incarnation
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
@@ -44,13 +44,6 @@
 class WorkerLink:
     """Renews the leases of one worker and reads its reports.
 
-    Explanation
-    ===========
-
-    An entry with another start than the known one is a claim: it may have been
-    written by an earlier incarnation whose write took effect late, or by
-    another writer. The worker itself is asked before its tasks are freed.
-
     :param worker: the worker, as listed in the state of its pool.
     :param pool_state: state of the worker's pool.
     :param ports: dependencies of the link.
@@ -59,7 +52,7 @@
         VM was confirmed, until a later list of VMs shows whether it has ended
         this incarnation.
     :ivar incarnation: the incarnation that is followed.
-    :ivar claimed: entry of an incarnation that the worker has yet to confirm.
+    :ivar claim: entry of an incarnation that the worker has yet to confirm.
     :ivar orders: sends starts and stops to the worker.
     """
 
@@ -73,7 +66,7 @@
         self.incarnation = Incarnation(
             worker.entry.started_at_ms, read_clock(), ports.hold_seconds
         )
-        self.claimed: WorkerEntry | None = None
+        self.claim = EntryClaim(self)
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
@@ -90,9 +83,8 @@
     async def run(self) -> None:
         """Renew the leases until the task is cancelled or the worker ends."""
         while not self.ended:
-            if self.claimed is not None:
-                await self._check_claim(self.claimed)
             if not await self.renew_leases(self._choose_wait()):
+                await self.claim.check()
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def renew_leases(self, wait: float) -> bool:
@@ -146,7 +138,7 @@
         known = self.worker.entry
         self.worker.entry = entry
         self.worker.listed = True
-        self.claimed = None
+        self.claim.drop()
         if entry.draining != known.draining:
             self.ports.log.info(
                 'worker draining changed',
@@ -160,23 +152,6 @@
             self.worker.listed = False
             self.ports.log.info('worker entry removed', worker=self.name)
 
-    def note_claim(self, entry: WorkerEntry) -> None:
-        """Record an entry of another incarnation, for the worker to confirm.
-
-        Nothing is started there until then.
-
-        :param entry: the entry.
-        """
-        self.claimed = entry
-        self.worker.listed = False
-        self.ports.log.info(
-            'worker entry of another incarnation',
-            worker=self.name,
-            known=self.incarnation.started_at_ms,
-            born=entry.started_at_ms,
-            pool=entry.service,
-        )
-
     def restart(self, started_at_ms: int) -> None:
         """Follow the worker's next incarnation, which has the same identity.
 
@@ -207,8 +182,9 @@
         )
         worker.reconciled = False
         worker.listed = False
-        if self.claimed is not None and self.is_same_incarnation(self.claimed):
-            self.update(self.claimed)
+        claimed = self.claim.entry
+        if claimed is not None and self.is_same_incarnation(claimed):
+            self.update(claimed)
         self._crashes.judge(verdict)
 
     def end_incarnation(self, reason: str, *, crashed: bool = False) -> None:
@@ -279,48 +255,10 @@
             else IDLE_POLL_SECONDS
         )
 
-    async def _check_claim(self, claimed: WorkerEntry) -> None:
-        """Ask the worker whether it is the incarnation of an entry."""
-        if not self.ports.election.holds_lease():
-            return
-        answer = await self.ports.client.hold(
-            claimed, self.ports.election.token, 0, None, 0
-        )
-        self.count_call('hold', answer)
-        if self.ended or self.claimed is not claimed:
-            return
-        if isinstance(answer, Err):
-            if answer.err_value.kind is CallFaultKind.FENCED:
-                self.handle_final_fault(answer.err_value, claimed)
-            return
-        if answer.ok_value.started_at_ms == claimed.started_at_ms:
-            self._follow_claim(claimed)
-            return
-        self.claimed = None
-        self.worker.listed = True
-        self.ports.log.warning(
-            'worker entry not confirmed',
-            worker=self.name,
-            born=claimed.started_at_ms,
-        )
-
-    def _follow_claim(self, claimed: WorkerEntry) -> None:
-        """Follow the incarnation of an entry, which the worker confirmed."""
-        if claimed.service == self.worker.entry.service:
-            self.restart(claimed.started_at_ms)
-        else:
-            # The claim stays, so that the worker gets a link in its new pool.
-            self.end_incarnation('it has started again in another pool')
-
     async def _apply_report(self, report: WorkerReport, sent_at: float) -> None:
         now = read_clock()
-        if report.started_at_ms not in {None, self.incarnation.started_at_ms}:
-            if sent_at < self.incarnation.known_since:
-                # The answer was given by an earlier incarnation.
-                return
-            self._follow_report(report)
-            if self.ended:
-                return
+        if not self._follow_report(report, sent_at):
+            return
         incarnation = self.incarnation
         if report.clock < incarnation.last_clock:
             # A newer answer arrived earlier, on another connection.
@@ -353,40 +291,24 @@
         )
         self.ports.send(self.pool_state, commands)
         self.ports.wake()
-        await self._pace()
+        await self.orders.pace()
         await _store_ends(incarnation, ends, written)
 
-    def _follow_report(self, report: WorkerReport) -> None:
-        """Follow the next incarnation, which a report shows."""
-        claimed = self.claimed
-        if claimed and claimed.started_at_ms == report.started_at_ms:
-            self._follow_claim(claimed)
-        elif report.started_at_ms is not None:
-            self.restart(report.started_at_ms)
-
-    async def _pace(self) -> None:
-        for order in pace_worker(self.worker):
-            if not self.ports.election.holds_lease():
-                return
-            entry = self.worker.entry
-            answer = await self.ports.client.pace(
-                entry,
-                order.task.key,
-                order.run,
-                order.pace,
-                self.ports.election.token,
-            )
-            self.ports.log.info(
-                'task paced',
-                job=order.task.key.job,
-                worker=self.name,
-                percent=order.pace,
-                outcome=str(answer.err()),
-            )
-            if isinstance(answer, Err):
-                self.handle_final_fault(answer.err_value, entry)
-            else:
-                order.task.pace = order.pace
+    def _follow_report(self, report: WorkerReport, sent_at: float) -> bool:
+        """Follow the incarnation that a report shows.
+
+        :returns: whether the report is of the incarnation that is followed.
+        """
+        started_at_ms = report.started_at_ms
+        if started_at_ms in {None, self.incarnation.started_at_ms}:
+            self.claim.refute(sent_at)
+            return True
+        if sent_at < self.incarnation.known_since:
+            # The answer was given by an earlier incarnation.
+            return False
+        if not self.claim.follow(started_at_ms):
+            self.restart(started_at_ms)
+        return not self.ended
 
     def _note_unreachable(self, fault: CallFault, asked: WorkerEntry) -> None:
         if self.handle_final_fault(fault, asked):
--- a/verbenapost/scheduler/runorders.py
+++ b/verbenapost/scheduler/runorders.py
@@ -1,4 +1,4 @@
-"""Orders to one worker: starts and stops of its runs."""
+"""Orders to one worker: starts, stops and the speed of its runs."""
 
 import asyncio
 from typing import Any, Final, Protocol
@@ -6,6 +6,7 @@
 from result import Err, Result
 
 from verbenapost.coordination.scheduling.commands import StartTask, StopTask
+from verbenapost.coordination.scheduling.pacing import pace_worker
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
@@ -58,7 +59,7 @@
 
 
 class RunOrders:
-    """Sends starts and stops to one worker incarnation.
+    """Sends starts, stops and speeds of runs to one worker.
 
     :param link: link to the worker.
     """
@@ -130,6 +131,31 @@
                 return
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
+    async def pace(self) -> None:
+        """Limit the speed of the worker's runs as its load requires."""
+        for order in pace_worker(self._link.worker):
+            if not self._ports.election.holds_lease():
+                return
+            entry = self._link.worker.entry
+            answer = await self._ports.client.pace(
+                entry,
+                order.task.key,
+                order.run,
+                order.pace,
+                self._ports.election.token,
+            )
+            self._ports.log.info(
+                'task paced',
+                job=order.task.key.job,
+                worker=self._link.name,
+                percent=order.pace,
+                outcome=str(answer.err()),
+            )
+            if isinstance(answer, Err):
+                self._link.handle_final_fault(answer.err_value, entry)
+            else:
+                order.task.pace = order.pace
+
     async def _follow_proofs(self) -> None:
         """Request reports on suspect jobs, once for all their runs here."""
         if self._follows_proofs:
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -59,12 +59,12 @@
     effect after that, or come from another writer.
     """
 
-    def write_entry(self, world, worker, seconds, service):
+    def write_entry(self, world, worker, seconds, service, **changes):
         """Write an entry as of another start of a worker."""
         key = f'servers/{worker.name}'
         entry = json.loads(world.store.items[key].value)
         entry['born'] += seconds * 1000
-        entry['service'] = service
+        entry |= {'service': service} | changes
         world.store.write(key, json.dumps(entry).encode())
 
     @pytest.mark.parametrize('service', [SERVICE, STANDBY])
@@ -84,6 +84,28 @@
 
         assert play(scenario) == (True, 4, [])
 
+    def test_a_worker_is_used_though_the_address_of_the_entry_is_silent(
+        self, play
+    ):
+        async def scenario(world):
+            await wait_for_leader(world)
+            worker = world.workers['w0']
+            reach = world.find_leader().workers.hold
+
+            async def hold(entry, *call):
+                if entry.address != worker.address:
+                    return Err(CallFault(CallFaultKind.UNKNOWN, 'silent'))
+                return await reach(entry, *call)
+
+            world.find_leader().workers.hold = hold
+            self.write_entry(
+                world, worker, 30, SERVICE, address='10.0.0.1:9999'
+            )
+            await asyncio.sleep(4)
+            return is_in_use(world, worker)
+
+        assert play(scenario, workers=2)
+
     def test_a_worker_that_joins_another_pool_is_used_there(self, play):
         async def scenario(world):
             await wait_for_leader(world)
