--- a/examples/histories/fleetsoak.py
+++ b/examples/histories/fleetsoak.py
@@ -7,37 +7,27 @@
 
 import asyncio
 import collections
-import dataclasses
-import json
 import random
-import signal
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
 import aiohttp
 import fire
 
-from examples.ports import LOOPBACK, find_free_pair, find_free_ports
+from examples.histories.fleetnemesis import FAULTS, WAVE_CAP
+from examples.histories.fleetsite import DAEMONS, FleetSoak
 from examples.processes import ProcessGroup
 from standins.fleet.rules import Violation, find_violations
 from standins.fleet.served import ServedWorld
-from standins.fleet.world import HOST, PREFIX, SERVICE
-from verbenapost.platform.names import SETTINGS_VARIABLE
-
-DAEMONS = ('front-1', 'front-2', 'front-3', 'front-4')
+from standins.fleet.world import PREFIX
 
 #: VMs in the pool and on standby at the start.
 VMS = 6
 STANDBY_VMS = 12
 
-#: VMs of a wave, and those that may be down at the same time.
-WAVE_VMS = 4
-WAVE_CAP = 2
-
 #: Seconds of a burst of short jobs and of the pause after it, within which the
 #: pool grows and shrinks.
 BURST_SECONDS = 6.0
@@ -50,12 +40,7 @@
 #: Seconds after the faults within which all jobs are completed.
 SETTLE_SECONDS = 40.0
 
-#: Share of the faults of a daemon that meet the leader.
-LEADER_SHARE = 0.7
-
-#: Attempts of a caller to hand in a job.
-ATTEMPTS = 6
-
+#: Violations that are printed.
 MAX_PRINTED = 8
 
 SHORT_STEPS = [
@@ -72,223 +57,6 @@
     }
 ]
 
-Fault = Callable[['FleetSoak'], Awaitable[None]]
-
-FAULTS: dict[str, Fault] = {}
-
-
-def register_fault(fault: Fault) -> Fault:
-    """Register a fault under the name of its function."""
-    FAULTS[fault.__name__] = fault
-    return fault
-
-
-@dataclasses.dataclass(slots=True)
-class FleetSoak:
-    """One run: its world, processes and random draws.
-
-    :param world: the platform and its workers.
-    :param processes: the daemons.
-    :param rng: source of the random draws of load and faults.
-    :param code: folder of the project whose daemons run.
-    :param settings: folder of the settings files.
-    :ivar accepted: jobs whose acceptance was answered.
-    :ivar counts: faults, attempts and answers by kind.
-    :ivar disturbed: daemons with an active fault.
-    """
-
-    world: Any
-    processes: ProcessGroup
-    rng: random.Random
-    code: Path
-    settings: Path
-    accepted: dict[str, Any] = dataclasses.field(default_factory=dict)
-    counts: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-    disturbed: set[str] = dataclasses.field(default_factory=set)
-    fronts: dict[str, str] = dataclasses.field(default_factory=dict)
-
-    def write_settings(self, name: str) -> None:
-        """Write the settings file of a daemon."""
-        front, ready = find_free_ports(2)
-        internal = find_free_pair()
-        self.fronts[name] = f'{LOOPBACK}:{front}'
-        platform = self.world.platforms[name]
-        fields = {
-            'daemon': name,
-            'data_centre': 'a',
-            'address': LOOPBACK,
-            'listen': {
-                'callers': self.fronts[name],
-                'probes': f'{LOOPBACK}:{ready}',
-                'internal_ports': [internal, internal + 1],
-            },
-            'store': {'address': platform},
-            'cloud': {'address': platform},
-            'bounds': {'fencing_required': True},
-        }
-        (self.settings / f'{name}.json').write_text(json.dumps(fields))
-
-    def start_daemon(self, name: str) -> None:
-        """Start a daemon."""
-        self.processes.start(
-            name,
-            'verbenapost.scheduler',
-            folder=self.code,
-            variables={
-                SETTINGS_VARIABLE: str(self.settings / f'{name}.json'),
-                'PYTHONPATH': str(self.code),
-            },
-        )
-
-    def start_daemons(self) -> None:
-        """Write the settings of all daemons and start them."""
-        for name in DAEMONS:
-            self.write_settings(name)
-            self.start_daemon(name)
-
-    def choose_daemon(self) -> str | None:
-        """Choose a daemon without a fault, mostly the leader."""
-        free = sorted(set(DAEMONS) - self.disturbed)
-        if len(free) <= 1:
-            return None
-        leading = self.world.find_leading()
-        if leading in free and self.rng.random() < LEADER_SHARE:
-            return str(leading)
-        return self.rng.choice(free)
-
-    async def restart_daemon(self, name: str) -> None:
-        """Wait for the end of a daemon and start it again."""
-        while self.processes.is_running(name):
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(self.rng.uniform(0, 1))
-        self.start_daemon(name)
-        await asyncio.sleep(2)
-
-    async def call(
-        self, session: aiohttp.ClientSession, method: str, path: str, body: Any
-    ) -> tuple[int, str]:
-        """Send a caller's request to a daemon; status 0 without an answer."""
-        front = self.fronts[self.rng.choice(DAEMONS)]
-        try:
-            async with session.request(
-                method,
-                f'http://{front}{path}',
-                json=body,
-                headers={'Host': HOST, 'X-Verbenapost-Deadline-Ms': '3000'},
-            ) as response:
-                return response.status, await response.text()
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return 0, ''
-
-    async def submit(
-        self, session: aiohttp.ClientSession, job: str, steps: Any
-    ) -> None:
-        """Hand a job in, again at another daemon until it is accepted."""
-        self.world.accepted[job] = steps
-        for _ in range(ATTEMPTS):
-            body = {'spec': 'text', 'steps': steps}
-            status, _ = await self.call(session, 'POST', PREFIX + job, body)
-            self.counts[f'submission {status}'] += 1
-            if status == 200:
-                self.accepted[job] = steps
-                return
-            await asyncio.sleep(0.5)
-
-
-@register_fault
-async def kill(soak: FleetSoak) -> None:
-    """Kill a daemon."""
-    await _end_daemon(soak, signal.SIGKILL)
-
-
-@register_fault
-async def stop(soak: FleetSoak) -> None:
-    """Stop a daemon."""
-    await _end_daemon(soak, signal.SIGTERM)
-
-
-async def _end_daemon(soak: FleetSoak, number: int) -> None:
-    name = soak.choose_daemon()
-    if name is None:
-        return
-    soak.disturbed.add(name)
-    soak.processes.send_signal(name, number)
-    await soak.restart_daemon(name)
-    soak.disturbed.discard(name)
-
-
-@register_fault
-async def freeze(soak: FleetSoak) -> None:
-    """Freeze a daemon and wake it."""
-    name = soak.choose_daemon()
-    if name is None:
-        return
-    soak.disturbed.add(name)
-    soak.processes.send_signal(name, signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.choice((0.6, 1.2, 2, 4, 8)))
-    soak.processes.send_signal(name, signal.SIGCONT)
-    soak.disturbed.discard(name)
-
-
-@register_fault
-async def cut(soak: FleetSoak) -> None:
-    """Cut a daemon off; what it sends arrives when the cut is over."""
-    name = soak.choose_daemon()
-    if name is None:
-        return
-    soak.disturbed.add(name)
-    soak.world.cut.add(name)
-    await asyncio.sleep(soak.rng.uniform(0.5, 6))
-    soak.world.cut.discard(name)
-    soak.disturbed.discard(name)
-
-
-@register_fault
-async def disturb_store(soak: FleetSoak) -> None:
-    """Let the store be down, or lose or delay answers."""
-    faults = soak.world.store.faults
-    kind = soak.rng.choice(('down', 'lose', 'late', 'latency'))
-    before = getattr(faults, kind)
-    setattr(faults, kind, {'down': True, 'latency': 0.2}.get(kind, 0.3))
-    await asyncio.sleep(soak.rng.uniform(0.5, 3))
-    setattr(faults, kind, before)
-
-
-@register_fault
-async def restart_worker(soak: FleetSoak) -> None:
-    """Let a worker crash and start again under its identity."""
-    up = [
-        worker
-        for worker in soak.world.workers.values()
-        if worker.up and soak.world.cloud.is_current(worker)
-    ]
-    if not up:
-        return
-    worker = soak.rng.choice(up)
-    worker.crash()
-    await asyncio.sleep(soak.rng.choice((0.05, 0.3, 1, 3)))
-    if soak.world.cloud.is_current(worker):
-        worker.restart()
-
-
-@register_fault
-async def silence(soak: FleetSoak) -> None:
-    """Let all open connections go silent."""
-    soak.world.silence_connections()
-
-
-@register_fault
-async def request_wave(soak: FleetSoak) -> None:
-    """Request the maintenance of some VMs of the pool."""
-    vms = [row.vm for row in soak.world.cloud.list_vms() if row.pool == SERVICE]
-    chosen = soak.rng.sample(vms, min(len(vms), WAVE_VMS))
-    soak.counts['waves'] += 1
-    number = soak.counts['waves']
-    soak.world.request_wave(number, chosen, duration=30, cap=WAVE_CAP)
-    await asyncio.sleep(25)
-
 
 async def _load(
     soak: FleetSoak, session: aiohttp.ClientSession, until: float
--- a/examples/histories/tests/test_fleetsoak.py
+++ b/examples/histories/tests/test_fleetsoak.py
@@ -2,7 +2,8 @@
 
 from pathlib import Path
 
-from examples.histories.fleetsoak import FAULTS, run_soak
+from examples.histories.fleetnemesis import FAULTS
+from examples.histories.fleetsoak import run_soak
 
 ROOT = Path(__file__).resolve().parents[3]
 
--- a/examples/tests/test_membership.py
+++ b/examples/tests/test_membership.py
@@ -256,7 +256,8 @@
             for name in names[1:]:
                 site.processes.send_signal(name, signal.SIGCONT)
             await site.local.wait_ready(*names)
-            assert await site.find_refusals(names) == {}
+            refusals = await site.find_refusals(names)
+            assert refusals == {}, json.dumps(refusals)
 
 
 async def forget(site, observer, name):
