Workers: a start's answer doesn't outdate a report that was given before it

Since the latest clock reading came from answers to starts too, and a report with a lower one was dropped as overtaken, with the ends in it. The next report lists them again, so callers saw a run's end some milliseconds later, at one more call to the worker. Found by reading the change again.

Change: only reports overtake reports.

Evidence: TestReportOvertakenByAStart, red before, green now.

--- a/verbenapost/scheduler/incarnation.py
+++ b/verbenapost/scheduler/incarnation.py
@@ -49,6 +49,8 @@
     :ivar clock: leases granted, and the offset of the worker's clock.
     :ivar ends: ended runs that were reported and stored.
     :ivar last_clock: latest reading of the worker's clock in milliseconds.
+    :ivar last_report_clock: the same of its reports, which may overtake each
+        other on different connections.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         self.clock.note_unknown_lease(now, hold_seconds)
         self.ends = RunEndTracker()
         self.last_clock = 0
+        self.last_report_clock = 0
         self._offset = -math.inf
         self._answered_at = -math.inf
         self._unanswered_starts = 0
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -260,9 +260,10 @@
         if not self._follow_report(report, sent_at):
             return
         incarnation = self.incarnation
-        if report.clock < incarnation.last_clock:
-            # A newer answer arrived earlier, on another connection.
+        if report.clock < incarnation.last_report_clock:
+            # A newer report arrived earlier, on another connection.
             return
+        incarnation.last_report_clock = report.clock
         incarnation.note_reading(report.clock, sent_at)
         incarnation.clock.observe(report.clock, now, now)
         worker = self.worker
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from standins.fleet.world import SERVICE, STANDBY
+from verbenapost.coordination.scheduling.jobs import TaskState
 from verbenapost.coordination.scheduling.tests.sample import (
     SMALL,
     add_job,
@@ -284,6 +285,35 @@
         assert client.seen[-1] == 0
 
 
+class TestReportOvertakenByAStart:
+    async def test_its_ends_are_applied(self, monkeypatch):
+        clock = Clock()
+        pool_state, client, link = make_link(clock, monkeypatch)
+        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
+        add_job(pool_state, StepSpec(2, SMALL))
+        await link.renew_leases(0)
+        ended, started = plan(pool_state, now=clock.now)
+        pool_state.note_started(ended.task, ended.run, clock.now)
+        done = RunEndKind.DONE
+        client.ends = [RunEnd(1, ended.task.key, ended.run, done, '')]
+        hold = client.hold
+
+        async def begin(_worker, _order):
+            return Ok(client.read_clock() + 5)
+
+        async def hold_overtaken(*call):
+            report = await hold(*call)
+            await link.orders.start(started)
+            return report
+
+        client.start = begin
+        client.hold = hold_overtaken
+        renewal = asyncio.create_task(link.renew_leases(0))
+        await asyncio.sleep(0)
+        renewal.cancel()
+        assert ended.task.state is TaskState.DONE
+
+
 class TestLateMoveOfAFormerLeader:
     """It ends runs of the next leader, which RULES allows for late orders."""
 
