--- a/verbenapost/scheduler/tests/links.py
+++ b/verbenapost/scheduler/tests/links.py
@@ -5,17 +5,26 @@
 from result import Err, Ok
 
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
-from verbenapost.coordination.scheduling.tests.sample import make_pool_state
+from verbenapost.coordination.scheduling.tests.sample import (
+    SMALL,
+    add_job,
+    make_pool_state,
+    plan,
+)
 from verbenapost.daemon.logs import make_logger
 from verbenapost.protocol.orders import (
     CallFault,
     CallFaultKind,
+    RunEnd,
+    RunEndKind,
     WorkerReport,
 )
 from verbenapost.scheduler import link as link_module
+from verbenapost.scheduler import runorders as runorders_module
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LinkPorts
+from verbenapost.state.workloads import StepSpec
 
 HOLD_SECONDS = 6
 
@@ -106,6 +115,7 @@
 
 def make_link(clock, monkeypatch, recorder=None):
     monkeypatch.setattr(link_module, 'read_clock', clock.read)
+    monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
     pool_state = make_pool_state()
     client = FakeWorker(clock)
     ports = LinkPorts(
@@ -121,3 +131,23 @@
     )
     link = WorkerLink(pool_state.workers['w0'], pool_state, ports)
     return pool_state, client, link
+
+
+async def acknowledge_end(monkeypatch):
+    """Return a link that has acknowledged its worker's first end."""
+    clock = Clock()
+    pool_state, client, link = make_link(clock, monkeypatch)
+    add_job(pool_state, StepSpec(1, SMALL))
+    await link.renew_leases(0)
+    (start,) = plan(pool_state, now=clock.now)
+    pool_state.note_started(start.task, start.run, clock.now)
+    end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
+    client.ends.append(end)
+    renewal = asyncio.create_task(link.renew_leases(0))
+    await asyncio.sleep(0)
+    for waiting in link.ports.recorder.waiting:
+        waiting.set_result(True)
+    await renewal
+    await link.renew_leases(0)
+    assert client.seen[-1] == 1
+    return clock, client, link
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -20,12 +20,12 @@
     RunEnd,
     RunEndKind,
 )
-from verbenapost.scheduler import runorders as runorders_module
 from verbenapost.scheduler.keys import LEADER_KEY
 from verbenapost.scheduler.tests import links as links_module
 from verbenapost.scheduler.tests.links import (
     Clock,
     Recorder,
+    acknowledge_end,
     make_link,
 )
 from verbenapost.scheduler.tests.scenarios import (
@@ -177,7 +177,6 @@
         """Return a link and the start of a task on its worker."""
         clock = Clock()
         pool_state, client, link = make_link(clock, monkeypatch, recorder)
-        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
         add_job(pool_state, StepSpec(1, SMALL))
         add_job(pool_state, StepSpec(1, SMALL), job='0' * 16)
         return clock, client, link
@@ -240,28 +239,8 @@
 class TestAnswerInTransit:
     """A worker may start again while its answer is on its way (TWICE)."""
 
-    async def acknowledge(self, monkeypatch):
-        """Return a link that has acknowledged the worker's first end."""
-        clock = Clock()
-        pool_state, client, link = make_link(clock, monkeypatch)
-        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
-        add_job(pool_state, StepSpec(1, SMALL))
-        await link.renew_leases(0)
-        (start,) = plan(pool_state, now=clock.now)
-        pool_state.note_started(start.task, start.run, clock.now)
-        end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
-        client.ends.append(end)
-        renewal = asyncio.create_task(link.renew_leases(0))
-        await asyncio.sleep(0)
-        for waiting in link.ports.recorder.waiting:
-            waiting.set_result(True)
-        await renewal
-        await link.renew_leases(0)
-        assert client.seen[-1] == 1
-        return client, link
-
     async def test_after_it_all_ends_are_read(self, monkeypatch):
-        client, link = await self.acknowledge(monkeypatch)
+        _, client, link = await acknowledge_end(monkeypatch)
         client.transit = 1
         await link.renew_leases(0)
         client.transit = 0
@@ -272,7 +251,7 @@
     async def test_after_a_clock_that_starts_anew_all_ends_are_read(
         self, monkeypatch
     ):
-        client, link = await self.acknowledge(monkeypatch)
+        _, client, link = await acknowledge_end(monkeypatch)
         (start,) = plan(link.pool_state, now=client.clock.now)
         client.restart()
 
@@ -289,7 +268,6 @@
     async def test_its_ends_are_applied(self, monkeypatch):
         clock = Clock()
         pool_state, client, link = make_link(clock, monkeypatch)
-        monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
         add_job(pool_state, StepSpec(2, SMALL))
         await link.renew_leases(0)
         ended, started = plan(pool_state, now=clock.now)
@@ -345,7 +323,7 @@
         :param answer: answers the start, which the next incarnation has got.
         :returns: numbers up to which the next renewals let it forget ends.
         """
-        client, link = await TestAnswerInTransit().acknowledge(monkeypatch)
+        _, client, link = await acknowledge_end(monkeypatch)
         (start,) = plan(link.pool_state, now=client.clock.now)
         client.restart()
         client.start = answer
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -26,6 +26,7 @@
     HOLD_SECONDS,
     Clock,
     Recorder,
+    acknowledge_end,
     make_link,
 )
 from verbenapost.state.workloads import (
@@ -192,27 +193,8 @@
 class TestUnwatchedWorker:
     """It may have started again, and number the ends of its runs anew."""
 
-    async def acknowledge(self, monkeypatch):
-        """Return a link that has acknowledged the worker's first end."""
-        clock = Clock()
-        pool_state, client, link = make_link(clock, monkeypatch)
-        add_job(pool_state, StepSpec(1, SMALL))
-        await link.renew_leases(0)
-        (start,) = plan(pool_state, now=clock.now)
-        pool_state.note_started(start.task, start.run, clock.now)
-        end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
-        client.ends.append(end)
-        renewal = asyncio.create_task(link.renew_leases(0))
-        await asyncio.sleep(0)
-        for waiting in link.ports.recorder.waiting:
-            waiting.set_result(True)
-        await renewal
-        await link.renew_leases(0)
-        assert client.seen[-1] == 1
-        return clock, client, link
-
     async def test_after_a_failure_all_its_ends_are_read(self, monkeypatch):
-        _, client, link = await self.acknowledge(monkeypatch)
+        _, client, link = await acknowledge_end(monkeypatch)
         client.up = False
         await link.renew_leases(0)
         client.up = True
@@ -221,7 +203,7 @@
         assert client.seen[-3:] == [1, 0, 1]
 
     async def test_after_a_pause_all_its_ends_are_read(self, monkeypatch):
-        clock, client, link = await self.acknowledge(monkeypatch)
+        clock, client, link = await acknowledge_end(monkeypatch)
         clock.now += 1
         await link.renew_leases(0)
         await link.renew_leases(0)
