--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -196,7 +196,7 @@
             link.update(entry)
             self._ports.wake()
         else:
-            link.claim.note(entry)
+            link.unconfirmed.note(entry)
 
     def _add_link(self, entry: WorkerEntry) -> None:
         pool_state = self._pool_states.find(entry.service)
@@ -217,9 +217,9 @@
     async def _follow(self, link: WorkerLink) -> None:
         """Run a link, and then add one for an entry that it has not used."""
         await link.run()
-        claimed = link.claim.entry
-        if claimed is not None and self.links.get(link.name) is link:
-            self._apply_entry(claimed)
+        entry = link.unconfirmed.entry
+        if entry is not None and self.links.get(link.name) is link:
+            self._apply_entry(entry)
 
     def _forget_ended(self) -> None:
         """Drop the links of ended incarnations; each VM move ends one.
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -21,10 +21,10 @@
     RunEnd,
     WorkerReport,
 )
-from verbenapost.scheduler.entryclaims import EntryClaim
 from verbenapost.scheduler.incarnation import Incarnation
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
+from verbenapost.scheduler.unconfirmedentry import UnconfirmedEntry
 from verbenapost.scheduler.workercrashes import WorkerCrashes
 from verbenapost.state.workloads import WorkerEntry
 
@@ -52,7 +52,7 @@
         VM was confirmed, until a later list of VMs shows whether it has ended
         this incarnation.
     :ivar incarnation: the incarnation that is followed.
-    :ivar claim: entry of an incarnation that the worker has yet to confirm.
+    :ivar unconfirmed: entry of an incarnation for the worker to confirm.
     :ivar orders: sends starts and stops to the worker.
     """
 
@@ -66,7 +66,7 @@
         self.incarnation = Incarnation(
             worker.entry.started_at_ms, read_clock(), ports.hold_seconds
         )
-        self.claim = EntryClaim(self)
+        self.unconfirmed = UnconfirmedEntry(self)
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
@@ -84,7 +84,7 @@
         """Renew the leases until the task is cancelled or the worker ends."""
         while not self.ended:
             if not await self.renew_leases(self._choose_wait()):
-                await self.claim.check()
+                await self.unconfirmed.check()
                 await asyncio.sleep(RETRY_SECONDS)
 
     async def renew_leases(self, wait: float) -> bool:
@@ -138,7 +138,7 @@
         known = self.worker.entry
         self.worker.entry = entry
         self.worker.listed = True
-        self.claim.drop()
+        self.unconfirmed.drop()
         if entry.draining != known.draining:
             self.ports.log.info(
                 'worker draining changed',
@@ -182,9 +182,9 @@
         )
         worker.reconciled = False
         worker.listed = False
-        claimed = self.claim.entry
-        if claimed is not None and self.is_same_incarnation(claimed):
-            self.update(claimed)
+        newer = self.unconfirmed.entry
+        if newer is not None and self.is_same_incarnation(newer):
+            self.update(newer)
         self._crashes.judge(verdict)
 
     def end_incarnation(self, reason: str, *, crashed: bool = False) -> None:
@@ -302,12 +302,12 @@
         """
         started_at_ms = report.started_at_ms
         if started_at_ms in {None, self.incarnation.started_at_ms}:
-            self.claim.refute(sent_at)
+            self.unconfirmed.refute(sent_at)
             return True
         if sent_at < self.incarnation.known_since:
             # The answer was given by an earlier incarnation.
             return False
-        if not self.claim.follow(started_at_ms):
+        if not self.unconfirmed.follow(started_at_ms):
             self.restart(started_at_ms)
         return not self.ended
 
--- a/verbenapost/scheduler/entryclaims.py
+++ b/verbenapost/scheduler/unconfirmedentry.py
@@ -11,7 +11,7 @@
 from verbenapost.state.workloads import WorkerEntry
 
 
-class ClaimedLink(Protocol):
+class FollowingLink(Protocol):
     """Link to a worker whose entry may name another start.
 
     :ivar ended: whether the worker's incarnation has ended.
@@ -36,7 +36,7 @@
         """Handle a fault that ends the leadership or the incarnation."""
 
 
-class EntryClaim:
+class UnconfirmedEntry:
     """An entry of another incarnation, for its worker to confirm.
 
     Explanation
@@ -50,7 +50,7 @@
     :ivar entry: the entry, if any.
     """
 
-    def __init__(self, link: ClaimedLink) -> None:
+    def __init__(self, link: FollowingLink) -> None:
         self.entry: WorkerEntry | None = None
         self._link = link
         self._noted_at: float = 0
