--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -14,6 +14,7 @@
     add_job,
     plan,
 )
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.protocol.orders import (
     CallFault,
     CallFaultKind,
@@ -62,7 +63,7 @@
 
     def write_entry(self, world, worker, seconds, service, **changes):
         """Write an entry as of another start of a worker."""
-        key = f'servers/{worker.name}'
+        key = f'{WORKER_PREFIX}{worker.name}'
         entry = json.loads(world.store.items[key].value)
         entry['born'] += seconds * 1000
         entry |= {'service': service} | changes
