--- a/standins/fleet/served.py
+++ b/standins/fleet/served.py
@@ -13,7 +13,13 @@
 from aiohttp import web
 from result import Err
 
-from standins.fleet.storeroutes import abort, add_store_routes, lose_answer
+from standins.fleet.storeroutes import (
+    FIELDS,
+    abort,
+    add_store_routes,
+    lose_answer,
+)
+from standins.fleet.workers import FleetWorker
 from standins.fleet.world import World
 from verbenapost.platform import names
 from verbenapost.platform.submissions import decode_task, encode_task
@@ -27,6 +33,9 @@
 
 LOOPBACK = '127.0.0.1'
 
+#: Worker at whose port a call arrived, if any.
+WORKER = web.RequestKey('worker', FleetWorker)
+
 #: Ports of workers. A port is given to another worker after a round of all.
 WORKER_PORTS = 96
 
@@ -122,9 +131,9 @@
         transport = request.transport
         self._transports.add(transport)
         fields = await request.json() if request.can_read_body else {}
-        request['fields'] = fields
+        request[FIELDS] = fields
         port = transport.get_extra_info('sockname')[1]
-        request['worker'] = self._workers_by_port.get(port)
+        request[WORKER] = self._workers_by_port.get(port)
         sender = self._daemons.get(port) or self._find_sender(fields)
         while sender in self.cut:
             await asyncio.sleep(0.05)
@@ -167,7 +176,7 @@
 
     async def _order(self, request, carry_out, field):
         """Carry out an order for a VM, now or late, and perhaps answer it."""
-        fields = request['fields']
+        fields = request[FIELDS]
         token = int(request.headers[names.TOKEN_HEADER])
         draw = self.rng.random()
         if draw < ORDER_SHARE:
@@ -182,7 +191,7 @@
 
     def _find_worker(self, request):
         """Return the worker that a call is meant for."""
-        worker = request['worker']
+        worker = request[WORKER]
         if worker is None or not worker.up:
             abort(request)
         if worker.faults.unreachable:
@@ -202,7 +211,7 @@
         return web.json_response(fields, status=status)
 
     async def _start_run(self, request):
-        worker, fields = self._find_worker(request), request['fields']
+        worker, fields = self._find_worker(request), request[FIELDS]
         order = RunStart(
             decode_task(fields['task']),
             fields['run'],
@@ -213,7 +222,7 @@
         return self._answer(worker, worker.start(order))
 
     async def _stop_run(self, request):
-        worker, fields = self._find_worker(request), request['fields']
+        worker, fields = self._find_worker(request), request[FIELDS]
         stopped = worker.stop(
             decode_task(fields['task']), fields['run'], fields['fencing_token']
         )
@@ -223,7 +232,7 @@
         return self._answer(self._find_worker(request), None)
 
     async def _hold(self, request):
-        worker, fields = self._find_worker(request), request['fields']
+        worker, fields = self._find_worker(request), request[FIELDS]
         incarnation = worker.incarnation
         held = worker.hold(
             fields['fencing_token'],
--- a/standins/fleet/storeroutes.py
+++ b/standins/fleet/storeroutes.py
@@ -15,6 +15,9 @@
     Write,
 )
 
+#: Decoded body of a call.
+FIELDS = web.RequestKey('fields', dict)
+
 #: Longest time for which a call without an answer is kept open, in seconds.
 SILENT_SECONDS = 30.0
 
@@ -108,7 +111,7 @@
     async def commit(self, request):
         """Commit a transaction, perhaps late or without an answer."""
         await self._prepare()
-        transaction = _decode_transaction(request['fields'])
+        transaction = _decode_transaction(request[FIELDS])
         draw = self._store.rng.random()
         faults = self._store.faults
         if draw < faults.late:
@@ -126,7 +129,7 @@
     async def grant(self, request):
         """Create a lease."""
         await self._prepare()
-        ttl_ms = max(1000, request['fields']['ttl_ms'])
+        ttl_ms = max(1000, request[FIELDS]['ttl_ms'])
         lease = self._store.rng.getrandbits(40) + 1
         self._lease_seconds[lease] = ttl_ms / 1000
         self._store.leases[lease] = self._store.now() + ttl_ms / 1000
