Waves: log what counted each VM of a completed wave, and count it

What callers saw: a status that the operator could not explain. Change: before a wave's completion is stored there is a line 'keeper: wave VM counted' for each VM, with the ground, the term of the leader whose order was confirmed, its age, the age of the first list that showed the VM in maintenance, and for an unlisted VM the reads and seconds without it and how it was last listed; the metric verbenapost_wave_vms_total{ground} counts them. No decision changes. Measured: the tests of the package's waves pass, TestCountedVms among them.

--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -23,10 +23,8 @@
     MIN_READS_WITHOUT_VM,
     VmList,
 )
-from verbenapost.coordination.scheduling.waves import (
-    WavePlanner,
-    WaveProgress,
-)
+from verbenapost.coordination.scheduling.waveprogress import WaveProgress
+from verbenapost.coordination.scheduling.waves import WavePlanner
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.state.workloads import (
     FleetVm,
@@ -220,7 +218,7 @@
         planner, progress = self.make(2, cap=2)
         vm_list = VmList()
         for _ in range(MIN_READS_WITHOUT_VM):
-            vm_list.replace([make_view('w0', 'spare').vm])
+            vm_list.replace([make_view('w0', 'spare').vm], read_at=0)
         assert not progress.is_complete(vm_list)
         planner.note_begun(progress, 'w0', now=0)
         assert progress.is_complete(vm_list)
@@ -228,8 +226,8 @@
     def test_a_vm_missing_in_one_read_still_counts(self):
         _, progress = self.make(1, cap=1)
         vm_list = VmList()
-        vm_list.replace([make_view('w0', 'spare').vm])
-        vm_list.replace([])
+        vm_list.replace([make_view('w0', 'spare').vm], read_at=0)
+        vm_list.replace([], read_at=1)
         assert not progress.is_complete(vm_list)
 
     def test_busy_vms_are_emptied_gradually(self):
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -2,12 +2,16 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.capacity import VmView
-from verbenapost.coordination.scheduling.vmlist import VmList
-from verbenapost.state.workloads import FleetVmState, MaintenanceWave
+from verbenapost.coordination.scheduling.waveprogress import (
+    UNCONFIRMED_ORDER_SECONDS,
+    Confirmation,
+    WaveProgress,
+)
+from verbenapost.state.workloads import FleetVmState
 
 #: Estimated seconds of one VM's maintenance, from its selection until the VM
 #: is up again.
@@ -17,9 +21,6 @@
 #: list is read once a second.
 RETURN_MARGIN_SECONDS: Final = 0.5
 
-#: Seconds for which an unanswered order may still take effect.
-UNCONFIRMED_ORDER_SECONDS: Final = 15.0
-
 #: Share of a wave's duration within which the wave is planned to end.
 PLANNED_TIME_SHARE: Final = 0.7
 
@@ -33,53 +34,6 @@
     wave: int
 
 
-@dataclasses.dataclass(slots=True)
-class WaveProgress:
-    """Progress of a maintenance wave.
-
-    :param wave: the wave.
-    :param seen_at: local seconds at which the wave was first seen.
-    :param quiet_until: local seconds until which VMs may be down because of
-        orders from a former leader that the VM list doesn't show yet.
-    :param begun: VMs whose maintenance has begun.
-    :param down: local seconds until which each VM counts as down at least.
-    :param emptying: VMs that are being emptied.
-    :param ordered: VMs for which an order may be sent or may have been sent,
-        also by a former leader, and that are not known to have begun.
-    :param inherited: those of them that only a former leader has ordered.
-    """
-
-    wave: MaintenanceWave
-    seen_at: float
-    quiet_until: float = 0
-    begun: set[str] = dataclasses.field(default_factory=set)
-    down: dict[str, float] = dataclasses.field(default_factory=dict)
-    emptying: set[str] = dataclasses.field(default_factory=set)
-    ordered: set[str] = dataclasses.field(default_factory=set)
-    inherited: set[str] = dataclasses.field(default_factory=set)
-
-    def note_former_orders(self, vms: Collection[str]) -> None:
-        """Record that a former leader may have ordered VMs until now.
-
-        Such an order may still take effect, so the VMs count as down.
-
-        :param vms: names of the VMs.
-        """
-        self.ordered.update(vms)
-        self.inherited.update(vms)
-        until = self.seen_at + UNCONFIRMED_ORDER_SECONDS
-        self.down.update(dict.fromkeys(vms, until))
-
-    def is_complete(self, vm_list: VmList) -> bool:
-        """Return whether maintenance has begun on every VM of the fleet.
-
-        :param vm_list: all VMs, including those with a pending order.
-        """
-        return all(
-            vm in self.begun or vm_list.has_left(vm) for vm in self.wave.vms
-        )
-
-
 class WavePlanner:
     """Decides which VMs of a wave are emptied and maintained next.
 
@@ -131,9 +85,17 @@
         progress.inherited.discard(vm)
         progress.emptying.discard(vm)
 
-    def note_begun(self, progress: WaveProgress, vm: str, now: float) -> None:
-        """Record that a VM's maintenance has begun."""
-        progress.begun.add(vm)
+    def note_begun(
+        self, progress: WaveProgress, vm: str, now: float, term: int = 0
+    ) -> None:
+        """Record that a VM's maintenance has begun.
+
+        :param progress: progress of the wave.
+        :param vm: name of the VM.
+        :param now: local seconds.
+        :param term: fencing token of the leader whose order was confirmed.
+        """
+        progress.begun[vm] = Confirmation(term, now)
         progress.ordered.discard(vm)
         progress.down[vm] = now + self._maintenance + RETURN_MARGIN_SECONDS
 
--- a/verbenapost/scheduler/controller.py
+++ b/verbenapost/scheduler/controller.py
@@ -211,7 +211,7 @@
             return
         self._listed_at = read_clock()
         self._log_changes(listed.ok_value)
-        self._vm_list.replace(listed.ok_value)
+        self._vm_list.replace(listed.ok_value, self._listed_at)
         self._fleet.end_replaced_incarnations(self._vm_list, requested)
 
     def _log_changes(self, listed: Sequence[FleetVm]) -> None:
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -21,6 +21,7 @@
     :ivar orders: orders to workers, by kind and outcome.
     :ivar order_seconds: time until a worker answered a start.
     :ivar takeovers: number of times that this daemon began to lead.
+    :ivar wave_vms: VMs of completed waves, by the ground on which they count.
     :ivar vms: VMs by pool and state, as the leader knows them.
     :ivar log_lines_dropped: log lines dropped because nobody read them.
     """
@@ -40,6 +41,9 @@
             'order_seconds', 'Time until a worker answered a start.'
         )
         self.takeovers = self._count('takeovers_total', 'Leaderships begun.')
+        self.wave_vms = self._count(
+            'wave_vms_total', 'VMs of completed waves by ground.'
+        )
         self.vms = self._gauge('vms', 'VMs by pool and state.')
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped.'
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -94,7 +94,7 @@
     def list_vm(self, pool):
         vm = FleetVm('vm-w0', pool, FleetVmState.UP, (), Resources(), '')
         vm_list = VmList()
-        vm_list.replace([vm])
+        vm_list.replace([vm], read_at=0)
         return vm_list
 
     def test_inherited_jobs_of_the_pool_continue_at_once(self, monkeypatch):
--- a/verbenapost/scheduler/tests/test_wavelog.py
+++ b/verbenapost/scheduler/tests/test_wavelog.py
@@ -1,4 +1,4 @@
-"""Log lines on the VMs for which a wave waits."""
+"""Log lines on the VMs for which a wave waits, and on those it counts."""
 
 import dataclasses
 
@@ -12,7 +12,10 @@
     make_pool_state,
     start_all,
 )
-from verbenapost.coordination.scheduling.waves import WaveProgress
+from verbenapost.coordination.scheduling.vmlist import VmList
+from verbenapost.coordination.scheduling.waveprogress import WaveProgress
+from verbenapost.coordination.scheduling.waves import WavePlanner
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.wavelog import LOG_SECONDS, WaveLog, describe_vm
 from verbenapost.state.workloads import (
     FleetVm,
@@ -68,7 +71,7 @@
 class TestInterval:
     def test_a_wave_is_logged_at_intervals(self):
         log = Log()
-        wave_log = WaveLog(log)
+        wave_log = WaveLog(log, SchedulerMetrics())
         wave = MaintenanceWave(1, ('vm-w0',), 20, 1)
         progress = WaveProgress(wave, seen_at=5)
         for now in (5, 6, 5 + LOG_SECONDS, 6 + LOG_SECONDS):
@@ -76,3 +79,62 @@
         ((message, fields),) = log.lines
         assert message == 'wave waits'
         assert fields['left'] == 1
+
+
+class TestCountedVms:
+    """A wave was completed without a VM, and no log told why (issue 38)."""
+
+    def make_progress(self):
+        wave = MaintenanceWave(1, ('vm-a', 'vm-b', 'vm-w0'), 20, 3)
+        progress = WaveProgress(wave, seen_at=5)
+        progress.note_recorded({'vm-a': 2})
+        WavePlanner(maintenance=2).note_begun(progress, 'vm-b', 7, term=3)
+        vm_list = VmList()
+        vm_list.replace([VM], read_at=6)
+        vm_list.replace([], read_at=8)
+        vm_list.replace([], read_at=9)
+        return progress, vm_list
+
+    def test_each_vm_has_a_line_with_the_reason_and_ages(self):
+        log = Log()
+        metrics = SchedulerMetrics()
+        progress, vm_list = self.make_progress()
+        wave_log = WaveLog(log, metrics)
+        for now in (10, 11):
+            counted = progress.find_counted(vm_list)
+            wave_log.note_counted(progress, counted, now)
+        lines = {fields['vm']: fields for _, fields in log.lines}
+        assert len(log.lines) == len(lines) == 3
+        assert lines['vm-a'] == {
+            'wave': 1,
+            'vm': 'vm-a',
+            'ground': 'recorded',
+            'term': 2,
+            'confirmed_age': 5,
+            'reads_without': 3,
+            'seconds_without': 3,
+            'listed': 'never',
+        }
+        assert lines['vm-b']['ground'] == 'confirmed'
+        assert lines['vm-b']['confirmed_age'] == 3
+        assert lines['vm-w0'] == {
+            'wave': 1,
+            'vm': 'vm-w0',
+            'ground': 'unlisted',
+            'reads_without': 2,
+            'seconds_without': 3,
+            'listed': 'up',
+        }
+        text = metrics.render().decode()
+        assert 'verbenapost_wave_vms_total{ground="unlisted"} 1' in text
+
+    def test_a_list_that_shows_the_maintenance_is_told(self):
+        log = Log()
+        progress, vm_list = self.make_progress()
+        state = FleetVmState.MAINTENANCE
+        vm_list.replace([dataclasses.replace(VM, state=state)], read_at=9)
+        progress.note_listed(vm_list, 9)
+        WavePlanner(maintenance=2).note_begun(progress, 'vm-w0', 9, term=3)
+        wave_log = WaveLog(log, SchedulerMetrics())
+        wave_log.note_counted(progress, progress.find_counted(vm_list), 10)
+        assert log.lines[-1][1]['maintenance_seen_age'] == 1
--- a/verbenapost/scheduler/vmorders.py
+++ b/verbenapost/scheduler/vmorders.py
@@ -6,7 +6,9 @@
 
 from result import Err, Result
 
-from verbenapost.coordination.scheduling.waves import UNCONFIRMED_ORDER_SECONDS
+from verbenapost.coordination.scheduling.waveprogress import (
+    UNCONFIRMED_ORDER_SECONDS,
+)
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.platform.http import Answer
--- a/verbenapost/scheduler/wavelog.py
+++ b/verbenapost/scheduler/wavelog.py
@@ -1,11 +1,16 @@
-"""Log lines on the VMs for which a maintenance wave still waits."""
+"""Log lines on the VMs for which a wave waits, and on those it counts."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 from verbenapost.coordination.scheduling.capacity import VmView
-from verbenapost.coordination.scheduling.waves import WaveProgress
+from verbenapost.coordination.scheduling.waveprogress import (
+    CountedVm,
+    CountGround,
+    WaveProgress,
+)
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.state.workloads import FleetVmState
 
 #: Seconds between two log lines on a wave.
@@ -16,14 +21,17 @@
 
 
 class WaveLog:
-    """Tells operators what holds up a wave.
+    """Tells operators what holds up a wave, and why it counts as completed.
 
     :param log: logger.
+    :param metrics: metrics of the daemon.
     """
 
-    def __init__(self, log: Any) -> None:
+    def __init__(self, log: Any, metrics: SchedulerMetrics) -> None:
         self._log = log
+        self._metrics = metrics
         self._logged_at: dict[int, float] = {}
+        self._counted: dict[int, dict[str, CountGround]] = {}
 
     def note_waiting(
         self, progress: WaveProgress, views: Sequence[VmView], now: float
@@ -53,6 +61,50 @@
             vms=[describe_vm(view) for view in left[:MAX_DESCRIBED]],
         )
 
+    def note_counted(
+        self, progress: WaveProgress, counted: Iterable[CountedVm], now: float
+    ) -> None:
+        """Log and count each VM of a wave that is about to be completed.
+
+        A completion that is stored in a further attempt is logged once.
+
+        :param progress: progress of the wave.
+        :param counted: its VMs, with why the wave doesn't wait for them.
+        :param now: local seconds.
+        """
+        number = progress.wave.number
+        rows = list(counted)
+        grounds = {row.vm: row.ground for row in rows}
+        if self._counted.get(number) == grounds:
+            return
+        self._counted[number] = grounds
+        for row in rows:
+            self._metrics.wave_vms.inc({'ground': row.ground.value})
+            self._log.info(
+                'wave VM counted', wave=number, **describe_counted(row, now)
+            )
+
+
+def describe_counted(row: CountedVm, now: float) -> dict[str, Any]:
+    """Return the fields that tell why a wave doesn't wait for a VM.
+
+    :param row: the VM.
+    :param now: local seconds.
+    """
+    absence = row.absence
+    fields: dict[str, Any] = {'vm': row.vm, 'ground': row.ground.value}
+    if row.confirmation is not None:
+        fields['term'] = row.confirmation.term
+        fields['confirmed_age'] = round(now - row.confirmation.at, 3)
+    if row.maintenance_seen_at is not None:
+        fields['maintenance_seen_age'] = round(now - row.maintenance_seen_at, 3)
+    if absence.reads:
+        fields['reads_without'] = absence.reads
+        fields['seconds_without'] = round(absence.seconds, 3)
+    last = absence.last
+    fields['listed'] = 'never' if last is None else last.state.value
+    return fields
+
 
 def describe_vm(view: VmView) -> str:
     """Return a VM with what keeps its maintenance from beginning."""
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -7,11 +7,8 @@
 
 from verbenapost.coordination.scheduling.capacity import VmView
 from verbenapost.coordination.scheduling.vmlist import VmList
-from verbenapost.coordination.scheduling.waves import (
-    MaintainVm,
-    WavePlanner,
-    WaveProgress,
-)
+from verbenapost.coordination.scheduling.waveprogress import WaveProgress
+from verbenapost.coordination.scheduling.waves import MaintainVm, WavePlanner
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import CallFaultKind
 from verbenapost.scheduler.fleet import WorkerFleet
@@ -43,9 +40,10 @@
         log: Any,
     ) -> None:
         self._configuration = ports.configuration
+        self._election = ports.election
         self._orders = orders
         self._fleet = fleet
-        self._log = WaveLog(log)
+        self._log = WaveLog(log, ports.metrics)
         self._planner = WavePlanner(ports.settings.bounds.maintenance_s)
         self._progress: dict[int, WaveProgress] = {}
         self._status = WaveStatus(ports.store, ports.election, log)
@@ -71,11 +69,15 @@
             progress = await self._find_progress(wave, now)
             if progress is None or self._status.is_complete(wave.number):
                 continue
+            progress.note_listed(vm_list, now)
             self._log.note_waiting(progress, views, now)
             orders = self._planner.plan(progress, views, now)
             if await self._store_orders(progress, orders):
                 self._send(progress, orders, finish)
             if progress.is_complete(vm_list) and not progress.down:
+                self._log.note_counted(
+                    progress, progress.find_counted(vm_list), read_clock()
+                )
                 await self._status.complete(wave.number)
 
     def find_departing(self) -> set[str]:
@@ -109,7 +111,7 @@
             if record is None:
                 return None
             progress = WaveProgress(wave, now, self._quiet_until)
-            progress.begun.update(record.begun)
+            progress.note_recorded(record.begun)
             progress.note_former_orders(record.ordered)
             self._progress[wave.number] = progress
         return progress
@@ -119,6 +121,7 @@
     ) -> None:
         # A further attempt may be answered after the VM's next worker joined.
         link = self._fleet.find_by_vm(order.vm)
+        term = self._election.token
         answer = await self._orders.maintain(order.vm, order.wave)
         if isinstance(answer, Err):
             uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
@@ -129,7 +132,7 @@
                 self._fleet.readmit(order.vm)
             return
         now = read_clock()
-        self._planner.note_begun(progress, order.vm, now)
+        self._planner.note_begun(progress, order.vm, now, term)
         if link is not None:
             link.maintained_at = now
         await self._store(progress)
@@ -149,7 +152,6 @@
         return await self._store(progress)
 
     async def _store(self, progress: WaveProgress) -> bool:
-        record = WaveRecord(
-            frozenset(progress.begun), frozenset(progress.ordered)
-        )
+        begun = {vm: row.term for vm, row in progress.begun.items()}
+        record = WaveRecord(begun, frozenset(progress.ordered))
         return await self._status.store(progress.wave.number, record)
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 import json
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import Any, Final, final
 
 from result import Err
 
-from verbenapost.platform.fields import check_text
+from verbenapost.platform.fields import check_text, read_count
 from verbenapost.platform.names import WAVE_STATUS_PREFIX
 from verbenapost.platform.records import encode_wave_status
 from verbenapost.platform.store import PlatformStore
@@ -35,11 +35,12 @@
 class WaveRecord:
     """What is stored of a wave for later leaders.
 
-    :param begun: VMs whose maintenance has begun.
+    :param begun: VMs whose maintenance has begun, each with the fencing token
+        of the leader whose order was confirmed, 0 if that is not known.
     :param ordered: other VMs for which an order may have been sent.
     """
 
-    begun: frozenset[str] = frozenset()
+    begun: Mapping[str, int] = dataclasses.field(default_factory=dict)
     ordered: frozenset[str] = frozenset()
 
 
@@ -94,7 +95,7 @@
         ordered = await self._read(wave, make_wave_orders_key(wave))
         if begun is None or ordered is None:
             return None
-        record = WaveRecord(begun, ordered - begun)
+        record = WaveRecord(begun, frozenset(ordered.keys() - begun.keys()))
         await self.store(wave, record)
         return record
 
@@ -113,7 +114,7 @@
             self._complete.add(wave)
             self._log.info('wave completed', wave=wave)
 
-    async def _read(self, wave: int, key: str) -> frozenset[str] | None:
+    async def _read(self, wave: int, key: str) -> Mapping[str, int] | None:
         found = await self._store.read_key(key)
         if isinstance(found, Err):
             self._log.warning(
@@ -121,23 +122,22 @@
             )
             return None
         if found.ok_value is None:
-            return frozenset()
+            return {}
         return self._decode(wave, found.ok_value.value)
 
-    def _decode(self, wave: int, packed: bytes) -> frozenset[str]:
+    def _decode(self, wave: int, packed: bytes) -> Mapping[str, int]:
         """Return the VMs of a record, none if another writer's value.
 
         An order for a VM that has begun already is confirmed by the platform
         without an effect.
         """
         try:
-            names = json.loads(packed)
-            return frozenset(check_text(name, 'VM') for name in names)
+            return _read_terms(json.loads(packed))
         except (ValueError, TypeError, RecursionError) as fault:
             self._log.error(
                 'wave record not decodable', wave=wave, fault=str(fault)
             )
-            return frozenset()
+            return {}
 
     async def _write(self, wave: int, *, completed: bool) -> bool:
         record = self._records.get(wave, WaveRecord())
@@ -180,7 +180,7 @@
                 ),
             ),
             (
-                Write(make_wave_key(wave), _encode(record.begun)),
+                Write(make_wave_key(wave), _encode_terms(record.begun)),
                 Write(make_wave_orders_key(wave), _encode(record.ordered)),
                 Write(
                     f'{WAVE_STATUS_PREFIX}{wave}',
@@ -192,3 +192,23 @@
 
 def _encode(vms: frozenset[str]) -> bytes:
     return json.dumps(sorted(vms)).encode()
+
+
+def _encode_terms(terms: Mapping[str, int]) -> bytes:
+    return json.dumps(terms, sort_keys=True).encode()
+
+
+def _read_terms(found: Any) -> Mapping[str, int]:
+    """Return the VMs of a record with their terms.
+
+    A record of orders, and one of an older version, is a list of names.
+
+    >>> _read_terms(['vm-1']), _read_terms({'vm-1': 3})
+    ({'vm-1': 0}, {'vm-1': 3})
+
+    :raises ValueError: when a name is no text or a term no number.
+    :raises TypeError: when the record is neither a list nor an object.
+    """
+    if isinstance(found, dict):
+        return {name: read_count(found, name) for name in found}
+    return {check_text(name, 'VM'): 0 for name in found}
