Waves: a VM counts as removed once the platform refuses an order for it

Cause: a wave was completed without each VM that two reads of the list of VMs left out. Absence was taken as a fact. Change: a VM that the list has been without for two reads, and for longer than any lease of a former leader, gets its order like any other, within the wave's cap and after its known worker is empty. The platform's refusal of it as unknown is the sign of its removal; a confirmation begins its maintenance, anything else is asked again after a second or once it is listed. The log's ground 'unlisted' is now 'removed'. Evidence: TestUnlistedVm in virtual time failed on the code before (the wave was completed with no VM begun, for absences of 2.5 and 6 s, and by a new leader) and passes now. test_a_wave_is_complete_when_all_listed_vms_have_begun stated the old rule (a VM that no list has shown isn't waited for); the two tests in its place demand the refusal as well, and that it is forgotten once the VM is listed again.

--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -83,7 +83,7 @@
 
     def is_current(self, worker):
         """Return whether a worker is that of its VM, which is up."""
-        up = self._states[worker.vm] is FleetVmState.UP
+        up = self._states.get(worker.vm) is FleetVmState.UP
         return up and self._workers[worker.vm] is worker
 
     def add_standby(self, name, capacity):
@@ -93,6 +93,15 @@
         self._states[worker.vm] = FleetVmState.UP
         self._workers[worker.vm] = worker
 
+    def remove(self, vm):
+        """Remove a VM from the fleet for good; its worker ends."""
+        worker = self._workers.pop(vm)
+        self._states.pop(vm)
+        self._pools.pop(vm)
+        if worker.name in self.world.workers:
+            worker.crash()
+            self._call_later(ENTRY_SECONDS, self._remove_entry, worker)
+
     def move(self, vm, pool, token):
         """Move a VM into another pool, or return why not."""
         fault = self._check(vm, token)
@@ -122,6 +131,8 @@
         return Ok(None)
 
     def _check(self, vm, token):
+        if vm not in self._states:
+            return CallFault(CallFaultKind.NOT_FOUND, 'no such VM')
         if token < self._tokens.get(vm, 0):
             return CallFault(CallFaultKind.FENCED, 'fence')
         self._tokens[vm] = token
@@ -139,6 +150,8 @@
         self._call_later(seconds, self._finish, vm)
 
     def _finish(self, vm):
+        if vm not in self._states:
+            return
         self._states[vm] = FleetVmState.UP
         pool = self._pools[vm]
         ended = self._workers[vm]
--- a/standins/fleet/served.py
+++ b/standins/fleet/served.py
@@ -185,6 +185,8 @@
         if draw < 2 * ORDER_SHARE:
             await lose_answer(request)
         if isinstance(outcome, Err):
+            if outcome.err_value.kind is CallFaultKind.NOT_FOUND:
+                raise web.HTTPBadRequest
             reason = _REASONS[outcome.err_value.kind]
             return web.json_response({'reason': reason}, status=409)
         return web.json_response({})
--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -40,11 +40,14 @@
     :param worker: the VM's worker in the state of its pool, if any.
     :param on_standby: whether the VM is in the standby pool, where nothing
         runs.
+    :param unlisted: whether the list of VMs has been without the VM for longer
+        than any run without a known worker can last.
     """
 
     vm: FleetVm
     worker: Worker | None
     on_standby: bool = False
+    unlisted: bool = False
 
     @property
     def cores(self) -> float:
@@ -64,7 +67,7 @@
         """Whether it is certain that no task runs on the VM."""
         worker = self.worker
         if worker is None:
-            return self.on_standby
+            return self.on_standby or self.unlisted
         return worker.reconciled and worker.reachable and not worker.tasks
 
 
--- a/verbenapost/coordination/scheduling/tests/test_capacity.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacity.py
@@ -214,15 +214,44 @@
         vm = FleetVm('w0', 'routing', FleetVmState.UP, (), CAPACITY, 'i-1')
         assert planner.plan(progress, [VmView(vm, None)], now=0) == []
 
-    def test_a_wave_is_complete_when_all_listed_vms_have_begun(self):
+    def test_a_wave_is_complete_when_all_vms_have_begun_or_were_removed(self):
         planner, progress = self.make(2, cap=2)
         vm_list = VmList()
         for _ in range(MIN_READS_WITHOUT_VM):
             vm_list.replace([make_view('w0', 'spare').vm], read_at=0)
+        planner.note_removed(progress, 'w1', now=0)
         assert not progress.is_complete(vm_list)
         planner.note_begun(progress, 'w0', now=0)
         assert progress.is_complete(vm_list)
 
+    def test_an_unlisted_vm_counts_only_after_the_platform_has_refused_it(self):
+        planner, progress = self.make(1, cap=1)
+        vm_list = VmList()
+        for read_at in range(9):
+            vm_list.replace([], read_at)
+        assert not progress.is_complete(vm_list)
+        planner.note_removed(progress, 'w0', now=9)
+        assert progress.is_complete(vm_list)
+        vm_list.replace([make_view('w0', 'spare').vm], read_at=10)
+        progress.note_listed(vm_list, now=10)
+        assert not progress.is_complete(vm_list)
+        for read_at in (11, 12):
+            vm_list.replace([], read_at)
+        assert not progress.is_complete(vm_list)
+
+    def test_an_unlisted_vm_is_ordered_at_intervals(self):
+        planner, progress = self.make(1, cap=1)
+        vm = FleetVm('w0', '', FleetVmState.UNKNOWN, (), CAPACITY, '')
+        view = VmView(vm, None, unlisted=True)
+        ordered_at = []
+        for tenths in range(25):
+            for order in planner.plan(progress, [view], tenths / 10):
+                ordered_at.append(tenths / 10)
+                planner.note_failed(
+                    progress, order.vm, tenths / 10, outcome_unknown=False
+                )
+        assert ordered_at == [0, 1, 2]
+
     def test_a_vm_missing_in_one_read_still_counts(self):
         _, progress = self.make(1, cap=1)
         vm_list = VmList()
--- a/verbenapost/coordination/scheduling/waveprogress.py
+++ b/verbenapost/coordination/scheduling/waveprogress.py
@@ -33,12 +33,13 @@
     """Why the completion of a wave doesn't wait for a VM.
 
     An order of this leader was confirmed, an earlier leader has recorded the
-    confirmation, or the list of VMs no longer shows the VM.
+    confirmation, or the VM was removed from the fleet: the list of VMs is
+    without it, and the platform has refused an order for it as unknown.
     """
 
     CONFIRMED = 'confirmed'
     RECORDED = 'recorded'
-    UNLISTED = 'unlisted'
+    REMOVED = 'removed'
 
 
 @final
@@ -51,6 +52,8 @@
     :param confirmation: the confirmation of its maintenance, if known.
     :param maintenance_seen_at: local seconds at which a list first showed it in
         maintenance, if any has.
+    :param refused_at: local seconds at which the platform refused an order for
+        the VM as unknown, if it did.
     :param absence: how long the list has been without the VM.
     """
 
@@ -58,6 +61,7 @@
     ground: CountGround
     confirmation: Confirmation | None
     maintenance_seen_at: float | None
+    refused_at: float | None
     absence: Absence
 
 
@@ -72,6 +76,9 @@
     :param begun: confirmations that the maintenance of VMs has begun.
     :param maintenance_seen: local seconds at which a list of VMs first showed a
         VM of the wave in maintenance.
+    :param removed: local seconds at which the platform refused an order for a
+        VM as unknown, until a list shows the VM.
+    :param asked: local seconds of the last order for a VM that no list showed.
     :param down: local seconds until which each VM counts as down at least.
     :param emptying: VMs that are being emptied.
     :param ordered: VMs for which an order may be sent or may have been sent,
@@ -84,6 +91,8 @@
     quiet_until: float = 0
     begun: dict[str, Confirmation] = dataclasses.field(default_factory=dict)
     maintenance_seen: dict[str, float] = dataclasses.field(default_factory=dict)
+    removed: dict[str, float] = dataclasses.field(default_factory=dict)
+    asked: dict[str, float] = dataclasses.field(default_factory=dict)
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
     ordered: set[str] = dataclasses.field(default_factory=set)
@@ -110,17 +119,33 @@
         self.down.update(dict.fromkeys(vms, until))
 
     def note_listed(self, vm_list: VmList, now: float) -> None:
-        """Record which VMs the list shows in maintenance.
+        """Record which VMs the list shows, and which in maintenance.
 
         :param vm_list: all VMs.
         :param now: local seconds.
         """
         for vm in self.wave.vms:
             listed = vm_list.vms.get(vm)
-            if listed is None or vm in self.maintenance_seen:
+            if listed is None:
                 continue
+            self.removed.pop(vm, None)
             if listed.state is FleetVmState.MAINTENANCE:
-                self.maintenance_seen[vm] = now
+                self.maintenance_seen.setdefault(vm, now)
+
+    def find_unlisted(self, vm_list: VmList, seconds: float) -> list[str]:
+        """Return the VMs that are neither listed nor known to be removed.
+
+        :param vm_list: all VMs.
+        :param seconds: seconds for which the list must be without the VM.
+        """
+        return [
+            vm
+            for vm in self.wave.vms
+            if vm not in self.begun
+            and vm not in self.removed
+            and vm_list.has_left(vm)
+            and vm_list.measure_absence(vm).seconds >= seconds
+        ]
 
     def is_complete(self, vm_list: VmList) -> bool:
         """Return whether maintenance has begun on every VM of the fleet.
@@ -128,7 +153,7 @@
         :param vm_list: all VMs, including those with a pending order.
         """
         return all(
-            vm in self.begun or vm_list.has_left(vm) for vm in self.wave.vms
+            self._find_ground(vm, vm_list) is not None for vm in self.wave.vms
         )
 
     def find_counted(self, vm_list: VmList) -> Iterable[CountedVm]:
@@ -144,13 +169,15 @@
                     ground,
                     self.begun.get(vm),
                     self.maintenance_seen.get(vm),
+                    self.removed.get(vm),
                     vm_list.measure_absence(vm),
                 )
 
     def _find_ground(self, vm: str, vm_list: VmList) -> CountGround | None:
         confirmation = self.begun.get(vm)
         if confirmation is None:
-            return CountGround.UNLISTED if vm_list.has_left(vm) else None
+            removed = vm in self.removed and vm_list.has_left(vm)
+            return CountGround.REMOVED if removed else None
         if confirmation.recorded:
             return CountGround.RECORDED
         return CountGround.CONFIRMED
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -21,6 +21,10 @@
 #: list is read once a second.
 RETURN_MARGIN_SECONDS: Final = 0.5
 
+#: Seconds between two orders for a VM that the list of VMs doesn't show; one
+#: that exists is ordered again once it is listed.
+UNLISTED_ORDER_SECONDS: Final = 1.0
+
 #: Share of a wave's duration within which the wave is planned to end.
 PLANNED_TIME_SHARE: Final = 0.7
 
@@ -61,7 +65,7 @@
             for view in views
             if view.vm.vm in progress.wave.vms
             and view.vm.vm not in progress.begun
-            and view.vm.state is FleetVmState.UP
+            and _may_order(progress, view, now)
         ]
         due.sort(key=_rank)
         due.sort(key=lambda view: view.vm.vm not in progress.inherited)
@@ -77,6 +81,8 @@
         chosen.extend(others[:free])
         for leaving in chosen:
             _mark_leaving(leaving)
+            if leaving.unlisted:
+                progress.asked[leaving.vm.vm] = now
         return [MaintainVm(view.vm.vm, progress.wave.number) for view in chosen]
 
     def note_ordered(self, progress: WaveProgress, vm: str) -> None:
@@ -120,6 +126,12 @@
         else:
             progress.ordered.discard(vm)
 
+    def note_removed(self, progress: WaveProgress, vm: str, now: float) -> None:
+        """Record that the platform has refused an order as for no VM."""
+        progress.removed[vm] = now
+        progress.ordered.discard(vm)
+        progress.down.pop(vm, None)
+
     def _drop_returned(
         self,
         progress: WaveProgress,
@@ -153,6 +165,18 @@
                 _mark_leaving(view)
 
 
+def _may_order(progress: WaveProgress, view: VmView, now: float) -> bool:
+    """Return whether a VM can be maintained, or may have been removed.
+
+    Only the platform's answer to an order tells a VM that was removed from one
+    that the list leaves out.
+    """
+    if not view.unlisted:
+        return view.vm.state is FleetVmState.UP
+    asked_at = progress.asked.get(view.vm.vm, -math.inf)
+    return now - asked_at >= UNLISTED_ORDER_SECONDS
+
+
 def _mark_leaving(view: VmView) -> None:
     if view.worker is not None:
         view.worker.leaving = True
--- a/verbenapost/platform/cloud.py
+++ b/verbenapost/platform/cloud.py
@@ -19,6 +19,7 @@
 #: Timeout of a call in seconds.
 CLOUD_TIMEOUT: Final = 2.0
 
+_BAD_REQUEST = 400
 _CONFLICT = 409
 _LIMITED = 429
 _UNAVAILABLE = 503
@@ -75,7 +76,8 @@
         :param token: fencing token of the sender.
         """
         body = {'machine': vm, 'pool': pool}
-        return await self._order(names.MOVE_PATH, body, token)
+        answer = await self._order(names.MOVE_PATH, body, token)
+        return answer.and_then(_check_status)
 
     async def maintain(
         self,
@@ -88,9 +90,12 @@
         :param vm: name of the VM.
         :param wave: number of the maintenance wave.
         :param token: fencing token of the sender.
+        :returns: the answer, or a fault; ``NOT_FOUND`` when there is no such
+            VM.
         """
         body = {'machine': vm, 'wave': wave}
-        return await self._order(names.MAINTAIN_PATH, body, token)
+        answer = await self._order(names.MAINTAIN_PATH, body, token)
+        return answer.and_then(_check_found).and_then(_check_status)
 
     async def _order(
         self,
@@ -103,7 +108,14 @@
             names.TOKEN_HEADER: str(token),
         }
         call = Call('POST', self._address, path, body, headers, CLOUD_TIMEOUT)
-        return (await self._http.exchange(call)).and_then(_check_status)
+        return await self._http.exchange(call)
+
+
+def _check_found(answer: Answer) -> Result[Answer, CallFault]:
+    """Return the fault of an order for a VM that doesn't exist."""
+    if answer.status == _BAD_REQUEST:
+        return Err(CallFault(CallFaultKind.NOT_FOUND, 'no such VM'))
+    return Ok(answer)
 
 
 def _check_status(answer: Answer) -> Result[Answer, CallFault]:
--- /dev/null
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -0,0 +1,99 @@
+"""A wave was shown as completed without one of its VMs (issue 38, MIXED)."""
+
+import asyncio
+import json
+
+import pytest
+
+from standins.fleet.world import SERVICE
+from verbenapost.scheduler.tests.scenarios import wait_for_leader
+
+STATUS_KEY = 'status/wave/1'
+
+
+def find_pool_vms(world):
+    return sorted(
+        row.vm for row in world.cloud.list_vms() if row.pool == SERVICE
+    )
+
+
+def hide(world, vm, seconds):
+    """Let the list leave a VM out for some seconds from now on."""
+    show_all = world.cloud.list_vms
+    until = world.now() + seconds
+
+    def list_others():
+        rows = show_all()
+        if world.now() >= until:
+            return rows
+        return [row for row in rows if row.vm != vm]
+
+    world.cloud.list_vms = list_others
+
+
+def follow_states(world):
+    """Return a list to which each stored state of wave 1 will be added.
+
+    :returns: rows of the state and the VMs that had begun by then.
+    """
+    states = []
+    write = world.store._put
+
+    def put(key, value, lease):
+        if key == STATUS_KEY:
+            begun = frozenset(row.vm for row in world.cloud.maintained)
+            states.append((json.loads(value)['state'], begun))
+        return write(key, value, lease)
+
+    world.store._put = put
+    return states
+
+
+def find_completed(states):
+    """Return the VMs that had begun at each completion that was stored."""
+    return [begun for state, begun in states if state == 'completed']
+
+
+class TestUnlistedVm:
+    """Absence from the list of VMs was taken for the removal of the VM."""
+
+    @pytest.mark.parametrize('seconds', [2.5, 6])
+    def test_a_vm_that_is_listed_again_is_maintained(self, play, seconds):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            await asyncio.sleep(3)
+            hide(world, vms[0], seconds)
+            await asyncio.sleep(1)
+            world.request_wave(1, vms[:1], duration=20, cap=1)
+            await asyncio.sleep(25)
+            return find_completed(states)
+
+        assert play(scenario, standby_vms=1) == [{'vm-w0'}]
+
+    def test_a_vm_that_a_new_leader_has_never_seen_is_maintained(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            world.request_wave(1, vms, duration=30, cap=1)
+            await asyncio.sleep(3)
+            hide(world, vms[-1], 12)
+            await leader.kill()
+            await asyncio.sleep(40)
+            return find_completed(states)[:1] == [set(vms)]
+
+        assert play(scenario, standby_vms=1)
+
+    def test_a_vm_that_was_removed_is_not_waited_for(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            world.request_wave(1, vms, duration=20, cap=1)
+            world.cloud.remove(vms[-1])
+            await asyncio.sleep(25)
+            return find_completed(states) == [set(vms[:-1])]
+
+        assert play(scenario, standby_vms=1)
--- a/verbenapost/scheduler/tests/test_wavelog.py
+++ b/verbenapost/scheduler/tests/test_wavelog.py
@@ -93,6 +93,7 @@
         vm_list.replace([VM], read_at=6)
         vm_list.replace([], read_at=8)
         vm_list.replace([], read_at=9)
+        WavePlanner(maintenance=2).note_removed(progress, 'vm-w0', 9.5)
         return progress, vm_list
 
     def test_each_vm_has_a_line_with_the_reason_and_ages(self):
@@ -120,13 +121,14 @@
         assert lines['vm-w0'] == {
             'wave': 1,
             'vm': 'vm-w0',
-            'ground': 'unlisted',
+            'ground': 'removed',
+            'refused_age': 0.5,
             'reads_without': 2,
             'seconds_without': 3,
             'listed': 'up',
         }
         text = metrics.render().decode()
-        assert 'verbenapost_wave_vms_total{ground="unlisted"} 1' in text
+        assert 'verbenapost_wave_vms_total{ground="removed"} 1' in text
 
     def test_a_list_that_shows_the_maintenance_is_told(self):
         log = Log()
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from verbenapost.coordination.scheduling.capacity import VmView
+from verbenapost.coordination.scheduling.leases import compute_lapse_seconds
 from verbenapost.coordination.scheduling.vmlist import VmList
 from verbenapost.coordination.scheduling.waveprogress import WaveProgress
 from verbenapost.coordination.scheduling.waves import MaintainVm, WavePlanner
@@ -16,7 +17,12 @@
 from verbenapost.scheduler.vmorders import VmOrders
 from verbenapost.scheduler.wavelog import WaveLog
 from verbenapost.scheduler.wavestatus import WaveRecord, WaveStatus
-from verbenapost.state.workloads import MaintenanceWave
+from verbenapost.state.workloads import (
+    FleetVm,
+    FleetVmState,
+    MaintenanceWave,
+    Resources,
+)
 
 #: Seconds after a takeover during which no maintenance begins, since the VM
 #: list does not yet show all maintenance that the previous leader ordered.
@@ -41,6 +47,7 @@
     ) -> None:
         self._configuration = ports.configuration
         self._election = ports.election
+        self._hold_seconds = ports.settings.bounds.hold_seconds
         self._orders = orders
         self._fleet = fleet
         self._log = WaveLog(log, ports.metrics)
@@ -63,22 +70,14 @@
         :param views: VMs without a pending order.
         :param finish: called at the end of each order.
         """
-        now = read_clock()
         # Another wave may be requested while a status is written.
         for wave in tuple(self._configuration.waves.values()):
-            progress = await self._find_progress(wave, now)
+            progress = await self._find_progress(wave, read_clock())
             if progress is None or self._status.is_complete(wave.number):
                 continue
-            progress.note_listed(vm_list, now)
-            self._log.note_waiting(progress, views, now)
-            orders = self._planner.plan(progress, views, now)
-            if await self._store_orders(progress, orders):
-                self._send(progress, orders, finish)
+            await self._order_next(progress, vm_list, views, finish)
             if progress.is_complete(vm_list) and not progress.down:
-                self._log.note_counted(
-                    progress, progress.find_counted(vm_list), read_clock()
-                )
-                await self._status.complete(wave.number)
+                await self._complete(progress, vm_list)
 
     def find_departing(self) -> set[str]:
         """Return the VMs that are emptied for maintenance or ordered."""
@@ -90,6 +89,46 @@
             for vm in progress.emptying | progress.ordered
         }
 
+    async def _order_next(
+        self,
+        progress: WaveProgress,
+        vm_list: VmList,
+        views: Sequence[VmView],
+        finish: Callable[[], None],
+    ) -> None:
+        """Begin the maintenance of a wave's VMs that is allowed now."""
+        now = read_clock()
+        progress.note_listed(vm_list, now)
+        self._log.note_waiting(progress, views, now)
+        unlisted = self._make_unlisted_views(progress, vm_list)
+        orders = self._planner.plan(progress, [*views, *unlisted], now)
+        if orders and await self._store_orders(progress, orders):
+            self._send(progress, orders, finish)
+
+    async def _complete(self, progress: WaveProgress, vm_list: VmList) -> None:
+        counted = progress.find_counted(vm_list)
+        self._log.note_counted(progress, counted, read_clock())
+        await self._status.complete(progress.wave.number)
+
+    def _make_unlisted_views(
+        self, progress: WaveProgress, vm_list: VmList
+    ) -> list[VmView]:
+        """Return the VMs that may have been removed from the fleet.
+
+        Leases that a former leader has granted to a worker without an entry
+        have lapsed by then.
+        """
+        lapsed = compute_lapse_seconds(self._hold_seconds)
+        views = []
+        for name in progress.find_unlisted(vm_list, lapsed):
+            if name in self._orders.busy:
+                continue
+            link = self._fleet.find_by_vm(name)
+            vm = FleetVm(name, '', FleetVmState.UNKNOWN, (), Resources(), '')
+            worker = None if link is None else link.worker
+            views.append(VmView(vm, worker, unlisted=True))
+        return views
+
     def _send(
         self,
         progress: WaveProgress,
@@ -124,6 +163,9 @@
         term = self._election.token
         answer = await self._orders.maintain(order.vm, order.wave)
         if isinstance(answer, Err):
+            if answer.err_value.kind is CallFaultKind.NOT_FOUND:
+                self._planner.note_removed(progress, order.vm, read_clock())
+                return
             uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
             self._planner.note_failed(
                 progress, order.vm, read_clock(), outcome_unknown=uncertain
