Waves: one write of a wave's record at a time, none after its completion

Cause: orders that were confirmed together stored the wave's record at once. Their writes conflicted, and of three one ran out of its two attempts; one whose first attempt was late was repeated after the completion and wrote 'running' again, which nothing completed. Each new leader wrote 'running' for a wave that was completed. What callers saw: a wave that went back from completed to running, for some seconds after a change of leader, or for good.

--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -74,6 +74,20 @@
     return json.dumps({'state': state}).encode()
 
 
+def is_wave_completed(value: bytes) -> bool:
+    """Return whether the value of a wave's status key shows its completion.
+
+    >>> is_wave_completed(encode_wave_status(completed=True))
+    True
+    >>> is_wave_completed(b'[')
+    False
+
+    :param value: the value, possibly of another writer.
+    """
+    decoded = _decode(value, lambda fields: fields.get('state'))
+    return decoded.ok() == 'completed'
+
+
 def read_vm(row: Any) -> FleetVm:
     """Return a VM of the cloud's VM list.
 
--- a/verbenapost/scheduler/tests/test_wavecompletion.py
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -54,6 +54,11 @@
     return [begun for state, begun in states if state == 'completed']
 
 
+def list_since_completion(states):
+    names = [state for state, _ in states]
+    return names[names.index('completed') :]
+
+
 class TestUnlistedVm:
     """Absence from the list of VMs was taken for the removal of the VM."""
 
@@ -97,3 +102,64 @@
             return find_completed(states) == [set(vms[:-1])]
 
         assert play(scenario, standby_vms=1)
+
+
+class TestStoredState:
+    """A completed wave was shown as running again."""
+
+    def test_a_new_leader_leaves_a_completed_wave_as_it_is(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            world.request_wave(1, vms, duration=20, cap=4)
+            await asyncio.sleep(15)
+            await leader.kill()
+            await asyncio.sleep(15)
+            return list_since_completion(states)
+
+        assert play(scenario, standby_vms=1) == ['completed']
+
+    def test_a_late_record_does_not_reopen_a_completed_wave(self, play):
+        """One of several records reaches the store after the completion."""
+
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            commit = leader.store.commit
+            records = []
+
+            async def delay_fourth(transaction):
+                if STATUS_KEY in {row.key for row in transaction.writes}:
+                    records.append(transaction)
+                    await asyncio.sleep(8 if len(records) == 4 else 0)
+                return await commit(transaction)
+
+            leader.store.commit = delay_fourth
+            world.request_wave(1, vms, duration=20, cap=4)
+            await asyncio.sleep(25)
+            return list_since_completion(states)
+
+        assert play(scenario, standby_vms=1) == ['completed']
+
+    def test_orders_that_are_confirmed_together_are_all_stored(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            refused = []
+            commit = leader.store.commit
+
+            async def count_conflicts(transaction):
+                answer = await commit(transaction)
+                keys = {row.key for row in transaction.writes}
+                if STATUS_KEY in keys and answer.is_err():
+                    refused.append(transaction)
+                return answer
+
+            leader.store.commit = count_conflicts
+            world.request_wave(1, vms, duration=20, cap=len(vms))
+            await asyncio.sleep(20)
+            return refused
+
+        assert play(scenario, standby_vms=4, workers=12) == []
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -1,7 +1,9 @@
 """Stored state of maintenance waves."""
 
+import asyncio
 import dataclasses
 import json
+from collections import defaultdict
 from collections.abc import Collection, Mapping
 from typing import Any, Final, final
 
@@ -9,7 +11,10 @@
 
 from verbenapost.platform.fields import check_text, read_count
 from verbenapost.platform.names import WAVE_STATUS_PREFIX
-from verbenapost.platform.records import encode_wave_status
+from verbenapost.platform.records import (
+    encode_wave_status,
+    is_wave_completed,
+)
 from verbenapost.platform.store import PlatformStore
 from verbenapost.protocol.orders import (
     CallFault,
@@ -44,6 +49,27 @@
     ordered: frozenset[str] = frozenset()
 
 
+@dataclasses.dataclass(slots=True)
+class _StoredWave:
+    """What this leader knows of a wave's keys.
+
+    :param lock: held during a write, so that writes don't conflict.
+    :param wanted: the record to store.
+    :param stored: the record that is known to be stored, if any.
+    :param revision: revision of the wave's key.
+    :param shown_completed: whether the stored state is, or is about to be,
+        ``completed``.
+    :param complete: whether this leader has found the wave to be complete.
+    """
+
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+    wanted: WaveRecord = dataclasses.field(default_factory=WaveRecord)
+    stored: WaveRecord | None = None
+    revision: int = 0
+    shown_completed: bool = False
+    complete: bool = False
+
+
 class WaveStatus:
     """Stores each wave's state for operators and its VMs for later leaders.
 
@@ -52,7 +78,8 @@
 
     A write without an answer may take effect seconds later. Each write expects
     the revision that the last one known has left, so that a late one can't
-    replace a newer record.
+    replace a newer record. One write of a wave is in flight at a time and
+    stores the newest record, whichever caller waits for it.
 
     :param store: the store.
     :param election: leadership of this daemon.
@@ -68,14 +95,11 @@
         self._store = store
         self._election = election
         self._log = log
-        self._complete: set[int] = set()
-        self._records: dict[int, WaveRecord] = {}
-        self._stored: dict[int, WaveRecord] = {}
-        self._revisions: dict[int, int] = {}
+        self._waves: defaultdict[int, _StoredWave] = defaultdict(_StoredWave)
 
     def is_complete(self, wave: int) -> bool:
-        """Return whether a wave is completed."""
-        return wave in self._complete
+        """Return whether this leader has found a wave to be complete."""
+        return self._waves[wave].complete
 
     def has_stored_orders(self, wave: int, vms: Collection[str]) -> bool:
         """Return whether the orders for VMs are known to be stored.
@@ -83,20 +107,27 @@
         :param wave: number of the wave.
         :param vms: names of the VMs.
         """
-        return self._stored.get(wave, WaveRecord()).ordered.issuperset(vms)
+        stored = self._waves[wave].stored
+        return stored is not None and stored.ordered.issuperset(vms)
 
     async def begin(self, wave: int) -> WaveRecord | None:
-        """Store that a wave is running.
+        """Store that a wave is running, unless its completion is stored.
 
         :returns: what earlier leaders stored, or ``None`` when it could not be
             read.
         """
+        status = await self._read(wave, f'{WAVE_STATUS_PREFIX}{wave}')
         begun = await self._read(wave, make_wave_key(wave))
         ordered = await self._read(wave, make_wave_orders_key(wave))
-        if begun is None or ordered is None:
+        if status is None or begun is None or ordered is None:
             return None
-        record = WaveRecord(begun, frozenset(ordered.keys() - begun.keys()))
-        await self.store(wave, record)
+        terms = self._decode(wave, begun)
+        names = self._decode(wave, ordered).keys()
+        record = WaveRecord(terms, frozenset(names - terms.keys()))
+        found = self._waves[wave]
+        found.shown_completed = is_wave_completed(status)
+        if not found.shown_completed:
+            await self.store(wave, record)
         return record
 
     async def store(self, wave: int, record: WaveRecord) -> bool:
@@ -105,25 +136,30 @@
         :param wave: number of the wave.
         :param record: the wave's VMs.
         """
-        self._records[wave] = record
-        return await self._write(wave, completed=False)
+        found = self._waves[wave]
+        found.wanted = record
+        async with found.lock:
+            return found.stored == found.wanted or await self._write(wave)
 
     async def complete(self, wave: int) -> None:
-        """Store that a wave is completed."""
-        if await self._write(wave, completed=True):
-            self._complete.add(wave)
+        """Store that a wave is completed, unless that is stored."""
+        found = self._waves[wave]
+        async with found.lock:
+            if not found.shown_completed:
+                found.shown_completed = await self._write(wave, completed=True)
+            found.complete = found.shown_completed
+        if found.complete:
             self._log.info('wave completed', wave=wave)
 
-    async def _read(self, wave: int, key: str) -> Mapping[str, int] | None:
+    async def _read(self, wave: int, key: str) -> bytes | None:
+        """Return the value of a key, ``None`` when it could not be read."""
         found = await self._store.read_key(key)
         if isinstance(found, Err):
             self._log.warning(
                 'wave status not read', wave=wave, fault=str(found.err_value)
             )
             return None
-        if found.ok_value is None:
-            return {}
-        return self._decode(wave, found.ok_value.value)
+        return b'' if found.ok_value is None else found.ok_value.value
 
     def _decode(self, wave: int, packed: bytes) -> Mapping[str, int]:
         """Return the VMs of a record, none if another writer's value.
@@ -131,6 +167,8 @@
         An order for a VM that has begun already is confirmed by the platform
         without an effect.
         """
+        if not packed:
+            return {}
         try:
             return _read_terms(json.loads(packed))
         except (ValueError, TypeError, RecursionError) as fault:
@@ -139,15 +177,24 @@
             )
             return {}
 
-    async def _write(self, wave: int, *, completed: bool) -> bool:
-        record = self._records.get(wave, WaveRecord())
+    async def _write(self, wave: int, *, completed: bool | None = None) -> bool:
+        """Write the wanted record; the caller holds the wave's lock.
+
+        :param wave: number of the wave.
+        :param completed: state to show, or ``None`` for the one shown so far.
+        :returns: whether the record is known to be stored.
+        """
+        found = self._waves[wave]
+        if completed is None:
+            completed = found.shown_completed
+        record = found.wanted
         for _ in range(MAX_WRITE_ATTEMPTS):
             answer = await self._store.commit(
                 self._make_transaction(wave, record, completed=completed)
             )
             if not isinstance(answer, Err):
-                self._revisions[wave] = answer.ok_value
-                self._stored[wave] = record
+                found.revision = answer.ok_value
+                found.stored = record
                 return True
             fault = answer.err_value
             self._log.warning(
@@ -164,7 +211,7 @@
     def _note_conflict(self, wave: int, conflict: TransactionConflict) -> None:
         """Record the revision that an earlier write without an answer left."""
         key = make_wave_key(wave)
-        self._revisions[wave] = max(
+        self._waves[wave].revision = max(
             (item.revision for item in conflict.items if item.key == key),
             default=0,
         )
@@ -176,7 +223,7 @@
             (
                 ExpectedRevision(LEADER_KEY, self._election.revision),
                 ExpectedRevision(
-                    make_wave_key(wave), self._revisions.get(wave, 0)
+                    make_wave_key(wave), self._waves[wave].revision
                 ),
             ),
             (
