Waves: follow a request that operators have changed

Cause: a leader remembered the request of a wave as it first saw it. VMs that were added to it later were never ordered, and the wave was completed without them. What callers saw: a changed wave shown as completed although its new VMs had not begun. Change: the progress follows the request; when VMs were added to a wave that is shown as completed, 'running' is stored before they are ordered. Evidence: TestChangedRequest failed on the code before, with the change made before and after the completion, and passes now.

--- a/verbenapost/scheduler/tests/test_wavecompletion.py
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -104,6 +104,24 @@
         assert play(scenario, standby_vms=1)
 
 
+class TestChangedRequest:
+    """The first request was remembered, and a later one ignored."""
+
+    @pytest.mark.parametrize('delay', [0.5, 15])
+    def test_an_added_vm_is_maintained(self, play, delay):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            world.request_wave(1, vms[:1], duration=20, cap=1)
+            await asyncio.sleep(delay)
+            world.request_wave(1, vms[:3], duration=20, cap=1)
+            states = follow_states(world)
+            await asyncio.sleep(25)
+            return find_completed(states)[-1:] == [set(vms[:3])]
+
+        assert play(scenario, standby_vms=1)
+
+
 class TestStoredState:
     """A completed wave was shown as running again."""
 
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -153,8 +153,19 @@
             progress.note_recorded(record.begun)
             progress.note_former_orders(record.ordered)
             self._progress[wave.number] = progress
+        elif progress.wave != wave:
+            await self._replace_request(progress, wave)
         return progress
 
+    async def _replace_request(
+        self, progress: WaveProgress, wave: MaintenanceWave
+    ) -> None:
+        """Follow a request that operators have changed."""
+        added = set(wave.vms) - set(progress.wave.vms)
+        if added and not await self._status.reopen(wave.number):
+            return
+        progress.wave = wave
+
     async def _maintain(
         self, order: MaintainVm, progress: WaveProgress
     ) -> None:
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -151,6 +151,19 @@
         if found.complete:
             self._log.info('wave completed', wave=wave)
 
+    async def reopen(self, wave: int) -> bool:
+        """Store that a wave is running again; return whether that is known.
+
+        :param wave: number of the wave.
+        """
+        found = self._waves[wave]
+        async with found.lock:
+            found.complete = False
+            if not found.shown_completed:
+                return True
+            found.shown_completed = not await self._write(wave, completed=False)
+            return not found.shown_completed
+
     async def _read(self, wave: int, key: str) -> bytes | None:
         """Return the value of a key, ``None`` when it could not be read."""
         found = await self._store.read_key(key)
