Waves: show a wave as running once a VM of it is found that has not begun

Cause: a new leader leaves a stored completion as it is. When operators had added VMs to the request while nobody led, or a removed VM is listed again before the leader has confirmed the completion, the state stayed 'completed' while VMs were maintained. What callers saw: a completed wave whose VMs went down. Change: a listed VM of the wave that has not begun stores 'running' first. The line 'wave waits' names the VMs that are not listed. Evidence: test_a_vm_added_while_nobody_leads_is_maintained failed on the code before and passes now.

--- a/verbenapost/coordination/scheduling/waveprogress.py
+++ b/verbenapost/coordination/scheduling/waveprogress.py
@@ -132,6 +132,15 @@
             if listed.state is FleetVmState.MAINTENANCE:
                 self.maintenance_seen.setdefault(vm, now)
 
+    def has_listed_left(self, vm_list: VmList) -> bool:
+        """Return whether a VM that the list shows has yet to begin.
+
+        :param vm_list: all VMs.
+        """
+        return any(
+            vm in vm_list.vms and vm not in self.begun for vm in self.wave.vms
+        )
+
     def find_unlisted(self, vm_list: VmList, seconds: float) -> list[str]:
         """Return the VMs that are neither listed nor known to be removed.
 
--- a/verbenapost/scheduler/tests/test_wavecompletion.py
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -121,6 +121,22 @@
 
         assert play(scenario, standby_vms=1)
 
+    def test_a_vm_added_while_nobody_leads_is_maintained(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            world.request_wave(1, vms[:1], duration=20, cap=1)
+            await asyncio.sleep(15)
+            await leader.kill()
+            world.request_wave(1, vms[:3], duration=20, cap=1)
+            states = follow_states(world)
+            await asyncio.sleep(30)
+            names = [state for state, _ in states]
+            return names[0], find_completed(states)
+
+        found = play(scenario, standby_vms=1)
+        assert found == ('running', [{'vm-w0', 'vm-w1', 'vm-w2'}])
+
 
 class TestStoredState:
     """A completed wave was shown as running again."""
--- a/verbenapost/scheduler/tests/test_wavelog.py
+++ b/verbenapost/scheduler/tests/test_wavelog.py
@@ -64,6 +64,10 @@
         vm = dataclasses.replace(VM, state=state)
         assert describe_vm(VmView(vm, view.worker)) == text
 
+    def test_a_vm_that_the_list_leaves_out(self):
+        view = VmView(VM, None, unlisted=True)
+        assert describe_vm(view) == 'vm-w0 is not listed'
+
     def test_a_vm_without_a_worker(self):
         assert describe_vm(VmView(VM, None)) == 'vm-w0 has no worker'
 
--- a/verbenapost/scheduler/wavelog.py
+++ b/verbenapost/scheduler/wavelog.py
@@ -112,6 +112,8 @@
     """Return a VM with what keeps its maintenance from beginning."""
     worker = view.worker
     name = view.vm.vm
+    if view.unlisted:
+        return f'{name} is not listed'
     if view.vm.state is not FleetVmState.UP:
         return f'{name} is {view.vm.state.value}'
     if worker is None:
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -75,6 +75,8 @@
             progress = await self._find_progress(wave, read_clock())
             if progress is None or self._status.is_complete(wave.number):
                 continue
+            if progress.has_listed_left(vm_list):
+                await self._status.reopen(wave.number)
             await self._order_next(progress, vm_list, views, finish)
             if progress.is_complete(vm_list) and not progress.down:
                 await self._complete(progress, vm_list)
@@ -99,9 +101,9 @@
         """Begin the maintenance of a wave's VMs that is allowed now."""
         now = read_clock()
         progress.note_listed(vm_list, now)
-        self._log.note_waiting(progress, views, now)
-        unlisted = self._make_unlisted_views(progress, vm_list)
-        orders = self._planner.plan(progress, [*views, *unlisted], now)
+        candidates = [*views, *self._make_unlisted_views(progress, vm_list)]
+        self._log.note_waiting(progress, candidates, now)
+        orders = self._planner.plan(progress, candidates, now)
         if orders and await self._store_orders(progress, orders):
             self._send(progress, orders, finish)
 
