Waves: count an unlisted VM as removed after refused orders, and store that

Cause: waited for the refusal of an order as unknown. A VM that is down, on its way or in maintenance was refused as well, but stayed listed. Change: three refusals in a row, a second apart, of a VM that the list has been without throughout, or one as unknown, show its removal; a list that shows the VM ends the count. The removal is stored in vp/removed/N, so that a new leader needn't find it out again. Orders for unlisted VMs go first, as they take no time.

--- a/verbenapost/coordination/scheduling/waveprogress.py
+++ b/verbenapost/coordination/scheduling/waveprogress.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from typing import Final, final
 
@@ -34,7 +35,7 @@
 
     An order of this leader was confirmed, an earlier leader has recorded the
     confirmation, or the VM was removed from the fleet: the list of VMs is
-    without it, and the platform has refused an order for it as unknown.
+    without it, and the platform has refused orders for it.
     """
 
     CONFIRMED = 'confirmed'
@@ -52,8 +53,8 @@
     :param confirmation: the confirmation of its maintenance, if known.
     :param maintenance_seen_at: local seconds at which a list first showed it in
         maintenance, if any has.
-    :param refused_at: local seconds at which the platform refused an order for
-        the VM as unknown, if it did.
+    :param removed_at: local seconds at which refused orders have shown that the
+        VM was removed, if they have.
     :param absence: how long the list has been without the VM.
     """
 
@@ -61,7 +62,7 @@
     ground: CountGround
     confirmation: Confirmation | None
     maintenance_seen_at: float | None
-    refused_at: float | None
+    removed_at: float | None
     absence: Absence
 
 
@@ -76,9 +77,11 @@
     :param begun: confirmations that the maintenance of VMs has begun.
     :param maintenance_seen: local seconds at which a list of VMs first showed a
         VM of the wave in maintenance.
-    :param removed: local seconds at which the platform refused an order for a
-        VM as unknown, until a list shows the VM.
-    :param asked: local seconds of the last order for a VM that no list showed.
+    :param removed: local seconds at which refused orders have shown that a VM
+        was removed, until a list shows the VM.
+    :param asked: local seconds of the last order for each VM that the list has
+        not shown since.
+    :param refusals: refused orders for these VMs.
     :param down: local seconds until which each VM counts as down at least.
     :param emptying: VMs that are being emptied.
     :param ordered: VMs for which an order may be sent or may have been sent,
@@ -93,6 +96,7 @@
     maintenance_seen: dict[str, float] = dataclasses.field(default_factory=dict)
     removed: dict[str, float] = dataclasses.field(default_factory=dict)
     asked: dict[str, float] = dataclasses.field(default_factory=dict)
+    refusals: Counter[str] = dataclasses.field(default_factory=Counter)
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
     ordered: set[str] = dataclasses.field(default_factory=set)
@@ -118,6 +122,13 @@
         until = self.seen_at + UNCONFIRMED_ORDER_SECONDS
         self.down.update(dict.fromkeys(vms, until))
 
+    def note_former_removals(self, vms: Collection[str]) -> None:
+        """Record the VMs that were removed, as a former leader has stored.
+
+        :param vms: names of the VMs.
+        """
+        self.removed.update(dict.fromkeys(vms, self.seen_at))
+
     def note_listed(self, vm_list: VmList, now: float) -> None:
         """Record which VMs the list shows, and which in maintenance.
 
@@ -129,6 +140,8 @@
             if listed is None:
                 continue
             self.removed.pop(vm, None)
+            self.asked.pop(vm, None)
+            self.refusals.pop(vm, None)
             if listed.state is FleetVmState.MAINTENANCE:
                 self.maintenance_seen.setdefault(vm, now)
 
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -25,6 +25,10 @@
 #: that exists is ordered again once it is listed.
 UNLISTED_ORDER_SECONDS: Final = 1.0
 
+#: Refused orders after which a VM that the list doesn't show counts as removed.
+#: A VM that is moving or starting again is refused as well, for some seconds.
+MAX_UNLISTED_REFUSALS: Final = 3
+
 #: Share of a wave's duration within which the wave is planned to end.
 PLANNED_TIME_SHARE: Final = 0.7
 
@@ -68,6 +72,8 @@
             and _may_order(progress, view, now)
         ]
         due.sort(key=_rank)
+        # Orders for VMs that may have been removed are refused at once.
+        due.sort(key=lambda view: not view.unlisted)
         due.sort(key=lambda view: view.vm.vm not in progress.inherited)
         self._choose_emptying(progress, due, now)
         if now < progress.quiet_until:
@@ -126,11 +132,24 @@
         else:
             progress.ordered.discard(vm)
 
-    def note_removed(self, progress: WaveProgress, vm: str, now: float) -> None:
-        """Record that the platform has refused an order as for no VM."""
-        progress.removed[vm] = now
-        progress.ordered.discard(vm)
+    def note_refused(
+        self, progress: WaveProgress, vm: str, now: float, *, known: bool
+    ) -> None:
+        """Record that the platform has refused an order for a VM.
+
+        :param progress: progress of the wave.
+        :param vm: name of the VM.
+        :param now: local seconds.
+        :param known: whether the platform knows such a VM, which may be down,
+            on its way or removed.
+        """
         progress.down.pop(vm, None)
+        progress.ordered.discard(vm)
+        if vm not in progress.asked:
+            return
+        progress.refusals[vm] += 1
+        if not known or progress.refusals[vm] >= MAX_UNLISTED_REFUSALS:
+            progress.removed[vm] = now
 
     def _drop_returned(
         self,
@@ -168,7 +187,7 @@
 def _may_order(progress: WaveProgress, view: VmView, now: float) -> bool:
     """Return whether a VM can be maintained, or may have been removed.
 
-    Only the platform's answer to an order tells a VM that was removed from one
+    Only the platform's answers to orders tell a VM that was removed from one
     that the list leaves out.
     """
     if not view.unlisted:
--- a/verbenapost/scheduler/keys.py
+++ b/verbenapost/scheduler/keys.py
@@ -8,6 +8,7 @@
 LAST_LEADER_KEY: Final = 'vp/last'
 WAVE_PREFIX: Final = 'vp/wave/'
 WAVE_ORDERS_PREFIX: Final = 'vp/orders/'
+WAVE_REMOVED_PREFIX: Final = 'vp/removed/'
 SUBMITTED_PREFIX: Final = 'vp/in/'
 PROGRESS_PREFIX: Final = 'vp/at/'
 
@@ -53,6 +54,11 @@
     return f'{WAVE_ORDERS_PREFIX}{wave}'
 
 
+def make_wave_removed_key(wave: int) -> str:
+    """Return the key of the VMs of a wave that were removed from the fleet."""
+    return f'{WAVE_REMOVED_PREFIX}{wave}'
+
+
 def parse_submitted(key: str) -> SubmittedKey:
     """Parse a key under the submission prefix.
 
--- a/verbenapost/scheduler/tests/test_wavecompletion.py
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins.fleet.world import SERVICE
+from verbenapost.scheduler.keys import make_wave_removed_key
 from verbenapost.scheduler.tests.scenarios import wait_for_leader
 
 STATUS_KEY = 'status/wave/1'
@@ -103,6 +104,52 @@
 
         assert play(scenario, standby_vms=1)
 
+    def test_a_vm_that_never_existed_is_not_waited_for(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            states = follow_states(world)
+            world.request_wave(1, ['vm-w0', 'vm-none'], duration=20, cap=1)
+            await asyncio.sleep(20)
+            return find_completed(states)
+
+        assert play(scenario, standby_vms=1) == [{'vm-w0'}]
+
+    def test_a_new_leader_knows_of_a_removal(self, play):
+        """Its reads of the list alone don't show what happened before."""
+
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            world.request_wave(1, vms, duration=60, cap=1)
+            gone = vms[-1]
+            world.cloud.remove(gone)
+            key = make_wave_removed_key(1)
+            for _ in range(400):
+                await asyncio.sleep(0.05)
+                stored = world.store.items.get(key)
+                if stored is not None and gone in json.loads(stored.value):
+                    break
+            begun = len(world.cloud.maintained)
+            orders = []
+            maintain = world.cloud.maintain
+
+            def note_order(vm, wave, token):
+                orders.append(vm)
+                return maintain(vm, wave, token)
+
+            world.cloud.maintain = note_order
+            await leader.kill()
+            await asyncio.sleep(50)
+            completed = find_completed(states)
+            return begun, completed == [set(vms) - {gone}], gone in orders
+
+        begun, completed, ordered_again = play(
+            scenario, standby_vms=1, workers=8
+        )
+        assert begun < 7
+        assert (completed, ordered_again) == (True, False)
+
 
 class TestChangedRequest:
     """The first request was remembered, and a later one ignored."""
--- a/verbenapost/scheduler/wavelog.py
+++ b/verbenapost/scheduler/wavelog.py
@@ -98,8 +98,8 @@
         fields['confirmed_age'] = round(now - row.confirmation.at, 3)
     if row.maintenance_seen_at is not None:
         fields['maintenance_seen_age'] = round(now - row.maintenance_seen_at, 3)
-    if row.refused_at is not None:
-        fields['refused_age'] = round(now - row.refused_at, 3)
+    if row.removed_at is not None:
+        fields['removed_age'] = round(now - row.removed_at, 3)
     if absence.reads:
         fields['reads_without'] = absence.reads
         fields['seconds_without'] = round(absence.seconds, 3)
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -28,6 +28,9 @@
 #: list does not yet show all maintenance that the previous leader ordered.
 MAINTENANCE_DELAY: Final = 4.0
 
+#: Refusals of an order for a VM that is not up, or was removed.
+_REFUSALS: Final = frozenset((CallFaultKind.BUSY, CallFaultKind.NOT_FOUND))
+
 
 class WaveRunner:
     """Orders the maintenance of each wave's VMs and stores its state.
@@ -154,6 +157,7 @@
             progress = WaveProgress(wave, now, self._quiet_until)
             progress.note_recorded(record.begun)
             progress.note_former_orders(record.ordered)
+            progress.note_former_removals(record.removed)
             self._progress[wave.number] = progress
         elif progress.wave != wave:
             await self._replace_request(progress, wave)
@@ -176,15 +180,7 @@
         term = self._election.token
         answer = await self._orders.maintain(order.vm, order.wave)
         if isinstance(answer, Err):
-            if answer.err_value.kind is CallFaultKind.NOT_FOUND:
-                self._planner.note_removed(progress, order.vm, read_clock())
-                return
-            uncertain = answer.err_value.kind is CallFaultKind.UNKNOWN
-            self._planner.note_failed(
-                progress, order.vm, read_clock(), outcome_unknown=uncertain
-            )
-            if not uncertain:
-                self._fleet.readmit(order.vm)
+            await self._note_fault(progress, order.vm, answer.err_value.kind)
             return
         now = read_clock()
         self._planner.note_begun(progress, order.vm, now, term)
@@ -192,6 +188,24 @@
             link.maintained_at = now
         await self._store(progress)
 
+    async def _note_fault(
+        self, progress: WaveProgress, vm: str, kind: CallFaultKind
+    ) -> None:
+        """Record that an order was refused or not answered."""
+        now = read_clock()
+        if kind in _REFUSALS:
+            known = kind is not CallFaultKind.NOT_FOUND
+            self._planner.note_refused(progress, vm, now, known=known)
+        else:
+            uncertain = kind is CallFaultKind.UNKNOWN
+            self._planner.note_failed(
+                progress, vm, now, outcome_unknown=uncertain
+            )
+        if kind is not CallFaultKind.UNKNOWN:
+            self._fleet.readmit(vm)
+        if vm in progress.removed:
+            await self._store(progress)
+
     async def _store_orders(
         self, progress: WaveProgress, orders: Sequence[MaintainVm]
     ) -> bool:
@@ -208,5 +222,7 @@
 
     async def _store(self, progress: WaveProgress) -> bool:
         begun = {vm: row.term for vm, row in progress.begun.items()}
-        record = WaveRecord(begun, frozenset(progress.ordered))
+        record = WaveRecord(
+            begun, frozenset(progress.ordered), frozenset(progress.removed)
+        )
         return await self._status.store(progress.wave.number, record)
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -28,6 +28,7 @@
     LEADER_KEY,
     make_wave_key,
     make_wave_orders_key,
+    make_wave_removed_key,
 )
 
 #: Attempts of one write. The second follows a conflict that has shown which
@@ -43,10 +44,13 @@
     :param begun: VMs whose maintenance has begun, each with the fencing token
         of the leader whose order was confirmed, 0 if that is not known.
     :param ordered: other VMs for which an order may have been sent.
+    :param removed: other VMs that were removed from the fleet, as refused
+        orders have shown.
     """
 
     begun: Mapping[str, int] = dataclasses.field(default_factory=dict)
     ordered: frozenset[str] = frozenset()
+    removed: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,11 +123,16 @@
         status = await self._read(wave, f'{WAVE_STATUS_PREFIX}{wave}')
         begun = await self._read(wave, make_wave_key(wave))
         ordered = await self._read(wave, make_wave_orders_key(wave))
+        removed = await self._read(wave, make_wave_removed_key(wave))
         if status is None or begun is None or ordered is None:
             return None
         terms = self._decode(wave, begun)
-        names = self._decode(wave, ordered).keys()
-        record = WaveRecord(terms, frozenset(names - terms.keys()))
+        record = WaveRecord(
+            terms,
+            frozenset(self._decode(wave, ordered).keys() - terms.keys()),
+            # Without it, the VMs are ordered and refused again.
+            frozenset(self._decode(wave, removed or b'')),
+        )
         found = self._waves[wave]
         found.shown_completed = is_wave_completed(status)
         if not found.shown_completed:
@@ -242,6 +251,7 @@
             (
                 Write(make_wave_key(wave), _encode_terms(record.begun)),
                 Write(make_wave_orders_key(wave), _encode(record.ordered)),
+                Write(make_wave_removed_key(wave), _encode(record.removed)),
                 Write(
                     f'{WAVE_STATUS_PREFIX}{wave}',
                     encode_wave_status(completed=completed),
