--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -111,9 +111,11 @@
             self._send(progress, orders, finish)
 
     async def _complete(self, progress: WaveProgress, vm_list: VmList) -> None:
-        counted = progress.find_counted(vm_list)
-        self._log.note_counted(progress, counted, read_clock())
-        await self._status.complete(progress.wave.number)
+        number = progress.wave.number
+        if not self._status.is_shown_completed(number):
+            counted = progress.find_counted(vm_list)
+            self._log.note_counted(progress, counted, read_clock())
+        await self._status.complete(number)
 
     def _make_unlisted_views(
         self, progress: WaveProgress, vm_list: VmList
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -150,15 +150,20 @@
         async with found.lock:
             return found.stored == found.wanted or await self._write(wave)
 
+    def is_shown_completed(self, wave: int) -> bool:
+        """Return whether a wave's completion is stored, by any leader."""
+        return self._waves[wave].shown_completed
+
     async def complete(self, wave: int) -> None:
         """Store that a wave is completed, unless that is stored."""
         found = self._waves[wave]
         async with found.lock:
-            if not found.shown_completed:
-                found.shown_completed = await self._write(wave, completed=True)
-            found.complete = found.shown_completed
-        if found.complete:
-            self._log.info('wave completed', wave=wave)
+            if found.shown_completed:
+                found.complete = True
+                self._log.info('wave found completed', wave=wave)
+            elif await self._write(wave, completed=True):
+                found.shown_completed = found.complete = True
+                self._log.info('wave completed', wave=wave)
 
     async def reopen(self, wave: int) -> bool:
         """Store that a wave is running again; return whether that is known.
