Fleet: after maintenance, a row that says nothing of the worker ends nothing

Cause: once maintenance was confirmed, which the platform does also for what it has done before, any row of the VM that didn't show the worker as up ended the worker, also one without a worker's name or with a state that this version doesn't know, and also a worker that answers. What callers would see: a live worker without a link, so that its VM stays unused until the next registration, and its tasks, if any, would start elsewhere (TWICE; not seen). Change: the end takes a row that contradicts the worker, as elsewhere; another row is waited for. That the platform shows such rows after maintenance isn't known.

--- a/verbenapost/coordination/scheduling/incarnations.py
+++ b/verbenapost/coordination/scheduling/incarnations.py
@@ -56,6 +56,15 @@
     known = requested.now - known_since
     if age < MIN_AGE_SECONDS and known < MIN_KNOWN_SECONDS:
         return False
+    return contradicts(entry, vm)
+
+
+def contradicts(entry: WorkerEntry, vm: FleetVm) -> bool:
+    """Return whether a VM as listed can't have a worker with this entry.
+
+    :param entry: registration of the worker.
+    :param vm: the worker's VM as the platform lists it.
+    """
     if vm.state in _ENDING_STATES or vm.pool != entry.service:
         return True
     return vm.worker not in {'', entry.worker}
--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -8,6 +8,7 @@
 
 from verbenapost.coordination.scheduling.commands import Command, StartTask
 from verbenapost.coordination.scheduling.incarnations import (
+    contradicts,
     has_crashed,
     has_incarnation_ended,
 )
@@ -188,11 +189,13 @@
         confirmed_at = link.maintained_at
         if confirmed_at is None or vm is None or requested.now < confirmed_at:
             return False
-        link.maintained_at = None
         if vm.state is FleetVmState.UP and vm.worker == link.name:
             link.worker.leaving = False
-        else:
+        elif contradicts(link.worker.entry, vm):
             link.end_incarnation('its VM is in maintenance')
+        else:
+            return False
+        link.maintained_at = None
         return True
 
     def _apply_entry(self, entry: WorkerEntry) -> None:
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from verbenapost.coordination.scheduling.jobs import TaskState
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.tests.sample import (
@@ -66,6 +68,33 @@
         assert client.leases[-1] is None
 
 
+def make_fleet(monkeypatch):
+    clock = Clock()
+    pool_state, _, link = make_link(clock, monkeypatch)
+    pool_state.recovering = True
+    worker = link.worker
+    worker.entry = dataclasses.replace(worker.entry, started_at_ms=1000)
+    worker.reconciled = False
+    worker.reachable = False
+    fleet = WorkerFleet(
+        PoolStateSet(2),
+        ConfigurationFollower(make_logger('configuration')),
+        link.ports,
+        None,
+        link.ports.election.lose,
+        make_logger('fleet'),
+    )
+    fleet.links['w0'] = link
+    return pool_state, fleet, link
+
+
+def list_vm(pool):
+    vm = FleetVm('vm-w0', pool, FleetVmState.UP, (), Resources(), '')
+    vm_list = VmList()
+    vm_list.replace([vm], read_at=0)
+    return vm_list
+
+
 class TestMovedVm:
     """A takeover while a registered worker's VM is already in another pool.
 
@@ -73,57 +102,73 @@
     expiry of its leases would delay the inherited jobs of its pool.
     """
 
-    def make_fleet(self, monkeypatch):
-        clock = Clock()
-        pool_state, _, link = make_link(clock, monkeypatch)
-        pool_state.recovering = True
-        worker = link.worker
-        worker.entry = dataclasses.replace(worker.entry, started_at_ms=1000)
-        worker.reconciled = False
-        worker.reachable = False
-        fleet = WorkerFleet(
-            PoolStateSet(2),
-            ConfigurationFollower(make_logger('configuration')),
-            link.ports,
-            None,
-            link.ports.election.lose,
-            make_logger('fleet'),
-        )
-        fleet.links['w0'] = link
-        return pool_state, fleet, link
-
-    def list_vm(self, pool):
-        vm = FleetVm('vm-w0', pool, FleetVmState.UP, (), Resources(), '')
-        vm_list = VmList()
-        vm_list.replace([vm], read_at=0)
-        return vm_list
-
     def test_inherited_jobs_of_the_pool_continue_at_once(self, monkeypatch):
-        pool_state, fleet, link = self.make_fleet(monkeypatch)
+        pool_state, fleet, link = make_fleet(monkeypatch)
         assert not end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
-        fleet.end_replaced_incarnations(self.list_vm('standby'), OLD_ENTRY)
+        fleet.end_replaced_incarnations(list_vm('standby'), OLD_ENTRY)
         assert link.ended
         assert end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
 
     def test_reachable_worker_is_kept(self, monkeypatch):
-        _, fleet, link = self.make_fleet(monkeypatch)
+        _, fleet, link = make_fleet(monkeypatch)
         link.worker.reachable = True
-        fleet.end_replaced_incarnations(self.list_vm('standby'), OLD_ENTRY)
+        fleet.end_replaced_incarnations(list_vm('standby'), OLD_ENTRY)
         assert not link.ended
 
     def test_worker_of_an_unmoved_vm_is_kept(self, monkeypatch):
-        pool_state, fleet, link = self.make_fleet(monkeypatch)
-        fleet.end_replaced_incarnations(self.list_vm('routing'), OLD_ENTRY)
+        pool_state, fleet, link = make_fleet(monkeypatch)
+        fleet.end_replaced_incarnations(list_vm('routing'), OLD_ENTRY)
         assert not link.ended
         assert not end_inherited_pause(
             pool_state, Takeover(0.1, HOLD_SECONDS, listed=())
         )
 
 
+class TestConfirmedMaintenance:
+    """A row that says nothing of the worker ended a worker that runs on."""
+
+    CONFIRMED_AT = OLD_ENTRY.now - 1
+
+    def settle(self, monkeypatch, **changes):
+        """Return the link after a list with one row, and whether it waits."""
+        _, fleet, link = make_fleet(monkeypatch)
+        link.worker.reachable = True
+        link.worker.leaving = True
+        link.maintained_at = self.CONFIRMED_AT
+        vm = dataclasses.replace(list_vm('routing').vms['vm-w0'], worker='w0')
+        vm_list = VmList()
+        vm_list.replace([dataclasses.replace(vm, **changes)], read_at=0)
+        fleet.end_replaced_incarnations(vm_list, OLD_ENTRY)
+        return link.ended, link.worker.leaving, link.maintained_at is not None
+
+    @pytest.mark.parametrize(
+        'changes', [{'state': FleetVmState.UNKNOWN}, {'worker': ''}]
+    )
+    def test_a_later_list_is_waited_for(self, monkeypatch, changes):
+        settled = self.settle(monkeypatch, **changes)
+        assert settled == (False, True, True)
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'state': FleetVmState.MAINTENANCE, 'worker': ''},
+            {'state': FleetVmState.DOWN},
+            {'worker': 'w9'},
+            {'pool': 'standby', 'worker': ''},
+        ],
+    )
+    def test_a_contradicting_row_ends_it(self, monkeypatch, changes):
+        ended, _, _ = self.settle(monkeypatch, **changes)
+        assert ended
+
+    def test_its_own_row_lets_it_stay(self, monkeypatch):
+        assert self.settle(monkeypatch) == (False, False, False)
+
+
 class TestEndAcknowledgement:
     async def end_two(self, monkeypatch, recorder):
         """Let two tasks end, each reported in the answer to its own renewal."""
