Entry: a late cancel doesn't cancel a job that was submitted again

Cause: a cancel expected only that the job had none. One that was carried out after the job's keys had been removed, late or between the entry's read and its write, left a mark for whatever was submitted under that identity next. Change: the cancel expects the submission that the entry has read. On a conflict the job has been cancelled before or has ended (200), or is gone (410).

--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -277,20 +277,30 @@
         )
         if isinstance(submitted, Err):
             return _refuse_fault(submitted.err_value)
-        if submitted.ok_value is None:
+        spec = submitted.ok_value
+        if spec is None:
             return refuse(Status.NO_JOB, 'no such job')
         key = make_cancel_key(name)
+        # A cancel that is carried out late must not reach a job that is
+        # submitted under this identity once this one has been removed.
         transaction = Transaction(
-            (ExpectedRevision(key, 0),),
+            (
+                ExpectedRevision(key, 0),
+                ExpectedRevision(spec.key, spec.revision),
+            ),
             (Write(key, b''),),
         )
         outcome = await self._retrying.write(transaction, request.deadline)
         self._log.info('cancel answered', job=name, stored=outcome.is_ok())
-        if isinstance(outcome, Ok) or isinstance(
-            outcome.err_value, TransactionConflict
-        ):
+        if isinstance(outcome, Ok):
             return EntryAnswer(Status.OK)
-        return _refuse_fault(outcome.err_value)
+        fault = outcome.err_value
+        if isinstance(fault, CallFault):
+            return _refuse_fault(fault)
+        # The job has been cancelled before or has ended, unless it is gone.
+        if fault.items:
+            return EntryAnswer(Status.OK)
+        return refuse(Status.NO_JOB, 'no such job')
 
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(PendingRequest(route.name))
