Store: an empty page that isn't the last ends no listing

Cause: a page without items ended a listing, also where the store said that more keys follow. Keys that no page had shown were then taken as removed. What callers would see: jobs, workers or the leader missing after a listing. That the store answers so isn't known. Evidence: test_an_empty_page_is_not_taken_for_the_last failed before and passes now.

--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -182,8 +182,11 @@
                 return page
             items.extend(page.ok_value.items)
             revision = revision or page.ok_value.revision
-            if not page.ok_value.truncated or not page.ok_value.items:
+            if not page.ok_value.truncated:
                 return Ok(ItemPage(items, truncated=False, revision=revision))
+            if not page.ok_value.items:
+                # The keys after it are not known to be absent.
+                return Err(CallFault(CallFaultKind.UNKNOWN, 'empty page'))
 
     async def watch(
         self,
--- a/verbenapost/scheduler/tests/test_takeover.py
+++ b/verbenapost/scheduler/tests/test_takeover.py
@@ -66,6 +66,13 @@
         assert [item.key for item in found.ok_value.items] == ['p/a', 'p/b']
         assert len(http.asked) == 3
 
+    async def test_an_empty_page_is_not_taken_for_the_last(self):
+        """Keys that no page had shown were taken as removed."""
+        empty = {'truncated': True, 'store_revision': 5}
+        http = Pages((PAGES[0], empty), failing=())
+        found = await make_store(http).read_range('p/')
+        assert found.err_value.kind is CallFaultKind.UNKNOWN
+
     async def test_page_that_keeps_failing_ends_the_read(self):
         failing = set(range(2, 2 + PAGE_ATTEMPTS))
         http = Pages(PAGES, failing=failing)
