Entry: a job that is being removed isn't shown as queued

Cause: an entry without a leader read the submission, then the progress. If the ended job was removed in between, the missing progress was taken for a job not begun. What callers would see: queued for a job that had been completed minutes before. Change: the progress is read first; a job that has ended takes one read in place of two, an unknown one two in place of one. Evidence: test_a_job_that_is_being_removed_is_not_shown_as_queued failed before and passes now.

--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -246,11 +246,8 @@
         name: str,
     ) -> Result[CallerJobState | None, CallFault]:
         """Return a job's state as stored, or ``None`` for an unknown job."""
-        submitted = await self._read(make_spec_key(name))
-        if isinstance(submitted, Err):
-            return submitted
-        if submitted.ok_value is None:
-            return Ok(None)
+        # In this order, an ended job that is removed meanwhile is not taken
+        # for one without progress.
         progress = await self._read(make_progress_key(name))
         if isinstance(progress, Err):
             return progress
@@ -259,6 +256,11 @@
             state = read_packed_state(progress.ok_value.value)
         if state.ended:
             return Ok(state)
+        submitted = await self._read(make_spec_key(name))
+        if isinstance(submitted, Err):
+            return submitted
+        if submitted.ok_value is None:
+            return Ok(None)
         cancel = await self._read(make_cancel_key(name))
         if isinstance(cancel, Err):
             return cancel
--- a/verbenapost/scheduler/tests/test_cleanup.py
+++ b/verbenapost/scheduler/tests/test_cleanup.py
@@ -7,6 +7,7 @@
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.cleanup import EXTRA_RETENTION_SECONDS
 from verbenapost.scheduler.tests.scenarios import (
+    COMPLETED,
     STEPS,
     name_job,
     wait_for_leader,
@@ -21,6 +22,37 @@
 GONE = 410
 
 
+class SilentLeader:
+    async def ask(self, _message):
+        return Err('silent')
+
+
+class TestStateFromTheStore:
+    def test_a_job_that_is_being_removed_is_not_shown_as_queued(self, play):
+        """Its progress was read after the removal, and taken for not begun."""
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            await world.submit(name_job(1), STEPS)
+            await asyncio.sleep(20)
+            daemon = world.daemons['d0']
+            daemon.entry._leader = SilentLeader()
+            read_key = daemon.store.read_key
+
+            async def remove_after_first(key):
+                found = await read_key(key)
+                for other in list(world.store.items):
+                    if name_job(1) in other:
+                        world.store.remove(other)
+                return found
+
+            daemon.store.read_key = remove_after_first
+            answer = await world.call('GET', name_job(1))
+            return answer.body.decode()
+
+        assert play(scenario) == COMPLETED
+
+
 class TestCleanup:
     def test_keys_of_ended_jobs_are_removed(self, play):
         async def scenario(world):
