Platform: encoding and decoding of the store's messages in a module of its own

What callers saw: nothing; behaviour is unchanged. Change: `storemessages` encodes and decodes, `store` calls. `is_processed` moved with the statuses. A typed answer has one function, so that the client holds no status.

--- a/verbenapost/platform/store.py
+++ b/verbenapost/platform/store.py
@@ -1,36 +1,34 @@
 """Client of the platform's metadata store."""
 
-import base64
 from collections import Counter
-from collections.abc import Callable, Mapping
-from typing import Final, Protocol, TypeVar
+from collections.abc import Mapping
+from typing import Final, Protocol
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
 
 from verbenapost.platform import names
-from verbenapost.platform.fields import (
-    FieldError,
-    Fields,
-    read_count,
-    read_flag,
-    read_object,
-    read_rows,
-    read_text,
-)
+from verbenapost.platform.fields import Fields
 from verbenapost.platform.http import (
     Answer,
     Call,
-    EncodedAnswer,
     EncodedCall,
     HttpClient,
 )
+from verbenapost.platform.storemessages import (
+    check_status,
+    decode_changes,
+    decode_commit,
+    decode_item,
+    decode_lease,
+    decode_page,
+    encode_transaction,
+)
 from verbenapost.protocol.orders import (
     CallFault,
     CallFaultKind,
     ChangeBatch,
     ItemPage,
-    KeyChange,
     KeyValue,
     Transaction,
     TransactionConflict,
@@ -56,27 +54,10 @@
 WATCH_MARGIN: Final = 0.7
 
 _MS = 1000
-_NOT_FOUND = 404
-_GONE = 410
-_CONFLICT = 412
-_LIMITED = 429
-_UNAVAILABLE = 503
-_MISSING: Final = CallFault(CallFaultKind.NOT_FOUND)
-_REFUSED: Final = frozenset((_LIMITED, _UNAVAILABLE))
 _NOT_PROCESSED: Final = frozenset(
     (CallFaultKind.NOT_DONE, CallFaultKind.UNKNOWN, CallFaultKind.LIMITED)
 )
 
-_Decoded = TypeVar('_Decoded')
-
-
-def is_processed(answer: Result[EncodedAnswer, CallFault]) -> bool:
-    """Return whether the store has processed a call.
-
-    :param answer: answer of the store.
-    """
-    return isinstance(answer, Ok) and answer.ok_value.status not in _REFUSED
-
 
 def make_probe(address: str, timeout: float) -> EncodedCall:
     """Return a call without an effect that each store answers at once.
@@ -135,7 +116,7 @@
             if answer.err_value.kind is CallFaultKind.NOT_FOUND:
                 return Ok(None)
             return answer
-        return _decode(answer.ok_value, _read_item)
+        return decode_item(answer.ok_value)
 
     async def probe(self) -> bool:
         """Return whether the store answers a read without an effect."""
@@ -164,7 +145,7 @@
         answer = await self._call('GET', path, timeout=PAGE_TIMEOUT)
         if isinstance(answer, Err):
             return answer
-        return _decode(answer.ok_value, _read_page)
+        return decode_page(answer.ok_value)
 
     async def read_range(self, prefix: str) -> Result[ItemPage, CallFault]:
         """Return all keys under a prefix.
@@ -210,7 +191,7 @@
         )
         if isinstance(answer, Err):
             return answer
-        return _decode(answer.ok_value, _read_changes)
+        return decode_changes(answer.ok_value)
 
     async def commit(
         self,
@@ -225,14 +206,11 @@
         answer = await self._call(
             'POST',
             names.TRANSACTION_PATH,
-            _encode_transaction(transaction),
+            encode_transaction(transaction),
         )
         if isinstance(answer, Err):
             return answer
-        found = answer.ok_value
-        if found.status == _CONFLICT:
-            return _decode(found, _read_conflict).and_then(_fail)
-        return _decode(found, _read_revision)
+        return decode_commit(answer.ok_value)
 
     async def grant_lease(self, ttl: float) -> Result[int, CallFault]:
         """Create a lease of ``ttl`` seconds and return its identity."""
@@ -240,7 +218,7 @@
         answer = await self._call('POST', names.LEASE_PATH, body)
         if isinstance(answer, Err):
             return answer
-        return _decode(answer.ok_value, _read_lease)
+        return decode_lease(answer.ok_value)
 
     async def renew_lease(self, lease: int) -> Result[None, CallFault]:
         """Renew a lease; the fault is ``NOT_FOUND`` once it has expired."""
@@ -291,7 +269,7 @@
     ) -> Result[Answer, CallFault]:
         call = Call(method, self._address, path, body, timeout=timeout)
         answer = await self._http.exchange(call)
-        return answer.and_then(_check_status)
+        return answer.and_then(check_status)
 
 
 def _encode_query(query: Mapping[str, str]) -> str:
@@ -299,118 +277,5 @@
     return urlencode(query, errors='surrogatepass')
 
 
-def _check_status(answer: Answer) -> Result[Answer, CallFault]:
-    """Return the fault that a status stands for, or the answer."""
-    status = answer.status
-    if answer.ok or status == _CONFLICT:
-        return Ok(answer)
-    if status in {_NOT_FOUND, _GONE}:
-        return Err(_MISSING)
-    if status == _LIMITED:
-        return Err(
-            CallFault(
-                CallFaultKind.LIMITED, 'the rate limit of the store is exceeded'
-            )
-        )
-    if status == _UNAVAILABLE:
-        return Err(
-            CallFault(CallFaultKind.NOT_DONE, 'the store is unavailable')
-        )
-    return Err(CallFault(CallFaultKind.REFUSED, f'status {status}'))
-
-
-def _decode(
-    answer: Answer,
-    read: Callable[[Fields], _Decoded],
-) -> Result[_Decoded, CallFault]:
-    try:
-        return Ok(read(answer.fields))
-    except ValueError as fault:
-        return Err(CallFault(CallFaultKind.UNKNOWN, str(fault)))
-
-
-def _fail(conflict: TransactionConflict) -> Result[int, TransactionConflict]:
-    return Err(conflict)
-
-
 def _discard(_answer: Answer) -> None:
     """Discard an answer without content."""
-
-
-def _encode_transaction(transaction: Transaction) -> Fields:
-    return {
-        'expect': [
-            {'key': row.key, 'revision': row.revision}
-            for row in transaction.expected
-        ],
-        'writes': [
-            {
-                'key': row.key,
-                'value': base64.b64encode(row.value).decode(),
-                'lease': row.lease,
-            }
-            for row in transaction.writes
-        ],
-        'remove': list(transaction.removed),
-    }
-
-
-def _read_item(fields: Fields) -> KeyValue:
-    return KeyValue(
-        _read_key(fields),
-        base64.b64decode(read_text(fields, 'value', '')),
-        read_count(fields, 'revision'),
-        read_count(fields, 'lease', 0),
-    )
-
-
-def _read_key(fields: Fields) -> str:
-    """Return a key of any writer, which UTF-8 may be unable to encode."""
-    key = fields.get('key')
-    if not isinstance(key, str):
-        raise FieldError('key', 'must be a string')
-    return key
-
-
-def _read_change(fields: Fields) -> KeyChange:
-    item = _read_item(fields)
-    value = None if read_flag(fields, 'removed') else item.value
-    return KeyChange(item.key, value, item.revision)
-
-
-def _read_page(fields: Fields) -> ItemPage:
-    return ItemPage(
-        [
-            _read_item(read_object(row, 'items'))
-            for row in read_rows(fields, 'items')
-        ],
-        truncated=read_flag(fields, 'truncated'),
-        revision=read_count(fields, 'store_revision'),
-    )
-
-
-def _read_changes(fields: Fields) -> ChangeBatch:
-    return ChangeBatch(
-        [
-            _read_change(read_object(row, 'events'))
-            for row in read_rows(fields, 'events')
-        ],
-        read_count(fields, 'store_revision'),
-    )
-
-
-def _read_conflict(fields: Fields) -> TransactionConflict:
-    return TransactionConflict(
-        [
-            _read_item(read_object(row, 'items'))
-            for row in read_rows(fields, 'items')
-        ],
-    )
-
-
-def _read_revision(fields: Fields) -> int:
-    return read_count(fields, 'revision')
-
-
-def _read_lease(fields: Fields) -> int:
-    return read_count(fields, 'lease')
--- a/verbenapost/scheduler/storetransport.py
+++ b/verbenapost/scheduler/storetransport.py
@@ -15,7 +15,8 @@
 
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.http import EncodedAnswer, EncodedCall, Transport
-from verbenapost.platform.store import is_processed, make_probe
+from verbenapost.platform.store import make_probe
+from verbenapost.platform.storemessages import is_processed
 from verbenapost.protocol.orders import CallFault
 from verbenapost.scheduler.channels import Channel
 from verbenapost.scheduler.relays import relay_call
