Scheduler: tests of odd entries split by subject

What callers saw: nothing; only tests changed. Change: records and failures have a file each. `complete_jobs` and `read_wave_state` (before: `read_wave`) are in `scenarios.py`, the entry in `entries.py`; its fields, which stood twice, come from the platform's tests. No test or case was changed.

--- a/verbenapost/scheduler/tests/scenarios.py
+++ b/verbenapost/scheduler/tests/scenarios.py
@@ -1,6 +1,7 @@
 """Steps that scenarios in virtual time share."""
 
 import asyncio
+import json
 
 from standins.fleet.rules import find_violations
 
@@ -51,3 +52,21 @@
     """Return the violations in the history of all runs."""
     capacities = {name: row.capacity.cpu for name, row in world.workers.items()}
     return find_violations(world.history, world.accepted, capacities)
+
+
+async def complete_jobs(world, numbers, seconds=15):
+    """Submit jobs and return the answers and the states after some seconds."""
+    answers = [
+        (await world.submit(name_job(number), STEPS, 'd1')).status
+        for number in numbers
+    ]
+    await asyncio.sleep(seconds)
+    leader = await wait_for_leader(world)
+    states = await read_states(world, leader.name)
+    return set(answers), set(states.values())
+
+
+def read_wave_state(world, number):
+    """Return the state that callers see of a wave, ``None`` without one."""
+    item = world.store.items.get(f'status/wave/{number}')
+    return None if item is None else json.loads(item.value)['state']
