Election: reading and writing the leadership's keys in a module of its own

Cause: the election also held the transactions of the claim and of the resignation, and the decoding of three keys. What callers saw: nothing; behaviour is unchanged. Change: `LeaderKeys` reads and writes the keys; `Election` decides when.

--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -5,7 +5,7 @@
 import secrets
 from typing import Any, Final
 
-from result import Err, Ok
+from result import Err
 
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.store import PlatformStore
@@ -13,20 +13,10 @@
     CallFaultKind,
     ExpectedRevision,
     KeyChange,
-    Transaction,
-    Write,
-)
-from verbenapost.scheduler.keys import (
-    LAST_LEADER_KEY,
-    LEADER_KEY,
-    TERM_KEY,
-)
-from verbenapost.scheduler.leadership import (
-    Leadership,
-    Term,
-    unpack_leadership,
-    unpack_term,
 )
+from verbenapost.scheduler.keys import LEADER_KEY, TERM_KEY
+from verbenapost.scheduler.leaderkeys import LeaderKeys
+from verbenapost.scheduler.leadership import Leadership
 from verbenapost.scheduler.predecessor import Predecessor
 from verbenapost.scheduler.settings import SchedulerSettings
 
@@ -95,6 +85,7 @@
         self.predecessor = Predecessor()
         self._started_at = read_clock()
         self._store = store
+        self._keys = LeaderKeys(store, log)
         self._settings = settings
         self._log = log
         #: Random identity of this process.
@@ -128,7 +119,7 @@
         self._seen_revision = change.revision
         self.current = None
         if change.value is not None:
-            self.current = self._decode(change.value)
+            self.current = self._keys.decode_leader(change.value)
         own = self._own
         if own is not None and change.revision > self.revision:
             self.lose('the leader key was removed or replaced')
@@ -179,63 +170,34 @@
         if own is None:
             return
         self.lose('the daemon is stopping')
-        await self._record_resignation(own)
+        await self._keys.record_resignation(own, self.revision)
         revoked = await self._store.revoke_lease(lease)
         if isinstance(revoked, Err):
             self._log.warning('lease not revoked', fault=revoked.err_value.kind)
 
-    async def _record_resignation(self, own: Leadership) -> None:
-        """Tell the successor that no order of this leader is in flight."""
-        recorded = await self._store.commit(
-            Transaction(
-                (ExpectedRevision(LEADER_KEY, self.revision),),
-                (Write(TERM_KEY, Term(own.token, resigned=True).pack()),),
-            )
-        )
-        if isinstance(recorded, Err):
-            self._log.warning(
-                'resignation not recorded', fault=recorded.err_value
-            )
-
     async def _campaign(self) -> None:
         await asyncio.sleep(self._choose_delay())
         if not self._is_vacant():
             return
         replaced_revision = 0 if self.current is None else self._seen_revision
-        term = await self._store.read_key(TERM_KEY)
-        if isinstance(term, Err):
-            await asyncio.sleep(RETRY_SECONDS)
-            return
-        last = term.ok_value
-        previous = Term(0) if last is None else self._decode_term(last.value)
-        if previous is None:
+        last = await self._keys.read_term()
+        if last is None:
             await asyncio.sleep(RETRY_SECONDS)
             return
+        previous = last.term
         # A leader key of this VM belongs to its previous process, which is
         # dead and sends no more orders.
         self.predecessor = Predecessor(
-            await self._read_last_leader(previous.token),
+            await self._keys.read_last_leader(previous.token),
             gone=previous.resigned or replaced_revision > 0,
         )
         self.note_process(self._settings.daemon, self.incarnation)
-        revision = 0 if last is None else last.revision
         await self._write_claim(
             previous.token + 1,
-            ExpectedRevision(TERM_KEY, revision),
+            ExpectedRevision(TERM_KEY, last.revision),
             ExpectedRevision(LEADER_KEY, replaced_revision),
         )
 
-    async def _read_last_leader(self, token: int) -> Leadership | None:
-        """Return the last leader, or ``None`` if it is not known.
-
-        A daemon of an older version leads without writing this key.
-        """
-        found = await self._store.read_key(LAST_LEADER_KEY)
-        if isinstance(found, Err) or found.ok_value is None:
-            return None
-        last = self._decode(found.ok_value.value)
-        return last if last is not None and last.token == token else None
-
     def _is_vacant(self) -> bool:
         """Return whether no daemon leads, or only a dead process of this VM."""
         current = self.current
@@ -271,15 +233,9 @@
             self.incarnation,
             self._settings.peer_address,
         )
-        transaction = Transaction(
-            expected=expected,
-            writes=(
-                Write(TERM_KEY, Term(token).pack()),
-                Write(LEADER_KEY, claim.pack(), lease.ok_value),
-                Write(LAST_LEADER_KEY, claim.pack()),
-            ),
+        revision = await self._keys.commit_claim(
+            claim, lease.ok_value, expected
         )
-        revision = await self._commit_claim(transaction, claim, lease.ok_value)
         if revision is None:
             await asyncio.sleep(POLL_SECONDS)
             return
@@ -293,28 +249,6 @@
         self.engaged = True
         self.won.set()
 
-    async def _commit_claim(
-        self,
-        transaction: Transaction,
-        claim: Leadership,
-        lease: int,
-    ) -> int | None:
-        """Commit a claim and return its revision, or ``None`` if it lost.
-
-        After a failed commit the key is read back, since the commit may have
-        been applied. An earlier claim of this process may have been applied
-        late; its lease is another one, which nobody renews.
-        """
-        answer = await self._store.commit(transaction)
-        if isinstance(answer, Ok):
-            return answer.ok_value
-        found = await self._store.read_key(LEADER_KEY)
-        if isinstance(found, Err) or found.ok_value is None:
-            return None
-        item = found.ok_value
-        own = (item.value, item.lease) == (claim.pack(), lease)
-        return item.revision if own else None
-
     async def _renew(self) -> None:
         sent_at = read_clock()
         answer = await self._store.renew_lease(self._lease)
@@ -330,18 +264,3 @@
             # The lease may still be valid while the store is unavailable. No
             # order is sent until it is renewed or known to have expired.
             await asyncio.sleep(RETRY_SECONDS)
-
-    def _decode_term(self, packed: bytes) -> Term | None:
-        """Return the term, ``None`` when no safe token can be known."""
-        try:
-            return unpack_term(packed)
-        except ValueError as fault:
-            self._log.error('term not decodable', fault=str(fault))
-            return None
-
-    def _decode(self, packed: bytes) -> Leadership | None:
-        try:
-            return unpack_leadership(packed)
-        except ValueError as fault:
-            self._log.warning('leadership not decodable', fault=str(fault))
-            return None
