Links: the reports of a worker in a module of their own

What callers saw: nothing; behaviour is unchanged. Change: `WorkerReports` applies them, as `RunOrders` sends the orders. The tests' clock is set in the new module as well.

--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Sequence
 from typing import Any, Final
 
 from result import Err, Result
@@ -12,20 +11,15 @@
     note_lapse,
 )
 from verbenapost.coordination.scheduling.poolstate import PoolState
-from verbenapost.coordination.scheduling.reports import ReportReconciler
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.daemon.timers import read_clock
-from verbenapost.protocol.orders import (
-    CallFault,
-    CallFaultKind,
-    RunEnd,
-    WorkerReport,
-)
+from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.incarnation import Incarnation
 from verbenapost.scheduler.ports import LinkPorts
 from verbenapost.scheduler.runorders import RunOrders
 from verbenapost.scheduler.unconfirmedentry import UnconfirmedEntry
 from verbenapost.scheduler.workercrashes import WorkerCrashes
+from verbenapost.scheduler.workerreports import WorkerReports
 from verbenapost.state.workloads import WorkerEntry
 
 #: Seconds that a worker may wait for an ended run before it answers. Leases
@@ -70,6 +64,7 @@
         self.pool_state = pool_state
         self.ports = ports
         self.orders = RunOrders(self)
+        self._reports = WorkerReports(self)
         self._crashes = WorkerCrashes(worker, pool_state, ports)
         # A worker that doesn't answer gets no further lease, since its leases
         # have to expire before its tasks may start elsewhere.
@@ -123,7 +118,7 @@
         if isinstance(answer, Err):
             self._note_unreachable(answer.err_value, entry)
             return False
-        await self._apply_report(answer.ok_value, sent_at)
+        await self._reports.apply(answer.ok_value, sent_at)
         return True
 
     def is_same_incarnation(self, entry: WorkerEntry) -> bool:
@@ -255,62 +250,6 @@
             else IDLE_POLL_SECONDS
         )
 
-    async def _apply_report(self, report: WorkerReport, sent_at: float) -> None:
-        now = read_clock()
-        if not self._follow_report(report, sent_at):
-            return
-        incarnation = self.incarnation
-        if report.clock < incarnation.last_report_clock:
-            # A newer report arrived earlier, on another connection.
-            return
-        incarnation.last_report_clock = report.clock
-        incarnation.note_reading(report.clock, sent_at)
-        incarnation.clock.observe(report.clock, now, now)
-        worker = self.worker
-        if not worker.reachable:
-            self.ports.log.info('worker reached', worker=self.name)
-        worker.reachable = True
-        worker.lapsed_runs = ()
-        ends = incarnation.ends.filter_new(report.ends)
-        for end in ends:
-            self.ports.log.info(
-                'run ended',
-                job=end.task.job,
-                task=end.task.position,
-                run=end.run,
-                worker=self.name,
-                kind=end.kind.value,
-                number=end.number,
-            )
-        reconciler = ReportReconciler(self.pool_state, worker, now)
-        commands = reconciler.apply(report, ends, sent_at)
-        worker.reconciled = worker.reconciled or report.complete
-        # No await may come between the report and this line, since another
-        # task could collect the changes.
-        written = self.ports.recorder.mark_dirty(
-            self.pool_state.pop_dirty_jobs()
-        )
-        self.ports.send(self.pool_state, commands)
-        self.ports.wake()
-        await self.orders.pace()
-        await _store_ends(incarnation, ends, written)
-
-    def _follow_report(self, report: WorkerReport, sent_at: float) -> bool:
-        """Follow the incarnation that a report shows.
-
-        :returns: whether the report is of the incarnation that is followed.
-        """
-        started_at_ms = report.started_at_ms
-        if started_at_ms in {None, self.incarnation.started_at_ms}:
-            self.unconfirmed.refute(sent_at)
-            return True
-        if sent_at < self.incarnation.known_since:
-            # The answer was given by an earlier incarnation.
-            return False
-        if not self.unconfirmed.follow(started_at_ms):
-            self.restart(started_at_ms)
-        return not self.ended
-
     def _note_unreachable(self, fault: CallFault, asked: WorkerEntry) -> None:
         if self.handle_final_fault(fault, asked):
             return
@@ -340,16 +279,6 @@
             self.ports.wake()
 
 
-async def _store_ends(
-    incarnation: Incarnation,
-    ends: list[RunEnd],
-    written: Sequence[asyncio.Future[bool]],
-) -> None:
-    """Acknowledge ended runs once the store has the resulting changes."""
-    if ends and all(await asyncio.gather(*written)):
-        incarnation.ends.note_stored(ends)
-
-
 def _locate(entry: WorkerEntry) -> tuple[int, str]:
     """Return the incarnation and the address that an entry names."""
     return entry.started_at_ms, entry.address
--- a/verbenapost/scheduler/tests/links.py
+++ b/verbenapost/scheduler/tests/links.py
@@ -21,6 +21,7 @@
 )
 from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler import runorders as runorders_module
+from verbenapost.scheduler import workerreports as workerreports_module
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LinkPorts
@@ -116,6 +117,7 @@
 def make_link(clock, monkeypatch, recorder=None):
     monkeypatch.setattr(link_module, 'read_clock', clock.read)
     monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
+    monkeypatch.setattr(workerreports_module, 'read_clock', clock.read)
     pool_state = make_pool_state()
     client = FakeWorker(clock)
     ports = LinkPorts(
