Scheduler: tests of links and of crashes share their steps

Cause: the start of a link's only task stood three times, the play of one crashing job four times. What callers saw: nothing; only tests changed. Change: `start_task` and `run_crashing` hold them. Two tests of crashing jobs that compared the set of states now compare the state of each job, which is stricter.

--- a/verbenapost/scheduler/tests/links.py
+++ b/verbenapost/scheduler/tests/links.py
@@ -135,14 +135,20 @@
     return pool_state, client, link
 
 
-async def acknowledge_end(monkeypatch):
-    """Return a link that has acknowledged its worker's first end."""
-    clock = Clock()
-    pool_state, client, link = make_link(clock, monkeypatch)
+async def start_task(clock, pool_state, link):
+    """Start the only task of a job, as if its worker had answered."""
     add_job(pool_state, StepSpec(1, SMALL))
     await link.renew_leases(0)
     (start,) = plan(pool_state, now=clock.now)
     pool_state.note_started(start.task, start.run, clock.now)
+    return start
+
+
+async def acknowledge_end(monkeypatch):
+    """Return a link that has acknowledged its worker's first end."""
+    clock = Clock()
+    pool_state, client, link = make_link(clock, monkeypatch)
+    start = await start_task(clock, pool_state, link)
     end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
     client.ends.append(end)
     renewal = asyncio.create_task(link.renew_leases(0))
--- a/verbenapost/scheduler/tests/test_crashes.py
+++ b/verbenapost/scheduler/tests/test_crashes.py
@@ -38,32 +38,41 @@
 class TestTaskThatCrashesWorkers:
     """It crashed one worker after the other for as long as it was owed."""
 
-    def test_it_is_given_up_after_three_workers(self, play):
+    def run_crashing(self, play, steps, others=0, seconds=20, **options):
+        """Return the violations, the states of the jobs and the crashes.
+
+        :param steps: steps of the job whose first task crashes its workers.
+        :param others: number of jobs beside it.
+        :param seconds: seconds after the submissions.
+        """
+
         async def scenario(world):
             await wait_for_leader(world)
-            await world.submit(name_crashing(1), STEPS)
-            await asyncio.sleep(20)
+            await world.submit(name_crashing(1), steps)
+            for number in range(others):
+                await world.submit(name_job(number + 1), STEPS)
+            await asyncio.sleep(seconds)
             return (
                 check_rules(world),
                 await read_states(world),
                 count_crashes(world),
             )
 
-        assert play(scenario, standby_vms=0) == (
+        return play(scenario, **options)
+
+    def test_it_is_given_up_after_three_workers(self, play):
+        assert self.run_crashing(play, STEPS, standby_vms=0) == (
             [],
             {name_crashing(1): FAILED},
             {name_crashing(1): 3},
         )
 
     def test_it_is_given_up_without_a_list_of_vms(self, play):
-        async def scenario(world):
-            await wait_for_leader(world)
-            await world.submit(name_crashing(1), STEPS)
-            await asyncio.sleep(25)
-            states = set((await read_states(world)).values())
-            return check_rules(world), states, count_crashes(world)
-
-        assert play(scenario) == ([], {FAILED}, {name_crashing(1): 3})
+        assert self.run_crashing(play, STEPS, seconds=25) == (
+            [],
+            {name_crashing(1): FAILED},
+            {name_crashing(1): 3},
+        )
 
     def test_jobs_beside_it_complete(self, play):
         """Several such tasks and many others share a few busy workers."""
@@ -91,36 +100,18 @@
         )
 
     def test_a_gang_is_given_up(self, play):
-        async def scenario(world):
-            await wait_for_leader(world)
-            gang = [{'count': 4, 'cpu': 3000, 'mem_mb': 100, 'gang': True}]
-            await world.submit(name_crashing(1), gang)
-            await world.submit(name_job(1), STEPS)
-            await asyncio.sleep(20)
-            return (
-                check_rules(world),
-                await read_states(world),
-                count_crashes(world),
-            )
-
-        assert play(scenario, standby_vms=0) == (
+        gang = [{'count': 4, 'cpu': 3000, 'mem_mb': 100, 'gang': True}]
+        assert self.run_crashing(play, gang, others=1, standby_vms=0) == (
             [],
             {name_crashing(1): FAILED, name_job(1): COMPLETED},
             {name_crashing(1): 3},
         )
 
     def test_a_long_running_task_is_given_up(self, play):
-        async def scenario(world):
-            await wait_for_leader(world)
-            long_running = [{'count': 4, 'cpu': 1000, 'long_running': True}]
-            await world.submit(name_crashing(1), long_running)
-            await asyncio.sleep(20)
-            states = set((await read_states(world)).values())
-            return check_rules(world), states, count_crashes(world)
-
-        assert play(scenario, standby_vms=0) == (
+        long_running = [{'count': 4, 'cpu': 1000, 'long_running': True}]
+        assert self.run_crashing(play, long_running, standby_vms=0) == (
             [],
-            {FAILED},
+            {name_crashing(1): FAILED},
             {name_crashing(1): 3},
         )
 
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -28,6 +28,7 @@
     Recorder,
     acknowledge_end,
     make_link,
+    start_task,
 )
 from verbenapost.state.workloads import (
     FleetVm,
@@ -44,10 +45,7 @@
     async def run_silence(self, monkeypatch, seconds):
         clock = Clock()
         pool_state, client, link = make_link(clock, monkeypatch)
-        add_job(pool_state, StepSpec(1, SMALL))
-        await link.renew_leases(0)
-        (start,) = plan(pool_state, now=clock.now)
-        pool_state.note_started(start.task, start.run, clock.now)
+        start = await start_task(clock, pool_state, link)
         client.running = [make_row(start)]
         await link.renew_leases(0)
         client.up = False
@@ -177,10 +175,7 @@
         """Reports on started tasks renewed leases beside a successor."""
         clock = Clock()
         pool_state, client, link = make_link(clock, monkeypatch)
-        add_job(pool_state, StepSpec(1, SMALL))
-        await link.renew_leases(0)
-        (start,) = plan(pool_state, now=clock.now)
-        pool_state.note_started(start.task, start.run, clock.now)
+        start = await start_task(clock, pool_state, link)
         pool_state.suspects[start.task.key.job] = next(
             iter(pool_state.jobs.values())
         )
