Election: `leader_open` instead of `engaged`

Cause: the name did not tell that this daemon's leader has yet to close, and `hindered` and `vacant` mixed two conditions. What callers saw: nothing; behaviour is unchanged. Change: names only.

--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -115,7 +115,7 @@
             finally:
                 self._leader = None
             election.lose(reason)
-            election.engaged = False
+            election.leader_open = False
 
     def _answer(self, message: Any) -> Any:
         leader = self._leader
--- a/verbenapost/scheduler/election.py
+++ b/verbenapost/scheduler/election.py
@@ -65,8 +65,8 @@
     :ivar lost: set after this daemon lost the leadership.
     :ivar revision: revision at which this daemon wrote the leader key.
     :ivar resigned: whether this daemon no longer campaigns.
-    :ivar engaged: whether the leader of the last term is still closing, which
-        a campaign has to wait for.
+    :ivar leader_open: whether this daemon's leader of its last term leads or is
+        still closing, which a campaign has to wait for.
     :ivar predecessor: the previous leader.
     """
 
@@ -81,7 +81,7 @@
         self.lost = asyncio.Event()
         self.revision = 0
         self.resigned = False
-        self.engaged = False
+        self.leader_open = False
         self.predecessor = Predecessor()
         self._started_at = read_clock()
         self._store = store
@@ -153,11 +153,10 @@
     async def run(self) -> None:
         """Campaign and renew until the task is cancelled."""
         while True:
-            hindered = self.resigned or self.engaged
-            vacant = self._is_vacant() and not hindered
+            may_campaign = not self.resigned and not self.leader_open
             if self._own:
                 await self._renew()
-            elif vacant:
+            elif may_campaign and self._is_vacant():
                 await self._campaign()
             else:
                 await asyncio.sleep(POLL_SECONDS)
@@ -246,7 +245,7 @@
         self.current = claim
         self._log.info('leadership won', term=token, revision=revision)
         self.lost.clear()
-        self.engaged = True
+        self.leader_open = True
         self.won.set()
 
     async def _renew(self) -> None:
