Platform: orders on a run share their fields and the reading of the clock

Cause: start, stop and pace each wrote the same three fields and read the same answer. What callers saw: the same fields of the orders; only their order in the text differs. Change: `_identify_run` and `_order_run`.

--- a/verbenapost/platform/workers.py
+++ b/verbenapost/platform/workers.py
@@ -62,19 +62,13 @@
         :param order: the order.
         :returns: the worker's clock in milliseconds, or a fault.
         """
-        body: dict[str, Any] = {
-            'task': encode_task(order.task),
-            'run': order.run,
-            'spec': order.payload,
-            'deadline_ms': order.deadline,
-            'fencing_token': order.token,
-        }
+        body = _identify_run(order.task, order.run, order.token)
+        body |= {'spec': order.payload, 'deadline_ms': order.deadline}
         if order.checkpoint:
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        answer = await self._order(worker, names.START_PATH, body)
-        return answer.and_then(_read_clock)
+        return await self._order_run(worker, names.START_PATH, body)
 
     async def stop(
         self,
@@ -87,9 +81,8 @@
 
         :returns: the worker's clock in milliseconds, or a fault.
         """
-        body = {'task': encode_task(task), 'run': run, 'fencing_token': token}
-        answer = await self._order(worker, names.STOP_PATH, body)
-        return answer.and_then(_read_clock)
+        body = _identify_run(task, run, token)
+        return await self._order_run(worker, names.STOP_PATH, body)
 
     async def pace(
         self,
@@ -104,14 +97,8 @@
         :param percent: percentage of the full speed.
         :returns: the worker's clock in milliseconds, or a fault.
         """
-        body = {
-            'task': encode_task(task),
-            'run': run,
-            'percent': percent,
-            'fencing_token': token,
-        }
-        answer = await self._order(worker, names.PACE_PATH, body)
-        return answer.and_then(_read_clock)
+        body = _identify_run(task, run, token) | {'percent': percent}
+        return await self._order_run(worker, names.PACE_PATH, body)
 
     async def hold(
         self,
@@ -140,6 +127,12 @@
         answer = await self._order(worker, names.HOLD_PATH, body, wait)
         return answer.and_then(_read_report)
 
+    async def _order_run(
+        self, worker: WorkerEntry, path: str, body: Fields
+    ) -> Result[int, CallFault]:
+        answer = await self._order(worker, path, body)
+        return answer.and_then(_read_clock)
+
     async def _order(
         self,
         worker: WorkerEntry,
@@ -159,6 +152,10 @@
         return answer.and_then(_check_status)
 
 
+def _identify_run(task: TaskKey, run: int, token: int) -> dict[str, Any]:
+    return {'task': encode_task(task), 'run': run, 'fencing_token': token}
+
+
 def _check_status(answer: Answer) -> Result[Answer, CallFault]:
     status = answer.status
     if answer.ok:
