Scheduler: tests of incomplete entries share a step

Cause: the removal of a field from an entry stood twice. What callers saw: nothing; only a test changed. Change: `remove_field`.

--- a/verbenapost/scheduler/tests/test_incompleteentries.py
+++ b/verbenapost/scheduler/tests/test_incompleteentries.py
@@ -15,6 +15,14 @@
 STEPS = [{'count': 8, 'cpu': 2000, 'long_running': True}]
 
 
+def remove_field(world, field):
+    """Write the entry of the first worker without one of its fields."""
+    key = f'{WORKER_PREFIX}w0'
+    entry = json.loads(world.store.items[key].value)
+    entry.pop(field)
+    world.store.write(key, json.dumps(entry).encode())
+
+
 class TestOddEntryUnderTheNameOfALiveWorker:
     """It names no worker, so it doesn't end the one that runs."""
 
@@ -24,10 +32,7 @@
             await wait_for_leader(world)
             await world.submit(name_long_running(1), STEPS)
             await asyncio.sleep(2)
-            key = f'{WORKER_PREFIX}w0'
-            entry = json.loads(world.store.items[key].value)
-            entry.pop(field)
-            world.store.write(key, json.dumps(entry).encode())
+            remove_field(world, field)
             await asyncio.sleep(1)
             world.workers['w0'].register()
             await asyncio.sleep(12)
@@ -41,10 +46,7 @@
             await wait_for_leader(world)
             await world.submit(name_long_running(1), STEPS)
             await asyncio.sleep(8)
-            key = f'{WORKER_PREFIX}w0'
-            entry = json.loads(world.store.items[key].value)
-            entry.pop(field)
-            world.store.write(key, json.dumps(entry).encode())
+            remove_field(world, field)
             world.workers['w0'].faults.unreachable = True
             await asyncio.sleep(12)
             return check_rules(world)
