--- a/verbenapost/scheduler/tests/links.py
+++ b/verbenapost/scheduler/tests/links.py
@@ -21,6 +21,7 @@
 )
 from verbenapost.scheduler import link as link_module
 from verbenapost.scheduler import runorders as runorders_module
+from verbenapost.scheduler import workerreports as workerreports_module
 from verbenapost.scheduler.link import WorkerLink
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.ports import LinkPorts
@@ -116,6 +117,7 @@
 def make_link(clock, monkeypatch, recorder=None):
     monkeypatch.setattr(link_module, 'read_clock', clock.read)
     monkeypatch.setattr(runorders_module, 'read_clock', clock.read)
+    monkeypatch.setattr(workerreports_module, 'read_clock', clock.read)
     pool_state = make_pool_state()
     client = FakeWorker(clock)
     ports = LinkPorts(
@@ -133,14 +135,20 @@
     return pool_state, client, link
 
 
-async def acknowledge_end(monkeypatch):
-    """Return a link that has acknowledged its worker's first end."""
-    clock = Clock()
-    pool_state, client, link = make_link(clock, monkeypatch)
+async def start_task(clock, pool_state, link):
+    """Start the only task of a job, as if its worker had answered."""
     add_job(pool_state, StepSpec(1, SMALL))
     await link.renew_leases(0)
     (start,) = plan(pool_state, now=clock.now)
     pool_state.note_started(start.task, start.run, clock.now)
+    return start
+
+
+async def acknowledge_end(monkeypatch):
+    """Return a link that has acknowledged its worker's first end."""
+    clock = Clock()
+    pool_state, client, link = make_link(clock, monkeypatch)
+    start = await start_task(clock, pool_state, link)
     end = RunEnd(1, start.task.key, start.run, RunEndKind.FAILED, '')
     client.ends.append(end)
     renewal = asyncio.create_task(link.renew_leases(0))
