--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -1,10 +1,10 @@
 """Simulated cloud that moves VMs between pools and maintains them."""
 
 import asyncio
-import dataclasses
 
 from result import Err, Ok
 
+from standins.fleet.waves import Maintained, VmAdded, VmRemoved
 from standins.fleet.workers import FleetWorker
 from verbenapost.platform.cloud import CLOUD_TIMEOUT
 from verbenapost.protocol.orders import CallFault, CallFaultKind
@@ -16,24 +16,11 @@
 #: Seconds for which a VM is unavailable during its maintenance.
 MAINTENANCE_SECONDS = 2.0
 
-#: Seconds for which the entry of an ended worker stays in the store.
+#: Seconds for which the entry of an ended or dark worker stays in the store.
 ENTRY_SECONDS = 4.0
 
-
-@dataclasses.dataclass(frozen=True)
-class Maintained:
-    """The maintenance of a VM began.
-
-    :param at: virtual seconds.
-    :param down: VMs that are in maintenance, this one included.
-    :param down_for_wave: those of them that are for the same wave.
-    """
-
-    at: float
-    vm: str
-    wave: int
-    down: int
-    down_for_wave: int
+#: Seconds for which former lists are kept.
+FORMER_LIST_SECONDS = 5.0
 
 
 class FleetCloudCore:
@@ -48,8 +35,14 @@
         get no answer.
     :ivar late_orders: seconds after which each of the next orders is carried
         out, without an answer.
-    :ivar list_seconds: seconds for which a list is on its way.
+    :ivar list_seconds: seconds for which a page of the list is on its way.
+    :ivar stale_seconds: age of the list that a read shows.
+    :ivar page_size: VMs on a page of the list, or ``None`` for one page.
+    :ivar reordered: whether the order of the list changes between the reads of
+        its pages, so that a read may leave a VM out or show it twice.
     :ivar hidden: VMs that the next read of the list leaves out.
+    :ivar dark_orders: seconds for which the rack of the VM of each of the next
+        orders is dark, from the arrival of the order.
     """
 
     def __init__(self, world, standby='spare'):
@@ -60,7 +53,14 @@
         self.silent_orders = 0
         self.late_orders = []
         self.list_seconds = 0
+        self.stale_seconds = 0
+        self.page_size = None
+        self.reordered = False
         self.hidden = set()
+        self.dark_orders = []
+        self._hidden_until = {}
+        self._dark_until = {}
+        self._former_lists = []
         self._tokens = {}
         self._states = {}
         self._waves = {}
@@ -70,17 +70,53 @@
             self._pools[worker.vm] = worker.service
             self._states[worker.vm] = FleetVmState.UP
             self._workers[worker.vm] = worker
+            world.wave_history.append(VmAdded(worker.vm))
 
     def list_vms(self):
         """Return all VMs but the hidden ones."""
+        now = self.world.now()
         listed = [
-            self._make_row(name)
-            for name in self._pools
-            if name not in self.hidden
+            row
+            for row in self._find_shown(now)
+            if row.vm not in self.hidden
+            and self._hidden_until.get(row.vm, now) <= now
         ]
         self.hidden = set()
         return listed
 
+    def list_page(self, token=''):
+        """Return a page of the list as it is now, and the next page's token.
+
+        :param token: token of the page, empty for the first one.
+        """
+        rows = self.list_vms()
+        if self.page_size is None:
+            return rows, None
+        if self.reordered:
+            self.world.rng.shuffle(rows)
+        start = int(token or 0)
+        end = start + self.page_size
+        return rows[start:end], str(end) if end < len(rows) else None
+
+    def hide(self, vm, seconds):
+        """Let the list leave out a VM, whose worker runs on."""
+        self._hidden_until[vm] = self.world.now() + seconds
+
+    def note_arrival(self, vm):
+        """Let the rack of a VM for which an order arrives go dark, if due."""
+        if self.dark_orders and vm in self._workers:
+            self.darken(self._workers[vm].labels, self.dark_orders.pop(0))
+
+    def darken(self, labels, seconds):
+        """Let nothing reach the workers of a rack, nor leave them."""
+        until = self.world.now() + seconds
+        for worker in list(self.world.workers.values()):
+            if worker.labels == labels and self.is_current(worker):
+                worker.faults.unreachable = True
+                self._dark_until[worker.name] = until
+                self._call_later(ENTRY_SECONDS, self._drop_dark, worker)
+                self._call_later(seconds, self._relight, worker)
+
     def is_current(self, worker):
         """Return whether a worker is that of its VM, which is up."""
         up = self._states.get(worker.vm) is FleetVmState.UP
@@ -88,13 +124,17 @@
 
     def add_standby(self, name, capacity):
         """Add a VM that is off."""
+        self._keep_list()
         worker = FleetWorker(self.world, name, self.standby, capacity)
+        self.world.wave_history.append(VmAdded(worker.vm))
         self._pools[worker.vm] = self.standby
         self._states[worker.vm] = FleetVmState.UP
         self._workers[worker.vm] = worker
 
     def remove(self, vm):
         """Remove a VM from the fleet for good; its worker ends."""
+        self._keep_list()
+        self.world.wave_history.append(VmRemoved(vm))
         worker = self._workers.pop(vm)
         self._states.pop(vm)
         self._pools.pop(vm)
@@ -125,9 +165,9 @@
             if state is FleetVmState.MAINTENANCE
         ]
         same = sum(self._waves[name] == wave for name in down)
-        self.maintained.append(
-            Maintained(self.world.now(), vm, wave, len(down), same)
-        )
+        begun = Maintained(self.world.now(), vm, wave, len(down), same)
+        self.maintained.append(begun)
+        self.world.wave_history.append(begun)
         return Ok(None)
 
     def _check(self, vm, token):
@@ -141,6 +181,7 @@
         return None
 
     def _begin(self, vm, state, seconds, pool):
+        self._keep_list()
         self._states[vm] = state
         self._pools[vm] = pool
         worker = self._workers[vm]
@@ -152,6 +193,7 @@
     def _finish(self, vm):
         if vm not in self._states:
             return
+        self._keep_list()
         self._states[vm] = FleetVmState.UP
         pool = self._pools[vm]
         ended = self._workers[vm]
@@ -164,6 +206,32 @@
     def _remove_entry(self, worker):
         self.world.store.remove(f'servers/{worker.name}')
 
+    def _drop_dark(self, worker):
+        if worker.faults.unreachable:
+            self._remove_entry(worker)
+
+    def _relight(self, worker):
+        if self.world.now() < self._dark_until[worker.name]:
+            return
+        worker.faults.unreachable = False
+        if worker.up and self.is_current(worker):
+            worker.register()
+
+    def _keep_list(self):
+        """Keep the list as it is before a change."""
+        now = self.world.now()
+        rows = [self._make_row(name) for name in self._pools]
+        self._former_lists.append((now, rows))
+        while self._former_lists[0][0] < now - FORMER_LIST_SECONDS:
+            self._former_lists.pop(0)
+
+    def _find_shown(self, now):
+        """Return the list as it was :attr:`stale_seconds` ago."""
+        for until, rows in self._former_lists:
+            if until > now - self.stale_seconds:
+                return rows
+        return [self._make_row(name) for name in self._pools]
+
     def _make_row(self, vm):
         worker = self._workers[vm]
         on = self._states[vm] is FleetVmState.UP
@@ -192,30 +260,35 @@
 
     async def list_vms(self):
         """Return the VM list."""
-        await asyncio.sleep(0.004)
-        listed = self.world.cloud.list_vms()
-        await asyncio.sleep(self.world.cloud.list_seconds)
+        core = self.world.cloud
+        listed = []
+        token = ''
+        while token is not None:
+            await asyncio.sleep(0.004)
+            page, token = core.list_page(token)
+            await asyncio.sleep(core.list_seconds)
+            listed.extend(page)
         return Ok(listed)
 
     async def move(self, vm, pool, token):
         """Move a VM into another pool."""
-        await asyncio.sleep(0.004)
         return await self._send(self.world.cloud.move, vm, pool, token)
 
     async def maintain(self, vm, wave, token):
         """Begin a VM's maintenance."""
-        await asyncio.sleep(0.004)
         return await self._send(self.world.cloud.maintain, vm, wave, token)
 
-    async def _send(self, carry_out, *order):
+    async def _send(self, carry_out, vm, *order):
+        await asyncio.sleep(0.004)
         core = self.world.cloud
+        core.note_arrival(vm)
         if core.silent_orders:
             core.silent_orders -= 1
         elif core.late_orders:
             loop = asyncio.get_running_loop()
-            loop.call_later(core.late_orders.pop(0), carry_out, *order)
+            loop.call_later(core.late_orders.pop(0), carry_out, vm, *order)
         else:
-            outcome = carry_out(*order)
+            outcome = carry_out(vm, *order)
             if not core.lost_answers:
                 return outcome
             core.lost_answers -= 1
--- a/standins/fleet/served.py
+++ b/standins/fleet/served.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import socket
 import time
@@ -33,6 +34,15 @@
 
 LOOPBACK = '127.0.0.1'
 
+STORE_PATHS = (
+    names.KEY_PATH,
+    names.RANGE_PATH,
+    names.WATCH_PATH,
+    names.TRANSACTION_PATH,
+    names.LEASE_PATH,
+    names.RENEW_PATH,
+)
+
 #: Worker at whose port a call arrived, if any.
 WORKER = web.RequestKey('worker', FleetWorker)
 
@@ -61,10 +71,13 @@
     :ivar platforms: ``IP:port`` of the platform, by daemon.
     :ivar cut: daemons that reach neither the platform nor workers; what they
         send arrives when the cut is over.
+    :ivar store_cut: daemons that don't reach the store; likewise.
     """
 
     def __init__(self, seed, daemons, workers, standby_vms):
         self.cut = set()
+        self.store_cut = set()
+        self._listed = collections.defaultdict(asyncio.Event)
         self._runner = None
         self._sockets = [_bind() for _ in range(len(daemons) + WORKER_PORTS)]
         ports = [_get_port(opened) for opened in self._sockets]
@@ -116,6 +129,17 @@
         self._leaders[leader.token] = leader.daemon
         return leader.daemon
 
+    async def wait_list(self, daemon):
+        """Wait until a daemon has been sent its next list of VMs."""
+        self._listed[daemon].clear()
+        await self._listed[daemon].wait()
+
+    def end_leadership(self):
+        """End the lease of the leader, if any."""
+        item = self.store.items.get(LEADER_KEY)
+        if item is not None:
+            self.store.end_lease(item.lease)
+
     def silence_connections(self):
         """Let all open connections go silent for good."""
         self._silenced.update(self._transports)
@@ -132,10 +156,10 @@
         self._transports.add(transport)
         fields = await request.json() if request.can_read_body else {}
         request[FIELDS] = fields
-        port = transport.get_extra_info('sockname')[1]
+        port = _find_port(transport)
         request[WORKER] = self._workers_by_port.get(port)
         sender = self._daemons.get(port) or self._find_sender(fields)
-        while sender in self.cut:
+        while self._is_cut(sender, request.path):
             await asyncio.sleep(0.05)
         if transport in self._silenced:
             await lose_answer(request)
@@ -148,12 +172,18 @@
             await lose_answer(request)
         return answer
 
+    def _is_cut(self, sender, path):
+        if sender in self.cut:
+            return True
+        return sender in self.store_cut and path.startswith(STORE_PATHS)
+
     def _find_sender(self, fields):
         """Return the daemon that sent a call to a worker, by its token."""
         self.find_leading()
         return self._leaders.get(fields.get('fencing_token'))
 
-    async def _list_vms(self, _request):
+    async def _list_vms(self, request):
+        vms, token = self.cloud.list_page(request.query.get('page_token', ''))
         rows = [
             {
                 'machine': vm.vm,
@@ -164,9 +194,13 @@
                 'capacity': _encode_capacity(vm.capacity),
                 'id': vm.worker or None,
             }
-            for vm in self.cloud.list_vms()
+            for vm in vms
         ]
-        return web.json_response({'machines': rows, 'next_token': None})
+        daemon = self._daemons.get(_find_port(request.transport))
+        await asyncio.sleep(self.cloud.list_seconds)
+        if token is None:
+            self._listed[daemon].set()
+        return web.json_response({'machines': rows, 'next_token': token})
 
     async def _move(self, request):
         return await self._order(request, self.cloud.move, 'pool')
@@ -178,6 +212,7 @@
         """Carry out an order for a VM, now or late, and perhaps answer it."""
         fields = request[FIELDS]
         token = int(request.headers[names.TOKEN_HEADER])
+        self.cloud.note_arrival(fields['machine'])
         draw = self.rng.random()
         if draw < ORDER_SHARE:
             await asyncio.sleep(self.rng.uniform(*LATE_SECONDS))
@@ -191,13 +226,13 @@
             return web.json_response({'reason': reason}, status=409)
         return web.json_response({})
 
-    def _find_worker(self, request):
+    async def _find_worker(self, request):
         """Return the worker that a call is meant for."""
         worker = request[WORKER]
         if worker is None or not worker.up:
             abort(request)
         if worker.faults.unreachable:
-            raise web.HTTPServiceUnavailable
+            await lose_answer(request)
         if request.headers.get(names.EXPECT_INSTANCE_HEADER) != worker.name:
             raise web.HTTPMisdirectedRequest
         return worker
@@ -213,7 +248,7 @@
         return web.json_response(fields, status=status)
 
     async def _start_run(self, request):
-        worker, fields = self._find_worker(request), request[FIELDS]
+        worker, fields = await self._find_worker(request), request[FIELDS]
         order = RunStart(
             decode_task(fields['task']),
             fields['run'],
@@ -224,17 +259,17 @@
         return self._answer(worker, worker.start(order))
 
     async def _stop_run(self, request):
-        worker, fields = self._find_worker(request), request[FIELDS]
+        worker, fields = await self._find_worker(request), request[FIELDS]
         stopped = worker.stop(
             decode_task(fields['task']), fields['run'], fields['fencing_token']
         )
         return self._answer(worker, stopped)
 
     async def _pace(self, request):
-        return self._answer(self._find_worker(request), None)
+        return self._answer(await self._find_worker(request), None)
 
     async def _hold(self, request):
-        worker, fields = self._find_worker(request), request[FIELDS]
+        worker, fields = await self._find_worker(request), request[FIELDS]
         incarnation = worker.incarnation
         held = worker.hold(
             fields['fencing_token'],
@@ -248,6 +283,8 @@
             await asyncio.sleep(0.02)
             if not worker.up or worker.incarnation != incarnation:
                 abort(request)
+        if worker.faults.unreachable:
+            await lose_answer(request)
         return web.json_response(_encode_report(worker.report()))
 
 
@@ -261,6 +298,11 @@
     return opened.getsockname()[1]
 
 
+def _find_port(transport):
+    """Return the port at which a connection arrived."""
+    return transport.get_extra_info('sockname')[1]
+
+
 def _encode_capacity(capacity):
     return {
         'cpu': capacity.cpu,
--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -44,7 +44,10 @@
 
 
 class FleetStoreCore:
-    """Keys, leases and history, shared by the clients of all daemons."""
+    """Keys, leases and history, shared by the clients of all daemons.
+
+    :ivar observers: called with each change of a key.
+    """
 
     def __init__(self, now, seed=0):
         self.now = now
@@ -53,6 +56,7 @@
         self.items = {}
         self.leases = {}
         self.history = []
+        self.observers = []
         self.compacted_revision = 0
         self.revision = 1
         self.calls = Counter()
@@ -151,6 +155,8 @@
 
     def _record_change(self, change):
         self.history.append(change)
+        for observe in self.observers:
+            observe(change)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -8,6 +8,7 @@
 
 from standins.fleet.cloud import FleetCloud, FleetCloudCore
 from standins.fleet.store import FleetStore, FleetStoreCore
+from standins.fleet.waves import read_wave_change
 from standins.fleet.workers import FleetWorker, FleetWorkers
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
@@ -100,6 +101,7 @@
 
     :param standby_vms: VMs that are off, or ``None`` without a cloud.
     :ivar accepted: steps of the accepted jobs, by job.
+    :ivar wave_history: VMs and maintenance waves, as events in order.
     :ivar cloud: the simulated cloud, if any.
     """
 
@@ -110,7 +112,9 @@
         self.accepted = {}
         self.cancelled = set()
         self.replaced = set()
+        self.wave_history = []
         self.store = FleetStoreCore(now, seed)
+        self.store.observers.append(self._record_wave)
         self.workers = {
             f'w{index}': FleetWorker(
                 self, f'w{index}', SERVICE, WORKER_CAPACITY
@@ -246,6 +250,11 @@
         for daemon in self.daemons.values():
             await daemon.kill()
 
+    def _record_wave(self, change):
+        event = read_wave_change(change, self.now())
+        if event is not None:
+            self.wave_history.append(event)
+
     async def _advance_workers(self):
         while True:
             await asyncio.sleep(0.05)
--- a/verbenapost/scheduler/tests/scenarios.py
+++ b/verbenapost/scheduler/tests/scenarios.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from standins.fleet.rules import find_violations
+from standins.fleet.waves import find_wave_violations
 
 STEPS = [
     {'count': 3, 'cpu': 1000, 'mem_mb': 100},
@@ -48,6 +49,9 @@
 
 
 def check_rules(world):
-    """Return the violations in the history of all runs."""
+    """Return the violations in the history of all runs and waves."""
     capacities = {name: row.capacity.cpu for name, row in world.workers.items()}
-    return find_violations(world.history, world.accepted, capacities)
+    return [
+        *find_violations(world.history, world.accepted, capacities),
+        *find_wave_violations(world.wave_history),
+    ]
--- a/verbenapost/scheduler/tests/test_waves.py
+++ b/verbenapost/scheduler/tests/test_waves.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from standins.fleet.waves import find_wave_violations
 from standins.fleet.world import SERVICE
 from verbenapost.scheduler.tests.scenarios import (
     STEPS,
@@ -18,6 +19,8 @@
 
 CAP = 2
 
+LONG_RUNNING = [{'count': 4, 'cpu': 2000, 'long_running': True, 'may_miss': 1}]
+
 
 async def play_wave(world, rng):
     """Request a wave of some VMs, one of which is moving, amid bursts of jobs.
@@ -76,6 +79,60 @@
         assert found == (set(), True, [])
 
 
+async def disturb_vms(world, rng, vms):
+    """Let lists be wrong about some VMs and racks be dark until cancelled."""
+    cloud = world.cloud
+    while True:
+        cloud.page_size = rng.choice((None, 1, 2, 3))
+        cloud.reordered = rng.random() < 0.3
+        cloud.list_seconds = rng.choice((0, 0, 0.3))
+        cloud.stale_seconds = rng.choice((0, 0, 0.2, 0.8))
+        if rng.random() < 0.4:
+            cloud.hide(rng.choice(vms), rng.uniform(0.5, 10))
+        if rng.random() < 0.2:
+            cloud.dark_orders.append(rng.uniform(1, 7))
+        await asyncio.sleep(rng.uniform(0.2, 2))
+
+
+async def play_uncertain_wave(world, rng):
+    """Request a wave, remove one of its VMs or none, and end the leader."""
+    leader = await wait_for_leader(world)
+    await world.submit(name_long_running(1), LONG_RUNNING)
+    vms = [row.vm for row in world.cloud.list_vms()]
+    pool = [row.vm for row in world.workers.values()]
+    faults = asyncio.create_task(disturb_vms(world, rng, vms))
+    await asyncio.sleep(rng.uniform(0, 4))
+    world.request_wave(1, pool, duration=30, cap=CAP)
+    await asyncio.sleep(rng.uniform(0, 6))
+    if rng.random() < 0.5:
+        world.cloud.remove(rng.choice(pool))
+    await asyncio.sleep(rng.uniform(0, 6))
+    await leader.kill()
+    await asyncio.sleep(60)
+    faults.cancel()
+
+
+@pytest.mark.parametrize('seed', range(12))
+class TestWaveWithUncertainLists:
+    """What a list leaves out or shows late was taken as a fact (issue 38)."""
+
+    def test_no_wave_is_completed_without_a_vm(self, play, seed):
+        async def scenario(world):
+            await play_uncertain_wave(world, random.Random(seed))
+            found = find_wave_violations(world.wave_history)
+            return read_wave_state(world), found
+
+        found = play(scenario, seed=seed, workers=5, standby_vms=3)
+        assert found == ('completed', [])
+
+    def test_no_task_runs_twice(self, play, seed):
+        async def scenario(world):
+            await play_uncertain_wave(world, random.Random(seed))
+            return check_rules(world)
+
+        assert play(scenario, seed=seed, workers=5, standby_vms=3) == []
+
+
 class TestLongRunningTasks:
     """A wave empties VMs of tasks of which one may be unavailable at a time."""
 
