Soak: faults of the list of VMs, racks and the leader, and the rule on waves

Cause: no fault of the soak made a VM's absence from a list uncertain, cut a daemon off from the store only, or froze the leader between the list and its orders. Change: faults cut_from_store, freeze_after_list, darken_racks, change_pages, delay_lists, hide_vms and remove_vm; the rule mixed is checked and completed waves are counted.

--- a/examples/histories/fleetnemesis.py
+++ b/examples/histories/fleetnemesis.py
@@ -1,6 +1,7 @@
 """Faults of a soak of the platform's daemon, in a registry."""
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -11,6 +12,18 @@
 WAVE_VMS = 4
 WAVE_CAP = 2
 
+#: Seconds for which the fault of a wave lasts.
+WAVE_SECONDS = 25
+
+#: VMs that are removed for good in one run.
+MAX_REMOVED = 4
+
+#: Share of the cuts from the store that end the leadership at once.
+REVOKED_SHARE = 0.5
+
+#: Longest wait for a read of the list of VMs in seconds.
+LIST_TIMEOUT = 3.0
+
 Fault = Callable[[FleetSoak], Awaitable[None]]
 
 FAULTS: dict[str, Fault] = {}
@@ -104,12 +117,104 @@
     soak.world.silence_connections()
 
 
+@register_fault
+async def cut_from_store(soak: FleetSoak) -> None:
+    """Cut a daemon off from the store only, perhaps ending the leadership."""
+    name = soak.choose_daemon()
+    if name is None:
+        return
+    soak.disturbed.add(name)
+    soak.world.store_cut.add(name)
+    if soak.rng.random() < REVOKED_SHARE:
+        soak.world.end_leadership()
+    await asyncio.sleep(soak.rng.uniform(0.5, 8))
+    soak.world.store_cut.discard(name)
+    soak.disturbed.discard(name)
+
+
+@register_fault
+async def freeze_after_list(soak: FleetSoak) -> None:
+    """Freeze the leader as it reads the list; wake it after its lease."""
+    name = soak.world.find_leading()
+    if name is None or name in soak.disturbed:
+        return
+    soak.disturbed.add(name)
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(soak.world.wait_list(name), LIST_TIMEOUT)
+        await asyncio.sleep(soak.rng.uniform(0, 0.05))
+    soak.processes.send_signal(name, signal.SIGSTOP)
+    await asyncio.sleep(soak.rng.uniform(2, 9))
+    soak.processes.send_signal(name, signal.SIGCONT)
+    soak.disturbed.discard(name)
+
+
+@register_fault
+async def darken_racks(soak: FleetSoak) -> None:
+    """Let racks be dark from the moment of orders for their VMs."""
+    soak.world.cloud.dark_orders.extend(
+        soak.rng.uniform(1, 8) for _ in range(2)
+    )
+    await request_wave(soak)
+
+
+@register_fault
+async def change_pages(soak: FleetSoak) -> None:
+    """Serve the list in pages that change between the reads of them."""
+    cloud = soak.world.cloud
+    cloud.page_size = soak.rng.choice((2, 5, 9))
+    cloud.reordered = True
+    await asyncio.sleep(soak.rng.uniform(2, 8))
+    cloud.page_size = None
+    cloud.reordered = False
+
+
+@register_fault
+async def delay_lists(soak: FleetSoak) -> None:
+    """Serve lists that are late, stale, or both."""
+    cloud = soak.world.cloud
+    cloud.list_seconds = soak.rng.choice((0, 0.2, 0.5))
+    cloud.stale_seconds = soak.rng.choice((0.2, 0.5, 0.9))
+    await asyncio.sleep(soak.rng.uniform(2, 8))
+    cloud.list_seconds = 0
+    cloud.stale_seconds = 0
+
+
+@register_fault
+async def hide_vms(soak: FleetSoak) -> None:
+    """Let the list leave out for some seconds what a wave has yet to begin."""
+    chosen = _request_wave(soak)
+    number = soak.counts['waves']
+    await asyncio.sleep(soak.rng.uniform(0, 10))
+    cloud = soak.world.cloud
+    begun = {row.vm for row in cloud.maintained if row.wave == number}
+    for vm in sorted(set(chosen) - begun):
+        cloud.hide(vm, soak.rng.uniform(1, 8))
+    await asyncio.sleep(WAVE_SECONDS)
+
+
+@register_fault
+async def remove_vm(soak: FleetSoak) -> None:
+    """Remove a VM of a wave for good."""
+    chosen = _request_wave(soak)
+    if soak.counts['removed'] < MAX_REMOVED:
+        soak.counts['removed'] += 1
+        await asyncio.sleep(soak.rng.uniform(0, 4))
+        soak.world.cloud.remove(chosen[0])
+    await asyncio.sleep(WAVE_SECONDS)
+
+
 @register_fault
 async def request_wave(soak: FleetSoak) -> None:
     """Request the maintenance of some VMs of the pool."""
+    _request_wave(soak)
+    await asyncio.sleep(WAVE_SECONDS)
+
+
+def _request_wave(soak: FleetSoak) -> list[str]:
+    """Request the maintenance of some VMs of the pool and return them."""
     vms = [row.vm for row in soak.world.cloud.list_vms() if row.pool == SERVICE]
     chosen = soak.rng.sample(vms, min(len(vms), WAVE_VMS))
     soak.counts['waves'] += 1
     number = soak.counts['waves']
     soak.world.request_wave(number, chosen, duration=30, cap=WAVE_CAP)
-    await asyncio.sleep(25)
+    return chosen
--- a/examples/histories/fleetsoak.py
+++ b/examples/histories/fleetsoak.py
@@ -22,6 +22,11 @@
 from examples.processes import ProcessGroup
 from standins.fleet.rules import Violation, find_violations
 from standins.fleet.served import ServedWorld
+from standins.fleet.waves import (
+    COMPLETED,
+    WaveShown,
+    find_wave_violations,
+)
 from standins.fleet.world import PREFIX
 
 #: VMs in the pool and on standby at the start.
@@ -130,6 +135,16 @@
     ]
 
 
+def _count_completed(history: list[Any]) -> int:
+    return len(
+        {
+            event.wave
+            for event in history
+            if isinstance(event, WaveShown) and event.state == COMPLETED
+        }
+    )
+
+
 async def run_soak(
     seed: int, seconds: float, kinds: tuple[str, ...], code: Path, logs: Path
 ) -> tuple[list[Violation], collections.Counter[str]]:
@@ -164,11 +179,13 @@
     found = [
         *find_violations(world.history, world.accepted, capacities),
         *_find_exceeded_caps(world),
+        *find_wave_violations(world.wave_history),
         *lost,
     ]
     soak.counts['accepted'] = len(soak.accepted)
     soak.counts['events'] = len(world.history)
     soak.counts['maintained'] = len(world.cloud.maintained)
+    soak.counts['completed waves'] = _count_completed(world.wave_history)
     return found, soak.counts
 
 
