Waves: order nothing before a wave's return to running is known to be stored

Cause: the outcome of storing 'running' again was ignored. When its answer was lost, the VMs were ordered all the same, and the record of the orders was stored with the state shown so far, 'completed'. What callers saw: after a change of leader, a wave whose request had grown was shown as completed, again and again, before its new VMs had begun. Change: such a wave is passed over in rounds whose write of 'running' isn't known to be stored.

--- /dev/null
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -0,0 +1,99 @@
+"""VMs that a wave takes for removed although they exist, in virtual time."""
+
+import asyncio
+import json
+
+from result import Err
+
+from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.scheduler.tests.scenarios import (
+    wait_for_leader,
+)
+from verbenapost.scheduler.tests.test_wavecompletion import (
+    STATUS_KEY,
+    find_completed,
+    find_pool_vms,
+    follow_states,
+)
+
+#: Longest seconds between two reads of the list while the store is away.
+MAX_GAP_SECONDS = 3
+
+
+def refuse_orders(world, vm, seconds):
+    """Let the cloud refuse a VM's maintenance as busy for some seconds."""
+    maintain = world.cloud.maintain
+    until = world.now() + seconds
+
+    def refuse(name, wave, token):
+        if name == vm and world.now() < until:
+            return Err(CallFault(CallFaultKind.BUSY, 'busy'))
+        return maintain(name, wave, token)
+
+    world.cloud.maintain = refuse
+
+
+def lose_reopenings(world, daemon, seconds):
+    """Lose the answer to each write of a running wave for some seconds."""
+    commit = daemon.store.commit
+    until = world.now() + seconds
+
+    async def lose(transaction):
+        answer = await commit(transaction)
+        states = [
+            json.loads(row.value)['state']
+            for row in transaction.writes
+            if row.key == STATUS_KEY
+        ]
+        if states == ['running'] and world.now() < until:
+            return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+        return answer
+
+    daemon.store.commit = lose
+
+
+class TestLostReopening:
+    """The answer to the write of 'running' is lost."""
+
+    def test_no_completion_is_stored_before_the_vms_have_begun(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            world.request_wave(1, vms[:1], duration=20, cap=1)
+            await asyncio.sleep(12)
+            states = follow_states(world)
+            commit = leader.store.commit
+            lost = []
+
+            async def lose_first(transaction):
+                answer = await commit(transaction)
+                keys = {row.key for row in transaction.writes}
+                if STATUS_KEY in keys and not lost:
+                    lost.append(transaction)
+                    return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+                return answer
+
+            leader.store.commit = lose_first
+            world.request_wave(1, vms[:3], duration=20, cap=1)
+            await asyncio.sleep(25)
+            return find_completed(states)
+
+        completed = play(scenario, standby_vms=1)
+        assert completed == [{'vm-w0', 'vm-w1', 'vm-w2'}]
+
+    def test_a_new_leader_stores_none_before_the_vms_have_begun(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            world.request_wave(1, vms[:1], duration=20, cap=1)
+            await asyncio.sleep(12)
+            states = follow_states(world)
+            await leader.kill()
+            for daemon in world.daemons.values():
+                lose_reopenings(world, daemon, 12)
+            world.request_wave(1, vms[:3], duration=20, cap=1)
+            await asyncio.sleep(40)
+            return find_completed(states)
+
+        completed = play(scenario, standby_vms=1)
+        assert completed == [{'vm-w0', 'vm-w1', 'vm-w2'}]
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -76,10 +76,8 @@
         # Another wave may be requested while a status is written.
         for wave in tuple(self._configuration.waves.values()):
             progress = await self._find_progress(wave, read_clock())
-            if progress is None or self._status.is_complete(wave.number):
+            if progress is None or not await self._may_run(progress, vm_list):
                 continue
-            if progress.has_listed_left(vm_list):
-                await self._status.reopen(wave.number)
             await self._order_next(progress, vm_list, views, finish)
             if progress.is_complete(vm_list) and not progress.down:
                 await self._complete(progress, vm_list)
@@ -94,6 +92,15 @@
             for vm in progress.emptying | progress.ordered
         }
 
+    async def _may_run(self, progress: WaveProgress, vm_list: VmList) -> bool:
+        """Return whether a wave goes on, which is shown before it does."""
+        number = progress.wave.number
+        if self._status.is_complete(number):
+            return False
+        if progress.has_listed_left(vm_list):
+            return await self._status.reopen(number)
+        return True
+
     async def _order_next(
         self,
         progress: WaveProgress,
