Waves: look at the list after a completion as well

Cause: a leader that has completed a wave didn't look at it again. A VM that was down and left out by the list while three orders for it were refused counted as removed. What callers saw: a wave shown as completed for good, and a VM of it, listed again, that was never maintained before another leader came. Change: a VM that is listed and has yet to begin shows the wave as running, whichever leader has completed it. The completion that is shown until the VM is listed again remains.

--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -7,6 +7,7 @@
 
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.tests.scenarios import (
+    hide_vm,
     wait_for_leader,
 )
 from verbenapost.scheduler.tests.test_wavecompletion import (
@@ -52,6 +53,24 @@
     daemon.store.commit = lose
 
 
+class TestReturnedVm:
+    """A completed wave was not looked at again by its leader."""
+
+    def test_a_vm_listed_after_the_completion_is_maintained(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            hide_vm(world, vms[0], 25)
+            refuse_orders(world, vms[0], 25)
+            world.request_wave(1, vms[:2], duration=20, cap=1)
+            await asyncio.sleep(45)
+            return find_completed(states)
+
+        completed = play(scenario, standby_vms=1)
+        assert completed[-1:] == [{'vm-w0', 'vm-w1'}]
+
+
 class TestLostReopening:
     """The answer to the write of 'running' is lost."""
 
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -95,11 +95,9 @@
     async def _may_run(self, progress: WaveProgress, vm_list: VmList) -> bool:
         """Return whether a wave goes on, which is shown before it does."""
         number = progress.wave.number
-        if self._status.is_complete(number):
-            return False
         if progress.has_listed_left(vm_list):
             return await self._status.reopen(number)
-        return True
+        return not self._status.is_complete(number)
 
     async def _order_next(
         self,
