Waves: a write that fails fails for all who were waiting for it

Cause: the writes of a wave wait for one another, and each that was waiting was tried again by itself. While the store was away, the rounds waited behind as many timeouts as VMs had been confirmed together, even to find that nothing had to be stored. What callers saw: no read of the list of VMs, no move and no evacuation meanwhile. Change: a caller shares the outcome of a write that began while it waited, and a wave that isn't shown as completed is not waited for to be reopened.

--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -1,6 +1,7 @@
 """VMs that a wave takes for removed although they exist, in virtual time."""
 
 import asyncio
+import itertools
 import json
 
 from result import Err
@@ -116,3 +117,42 @@
 
         completed = play(scenario, standby_vms=1)
         assert completed == [{'vm-w0', 'vm-w1', 'vm-w2'}]
+
+
+class TestStoreAway:
+    """Writes that wait for one another held up the rounds."""
+
+    def test_the_list_is_read_while_records_can_not_be_stored(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            await asyncio.sleep(3)
+            reads = []
+            list_vms = world.cloud.list_vms
+
+            def note_read():
+                reads.append(world.now())
+                return list_vms()
+
+            world.cloud.list_vms = note_read
+            commit = leader.store.commit
+            until = [None]
+
+            async def lose_records(transaction):
+                keys = {row.key for row in transaction.writes}
+                if STATUS_KEY in keys and world.cloud.maintained:
+                    until[0] = until[0] or world.now() + 7
+                    if world.now() < until[0]:
+                        await asyncio.sleep(1)
+                        return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+                return await commit(transaction)
+
+            leader.store.commit = lose_records
+            world.request_wave(1, vms, duration=30, cap=8)
+            await asyncio.sleep(20)
+            return max(
+                later - earlier for earlier, later in itertools.pairwise(reads)
+            )
+
+        gap = play(scenario, standby_vms=4, workers=12)
+        assert gap <= MAX_GAP_SECONDS
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -64,6 +64,8 @@
     :param shown_completed: whether the stored state is, or is about to be,
         ``completed``.
     :param complete: whether this leader has found the wave to be complete.
+    :param writes: number of writes that have begun.
+    :param written: whether the last of them is known to have succeeded.
     """
 
     lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
@@ -72,6 +74,8 @@
     revision: int = 0
     shown_completed: bool = False
     complete: bool = False
+    writes: int = 0
+    written: bool = False
 
 
 class WaveStatus:
@@ -83,7 +87,8 @@
     A write without an answer may take effect seconds later. Each write expects
     the revision that the last one known has left, so that a late one can't
     replace a newer record. One write of a wave is in flight at a time and
-    stores the newest record, whichever caller waits for it.
+    stores the newest record, whichever caller waits for it. A write that fails
+    fails for all who were waiting when it began.
 
     :param store: the store.
     :param election: leadership of this daemon.
@@ -147,8 +152,14 @@
         """
         found = self._waves[wave]
         found.wanted = record
+        writes = found.writes
         async with found.lock:
-            return found.stored == found.wanted or await self._write(wave)
+            if found.stored == found.wanted:
+                return True
+            if found.writes > writes:
+                # The last write began since, with this record or a newer one.
+                return found.written
+            return await self._write(wave)
 
     def is_shown_completed(self, wave: int) -> bool:
         """Return whether a wave's completion is stored, by any leader."""
@@ -172,10 +183,10 @@
         :param wave: number of the wave.
         """
         found = self._waves[wave]
+        found.complete = False
+        if not found.shown_completed:
+            return True
         async with found.lock:
-            found.complete = False
-            if not found.shown_completed:
-                return True
             found.shown_completed = not await self._write(wave, completed=False)
             return not found.shown_completed
 
@@ -216,6 +227,8 @@
         if completed is None:
             completed = found.shown_completed
         record = found.wanted
+        found.writes += 1
+        found.written = False
         for _ in range(MAX_WRITE_ATTEMPTS):
             answer = await self._store.commit(
                 self._make_transaction(wave, record, completed=completed)
@@ -223,6 +236,7 @@
             if not isinstance(answer, Err):
                 found.revision = answer.ok_value
                 found.stored = record
+                found.written = True
                 return True
             fault = answer.err_value
             self._log.warning(
