Waves: no tasks for a worker that registers while its VM is ordered

Cause: a VM that the list leaves out and that has no known worker counts as empty and is ordered. Its worker may register before the order is carried out: while the orders are stored, between attempts, or while one without an answer may take effect late. It then accepted tasks. What callers saw: tasks that the maintenance interrupted. Change: the workers of a VM that is ordered without one are marked as leaving when they register, until the order's outcome is known or can't come any more. A new worker's tasks after a lost answer: test_the_next_one_accepts_tasks_after_a_lost_answer.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -1,5 +1,6 @@
 """The workers of the leader, as registered in the store."""
 
+import math
 from collections import Counter
 from collections.abc import Sequence
 from typing import Any
@@ -15,6 +16,7 @@
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.vmlist import VmList
+from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.fields import shorten
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.platform.records import decode_worker
@@ -55,6 +57,7 @@
         self.links: dict[str, WorkerLink] = {}
         self.tasks = TaskSet(note_failure)
         self._by_vm: dict[str, list[WorkerLink]] = {}
+        self._cordoned: dict[str, float] = {}
         self._pool_states = pool_states
         self._configuration = configuration
         self._ports = ports
@@ -161,6 +164,22 @@
         link.worker.leaving = False
         return was_leaving
 
+    def cordon(self, vm: str) -> None:
+        """Let the workers that register for a VM accept no tasks.
+
+        :param vm: name of the VM, which is about to be ordered.
+        """
+        self._cordoned[vm] = math.inf
+
+    def lift_cordon(self, vm: str, at: float) -> None:
+        """End what :meth:`cordon` began, if it did.
+
+        :param vm: name of the VM.
+        :param at: local seconds until which an order may still take effect.
+        """
+        if vm in self._cordoned:
+            self._cordoned[vm] = at
+
     def find_elsewhere(self, vm: str, pool: str) -> WorkerLink | None:
         """Return the link to a VM's worker unless it is of a pool.
 
@@ -219,7 +238,10 @@
 
     def _add_link(self, entry: WorkerEntry) -> None:
         pool_state = self._pool_states.find(entry.service)
-        link = WorkerLink(pool_state.set_worker(entry), pool_state, self._ports)
+        worker = pool_state.set_worker(entry)
+        if self._is_cordoned(entry.vm):
+            worker.leaving = True
+        link = WorkerLink(worker, pool_state, self._ports)
         self._forget_ended()
         self.links[entry.worker] = link
         self._by_vm[entry.vm] = [*self._find_live_by_vm(entry.vm), link]
@@ -256,6 +278,13 @@
         """Return the links whose entries name a VM, the newest last."""
         return [link for link in self._by_vm.get(vm, ()) if not link.ended]
 
+    def _is_cordoned(self, vm: str) -> bool:
+        now = read_clock()
+        self._cordoned = {
+            name: until for name, until in self._cordoned.items() if now < until
+        }
+        return vm in self._cordoned
+
     def _note_recorded(self) -> None:
         """Let the workers accept tasks whose VMs later leaders know of."""
         for link in self.links.values():
--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -6,9 +6,12 @@
 
 from result import Err
 
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.tests.scenarios import (
+    check_rules,
     hide_vm,
+    name_long_running,
     wait_for_leader,
 )
 from verbenapost.scheduler.tests.test_wavecompletion import (
@@ -156,3 +159,66 @@
 
         gap = play(scenario, standby_vms=4, workers=12)
         assert gap <= MAX_GAP_SECONDS
+
+
+class TestReturnedWorker:
+    """An unlisted VM without a known worker counts as empty."""
+
+    async def unregister(self, world, seconds):
+        """Hide a VM and let its worker be unknown; return both and its entry.
+
+        :param seconds: seconds for which the list leaves the VM out.
+        """
+        await wait_for_leader(world)
+        vm = find_pool_vms(world)[0]
+        await asyncio.sleep(3)
+        hide_vm(world, vm, seconds)
+        worker = next(row for row in world.workers.values() if row.vm == vm)
+        key = f'{WORKER_PREFIX}{worker.name}'
+        entry = world.store.items[key]
+        worker.faults.unreachable = True
+        world.store.remove(key)
+        await asyncio.sleep(12)
+        return vm, worker, entry
+
+    async def fill(self, world):
+        steps = [{'count': 8, 'cpu': 2000, 'long_running': True}]
+        await world.submit(name_long_running(1), steps)
+
+    def test_no_order_reaches_one_that_has_registered_again(self, play):
+        async def scenario(world):
+            vm, worker, entry = await self.unregister(world, 60)
+            world.cloud.silent_orders = 3
+            maintain = world.cloud.maintain
+            interrupted = []
+
+            def note_runs(name, wave, token):
+                interrupted.extend(worker.runs)
+                return maintain(name, wave, token)
+
+            world.cloud.maintain = note_runs
+            world.request_wave(1, [vm], duration=40, cap=1)
+            await asyncio.sleep(1)
+            worker.faults.unreachable = False
+            world.store.write(entry.key, entry.value)
+            await self.fill(world)
+            await asyncio.sleep(15)
+            return len(world.cloud.maintained), interrupted, check_rules(world)
+
+        assert play(scenario, standby_vms=1) == (1, [], [])
+
+    def test_the_next_one_accepts_tasks_after_a_lost_answer(self, play):
+        async def scenario(world):
+            vm, _, _ = await self.unregister(world, 25)
+            world.cloud.lost_answers = 1
+            world.request_wave(1, [vm], duration=40, cap=1)
+            await asyncio.sleep(14.5)
+            await self.fill(world)
+            await asyncio.sleep(1.5)
+            return [
+                len(row.runs)
+                for row in world.workers.values()
+                if row.vm == vm and row.up
+            ]
+
+        assert play(scenario, standby_vms=1) == [2]
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -8,13 +8,16 @@
 from verbenapost.coordination.scheduling.capacity import VmView
 from verbenapost.coordination.scheduling.leases import compute_lapse_seconds
 from verbenapost.coordination.scheduling.vmlist import VmList
-from verbenapost.coordination.scheduling.waveprogress import WaveProgress
+from verbenapost.coordination.scheduling.waveprogress import (
+    UNCONFIRMED_ORDER_SECONDS,
+    WaveProgress,
+)
 from verbenapost.coordination.scheduling.waves import MaintainVm, WavePlanner
 from verbenapost.daemon.timers import read_clock
 from verbenapost.protocol.orders import CallFaultKind
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.ports import LeaderPorts
-from verbenapost.scheduler.vmorders import VmOrders
+from verbenapost.scheduler.vmorders import Outcome, VmOrders
 from verbenapost.scheduler.wavelog import WaveLog
 from verbenapost.scheduler.wavestatus import WaveRecord, WaveStatus
 from verbenapost.state.workloads import (
@@ -112,8 +115,17 @@
         candidates = [*views, *self._make_unlisted_views(progress, vm_list)]
         self._log.note_waiting(progress, candidates, now)
         orders = self._planner.plan(progress, candidates, now)
-        if orders and await self._store_orders(progress, orders):
+        for order in orders:
+            if self._fleet.find_by_vm(order.vm) is None:
+                # Its worker may register until the order has taken effect.
+                self._fleet.cordon(order.vm)
+        if not orders:
+            return
+        if await self._store_orders(progress, orders):
             self._send(progress, orders, finish)
+        else:
+            for order in orders:
+                self._fleet.lift_cordon(order.vm, now)
 
     async def _complete(self, progress: WaveProgress, vm_list: VmList) -> None:
         number = progress.wave.number
@@ -186,15 +198,28 @@
         link = self._fleet.find_by_vm(order.vm)
         term = self._election.token
         answer = await self._orders.maintain(order.vm, order.wave)
+        self._lift_cordon(order.vm, answer)
         if isinstance(answer, Err):
             await self._note_fault(progress, order.vm, answer.err_value.kind)
             return
         now = read_clock()
         self._planner.note_begun(progress, order.vm, now, term)
+        if link is None:
+            # One that registered meanwhile, before the maintenance or after it.
+            link = self._fleet.find_by_vm(order.vm)
         if link is not None:
             link.maintained_at = now
         await self._store(progress)
 
+    def _lift_cordon(self, vm: str, answer: Outcome) -> None:
+        until = read_clock()
+        if (
+            isinstance(answer, Err)
+            and answer.err_value.kind is CallFaultKind.UNKNOWN
+        ):
+            until += UNCONFIRMED_ORDER_SECONDS
+        self._fleet.lift_cordon(vm, until)
+
     async def _note_fault(
         self, progress: WaveProgress, vm: str, kind: CallFaultKind
     ) -> None:
