Waves: no order for an unlisted VM while a worker's VM is unknown

Cause: a worker whose entry names no VM is found by the list of VMs alone. When the list leaves its VM out, the VM has no known worker, counted as empty and was ordered. What callers saw: tasks that the maintenance interrupted. Change: an unlisted VM without a known worker isn't ordered while a live worker's VM is told neither by its entry nor by the list; a wave waits for it until then.

--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -222,3 +222,23 @@
             ]
 
         assert play(scenario, standby_vms=1) == [2]
+
+    def test_no_order_reaches_one_whose_entry_names_no_vm(self, play):
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            vm = find_pool_vms(world)[0]
+            worker = next(row for row in world.workers.values() if row.vm == vm)
+            key = f'{WORKER_PREFIX}{worker.name}'
+            entry = json.loads(world.store.items[key].value)
+            entry.pop('machine')
+            world.store.write(key, json.dumps(entry).encode())
+            await leader.kill()
+            await asyncio.sleep(12)
+            await self.fill(world)
+            await asyncio.sleep(2)
+            hide_vm(world, vm, 15)
+            world.request_wave(1, [vm], duration=40, cap=1)
+            await asyncio.sleep(14)
+            return len(worker.runs), check_rules(world)
+
+        assert play(scenario, standby_vms=1) == (2, [])
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -143,14 +143,17 @@
         have lapsed by then.
         """
         lapsed = compute_lapse_seconds(self._hold_seconds)
+        unlisted = progress.find_unlisted(vm_list, lapsed)
+        unplaced = bool(unlisted) and _has_unplaced(self._fleet, vm_list)
         views = []
-        for name in progress.find_unlisted(vm_list, lapsed):
+        for name in unlisted:
             if name in self._orders.busy:
                 continue
             link = self._fleet.find_by_vm(name)
             vm = FleetVm(name, '', FleetVmState.UNKNOWN, (), Resources(), '')
             worker = None if link is None else link.worker
-            views.append(VmView(vm, worker, unlisted=True))
+            may_be_ordered = worker is not None or not unplaced
+            views.append(VmView(vm, worker, unlisted=may_be_ordered))
         return views
 
     def _send(
@@ -258,3 +261,15 @@
             begun, frozenset(progress.ordered), frozenset(progress.removed)
         )
         return await self._status.store(progress.wave.number, record)
+
+
+def _has_unplaced(fleet: WorkerFleet, vm_list: VmList) -> bool:
+    """Return whether a worker may run on any VM that isn't listed.
+
+    Neither its entry nor the list tells its VM.
+    """
+    placed = {vm.worker for vm in vm_list.vms.values()}
+    return any(
+        not link.ended and not link.worker.entry.vm and link.name not in placed
+        for link in fleet.links.values()
+    )
