Waves: an entry that outlives a removed VM doesn't hold its wave up

Cause: an unlisted VM whose worker has an entry and doesn't answer never counted as empty, so that no order asked whether it was removed. An entry of another writer may stay for good. Change: an unlisted VM is empty as well once all leases of its silent worker have lapsed and its tasks are freed. Evidence: TestEntryOfRemovedVm failed before and passes now.

--- a/verbenapost/coordination/scheduling/capacity.py
+++ b/verbenapost/coordination/scheduling/capacity.py
@@ -42,12 +42,15 @@
         runs.
     :param unlisted: whether the list of VMs has been without the VM for longer
         than any run without a known worker can last.
+    :param lapsed: whether the worker doesn't answer and all its leases have
+        lapsed, so that nothing runs there any more.
     """
 
     vm: FleetVm
     worker: Worker | None
     on_standby: bool = False
     unlisted: bool = False
+    lapsed: bool = False
 
     @property
     def cores(self) -> float:
@@ -68,6 +71,8 @@
         worker = self.worker
         if worker is None:
             return self.on_standby or self.unlisted
+        if self.unlisted and self.lapsed:
+            return not worker.tasks
         return worker.reconciled and worker.reachable and not worker.tasks
 
 
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -141,6 +141,12 @@
                 draining=entry.draining,
             )
 
+    def is_lapsed(self) -> bool:
+        """Return whether a worker that doesn't answer has no lease left."""
+        return not self.worker.reachable and self.incarnation.clock.is_lapsed(
+            read_clock()
+        )
+
     def unlist(self) -> None:
         """Record that the entry was removed; the worker's runs go on."""
         if self.worker.listed:
--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -4,6 +4,7 @@
 import itertools
 import json
 
+import pytest
 from result import Err
 
 from verbenapost.platform.names import WORKER_PREFIX
@@ -242,3 +243,31 @@
             return len(worker.runs), check_rules(world)
 
         assert play(scenario, standby_vms=1) == (2, [])
+
+
+class TestEntryOfRemovedVm:
+    """Another writer's entry of a worker outlives the worker's VM."""
+
+    @pytest.mark.parametrize('count', [0, 8])
+    def test_the_wave_is_completed(self, play, count):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            await asyncio.sleep(3)
+            worker = next(
+                row for row in world.workers.values() if row.vm == vms[0]
+            )
+            entry = world.store.items[f'{WORKER_PREFIX}{worker.name}']
+            if count:
+                steps = [{'count': count, 'cpu': 2000, 'long_running': True}]
+                await world.submit(name_long_running(1), steps)
+                await asyncio.sleep(2)
+            world.cloud.remove(vms[0])
+            await asyncio.sleep(4.5)
+            world.store.write(entry.key, entry.value)
+            states = follow_states(world)
+            world.request_wave(1, vms[:2], duration=20, cap=1)
+            await asyncio.sleep(30)
+            return find_completed(states)
+
+        assert play(scenario, standby_vms=1) == [{'vm-w1'}]
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -153,7 +153,14 @@
             vm = FleetVm(name, '', FleetVmState.UNKNOWN, (), Resources(), '')
             worker = None if link is None else link.worker
             may_be_ordered = worker is not None or not unplaced
-            views.append(VmView(vm, worker, unlisted=may_be_ordered))
+            views.append(
+                VmView(
+                    vm,
+                    worker,
+                    unlisted=may_be_ordered,
+                    lapsed=link is not None and link.is_lapsed(),
+                )
+            )
         return views
 
     def _send(
