Takeover: a VM that was emptied and has left isn't waited for

Cause: vp/fleet kept a VM until its worker counted as ended, by its leases, and was trimmed each 5 s. A takeover within 12 s of a drained VM's removal paused the inherited jobs of all pools until all leases had lapsed. Change: a worker without an entry and without tasks, which has reported, runs nothing and accepts nothing, so that its VM is taken from the record within a second. Also, an entry of another writer that names no VM no longer keeps a wave from ordering unlisted VMs once it is silent. Evidence: test_an_empty_vm_is_dropped_once_its_entry_is_removed failed before and passes now.

--- a/verbenapost/scheduler/fleet.py
+++ b/verbenapost/scheduler/fleet.py
@@ -131,11 +131,11 @@
                 )
 
     def find_vms(self) -> set[str]:
-        """Return the VMs of the workers whose incarnation has not ended."""
+        """Return the VMs of the workers that may run tasks."""
         return {
             link.worker.entry.vm
             for link in self.links.values()
-            if not link.ended
+            if _may_run_tasks(link)
         }
 
     def find_by_vm(self, vm: str) -> WorkerLink | None:
@@ -288,12 +288,15 @@
     def _note_recorded(self) -> None:
         """Let the workers accept tasks whose VMs later leaders know of."""
         for link in self.links.values():
-            if not link.ended:
-                self._check_recorded(link)
+            self._check_recorded(link)
         self._ports.wake()
 
     def _check_recorded(self, link: WorkerLink) -> None:
-        link.worker.recorded = self.record.add(link.worker.entry.vm)
+        vm = link.worker.entry.vm
+        if _may_run_tasks(link):
+            link.worker.recorded = self.record.add(vm)
+        else:
+            link.worker.recorded = self.record.has_stored(vm)
 
     def _unlist(self, name: str) -> None:
         link = self.links.get(name)
@@ -318,5 +321,15 @@
     )
 
 
+def _may_run_tasks(link: WorkerLink) -> bool:
+    """Return whether a worker has tasks, or accepts some once it answers.
+
+    A worker that has left has neither an entry nor a task.
+    """
+    worker = link.worker
+    known = worker.listed or bool(worker.tasks) or not worker.reconciled
+    return known and not link.ended
+
+
 def _is_reachable(link: WorkerLink) -> bool:
     return link.worker.reachable
--- a/verbenapost/scheduler/fleetrecord.py
+++ b/verbenapost/scheduler/fleetrecord.py
@@ -26,7 +26,7 @@
 from verbenapost.scheduler.keys import FLEET_KEY, LEADER_KEY
 
 #: Seconds between two checks for VMs that have left the fleet.
-TRIM_SECONDS: Final = 5.0
+TRIM_SECONDS: Final = 1.0
 
 #: Seconds between two attempts of a call to the store.
 RETRY_SECONDS: Final = 0.1
@@ -86,6 +86,13 @@
         if vm and vm not in self._wanted:
             self._wanted.add(vm)
             self._changed.set()
+        return self.has_stored(vm)
+
+    def has_stored(self, vm: str) -> bool:
+        """Return whether a VM is known to be stored.
+
+        :param vm: name of the VM, empty if it is not known.
+        """
         return not vm or vm in self._stored
 
     async def trim(
@@ -95,7 +102,7 @@
 
         Leases of former leaders have to lapse first.
 
-        :param find_shown: returns the VMs that have a worker or are listed.
+        :param find_shown: returns the VMs that may run tasks or are listed.
         :param longest_lease: longest lease of a run in seconds.
         """
         await asyncio.sleep(compute_lapse_seconds(longest_lease))
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -209,7 +209,7 @@
             await asyncio.sleep(RETRY_SECONDS)
 
     def _find_shown_vms(self) -> set[str]:
-        """Return the VMs that have a worker here or are listed."""
+        """Return the VMs that may run tasks or are listed."""
         shown = self._fleet.find_vms()
         if self._controller is not None:
             shown |= self._controller.find_listed_vms()
--- a/verbenapost/scheduler/tests/test_fleetrecord.py
+++ b/verbenapost/scheduler/tests/test_fleetrecord.py
@@ -96,6 +96,19 @@
 
         assert play(scenario, standby_vms=standby_vms) == (VMS, VMS[1:])
 
+    def test_an_empty_vm_is_dropped_once_its_entry_is_removed(self, play):
+        """A takeover 12 s after its removal waited for its leases."""
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            await asyncio.sleep(8)
+            world.cloud.remove('vm-w0')
+            world.store.remove('servers/w0')
+            await asyncio.sleep(2.5)
+            return read_record(world)
+
+        assert play(scenario, standby_vms=0) == VMS[1:]
+
     def test_a_vm_that_the_list_leaves_out_is_kept_by_two_leaders(self, play):
         async def scenario(world):
             leader = await wait_for_leader(world)
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -273,10 +273,13 @@
 def _has_unplaced(fleet: WorkerFleet, vm_list: VmList) -> bool:
     """Return whether a worker may run on any VM that isn't listed.
 
-    Neither its entry nor the list tells its VM.
+    Neither its entry nor the list tells its VM. Nothing runs on one that
+    doesn't answer and has no lease left, as for an entry of another writer.
     """
     placed = {vm.worker for vm in vm_list.vms.values()}
     return any(
-        not link.ended and not link.worker.entry.vm and link.name not in placed
+        not link.worker.entry.vm
+        and link.name not in placed
+        and not (link.ended or link.is_lapsed())
         for link in fleet.links.values()
     )
