Waves: a test of a VM that is down and left out by the list

Cause: not mended. Refused orders and absence don't tell a VM that was removed from one that is down and left out, save by their duration. What callers see: a wave shown as completed although that VM has not begun, until the VM is listed again.

--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -75,6 +75,19 @@
         completed = play(scenario, standby_vms=1)
         assert completed[-1:] == [{'vm-w0', 'vm-w1'}]
 
+    def test_a_vm_that_is_down_and_left_out_for_12_s_is_waited_for(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            vms = find_pool_vms(world)
+            states = follow_states(world)
+            world.request_wave(1, vms[:2], duration=20, cap=1)
+            hide_vm(world, vms[0], 12)
+            refuse_orders(world, vms[0], 12)
+            await asyncio.sleep(35)
+            return find_completed(states)
+
+        assert play(scenario, standby_vms=1) == [{'vm-w0', 'vm-w1'}]
+
 
 class TestLostReopening:
     """The answer to the write of 'running' is lost."""
