--- a/verbenapost/scheduler/tests/scenarios.py
+++ b/verbenapost/scheduler/tests/scenarios.py
@@ -40,20 +40,6 @@
     raise AssertionError('nobody leads')
 
 
-def hide_vm(world, vm, seconds):
-    """Let the list leave a VM out for some seconds from now on."""
-    list_known = world.cloud.list_vms
-    until = world.now() + seconds
-
-    def list_vms():
-        rows = list_known()
-        if world.now() >= until:
-            return rows
-        return [row for row in rows if row.vm != vm]
-
-    world.cloud.list_vms = list_vms
-
-
 async def read_states(world, daemon='d0'):
     """Return the answers to a query of each accepted job."""
     states = {}
--- a/verbenapost/scheduler/tests/test_absentvms.py
+++ b/verbenapost/scheduler/tests/test_absentvms.py
@@ -10,7 +10,6 @@
 from verbenapost.platform.records import read_vm
 from verbenapost.scheduler.tests.scenarios import (
     check_rules,
-    hide_vm,
     name_long_running,
     wait_for_leader,
 )
@@ -94,7 +93,7 @@
             await start_tasks(world)
             world.workers['w0'].faults.unreachable = True
             await asyncio.sleep(1.5)
-            hide_vm(world, 'vm-w0', seconds)
+            world.cloud.hide('vm-w0', seconds)
             await asyncio.sleep(15)
             return check_rules(world)
 
@@ -110,7 +109,7 @@
             world.workers['w0'].faults.unreachable = True
             await asyncio.sleep(0.5)
             await getattr(leader, handover)()
-            hide_vm(world, 'vm-w0', seconds)
+            world.cloud.hide('vm-w0', seconds)
             await asyncio.sleep(15)
             return check_rules(world)
 
@@ -126,7 +125,7 @@
             world.store.remove(f'{WORKER_PREFIX}w0')
             await asyncio.sleep(0.5)
             await getattr(leader, handover)()
-            hide_vm(world, 'vm-w0', seconds)
+            world.cloud.hide('vm-w0', seconds)
             await asyncio.sleep(15)
             return check_rules(world)
 
--- a/verbenapost/scheduler/tests/test_fleetrecord.py
+++ b/verbenapost/scheduler/tests/test_fleetrecord.py
@@ -8,7 +8,6 @@
 from verbenapost.scheduler.keys import FLEET_KEY
 from verbenapost.scheduler.tests.scenarios import (
     check_rules,
-    hide_vm,
     name_long_running,
     wait_for_leader,
 )
@@ -115,7 +114,7 @@
             await world.submit(name_long_running(1), STEPS)
             await asyncio.sleep(7)
             world.store.remove('servers/w0')
-            hide_vm(world, 'vm-w0', 8)
+            world.cloud.hide('vm-w0', 8)
             for _ in range(2):
                 await leader.kill()
                 await asyncio.sleep(0.1)
--- a/verbenapost/scheduler/tests/test_removedvms.py
+++ b/verbenapost/scheduler/tests/test_removedvms.py
@@ -11,11 +11,10 @@
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler.tests.scenarios import (
     check_rules,
-    hide_vm,
     name_long_running,
     wait_for_leader,
 )
-from verbenapost.scheduler.tests.test_wavecompletion import (
+from verbenapost.scheduler.tests.wavestates import (
     STATUS_KEY,
     find_completed,
     find_pool_vms,
@@ -66,7 +65,7 @@
             await wait_for_leader(world)
             vms = find_pool_vms(world)
             states = follow_states(world)
-            hide_vm(world, vms[0], 25)
+            world.cloud.hide(vms[0], 25)
             refuse_orders(world, vms[0], 25)
             world.request_wave(1, vms[:2], duration=20, cap=1)
             await asyncio.sleep(45)
@@ -81,7 +80,7 @@
             vms = find_pool_vms(world)
             states = follow_states(world)
             world.request_wave(1, vms[:2], duration=20, cap=1)
-            hide_vm(world, vms[0], 12)
+            world.cloud.hide(vms[0], 12)
             refuse_orders(world, vms[0], 12)
             await asyncio.sleep(35)
             return find_completed(states)
@@ -186,7 +185,7 @@
         await wait_for_leader(world)
         vm = find_pool_vms(world)[0]
         await asyncio.sleep(3)
-        hide_vm(world, vm, seconds)
+        world.cloud.hide(vm, seconds)
         worker = next(row for row in world.workers.values() if row.vm == vm)
         key = f'{WORKER_PREFIX}{worker.name}'
         entry = world.store.items[key]
@@ -250,7 +249,7 @@
             await asyncio.sleep(12)
             await self.fill(world)
             await asyncio.sleep(2)
-            hide_vm(world, vm, 15)
+            world.cloud.hide(vm, 15)
             world.request_wave(1, [vm], duration=40, cap=1)
             await asyncio.sleep(14)
             return len(worker.runs), check_rules(world)
--- a/verbenapost/scheduler/tests/test_wavecompletion.py
+++ b/verbenapost/scheduler/tests/test_wavecompletion.py
@@ -5,45 +5,15 @@
 
 import pytest
 
-from standins.fleet.world import SERVICE
 from verbenapost.scheduler.keys import make_wave_removed_key
-from verbenapost.scheduler.tests.scenarios import hide_vm, wait_for_leader
-
-STATUS_KEY = 'status/wave/1'
-
-
-def find_pool_vms(world):
-    return sorted(
-        row.vm for row in world.cloud.list_vms() if row.pool == SERVICE
-    )
-
-
-def follow_states(world):
-    """Return a list to which each stored state of wave 1 will be added.
-
-    :returns: rows of the state and the VMs that had begun by then.
-    """
-    states = []
-    write = world.store._put
-
-    def put(key, value, lease):
-        if key == STATUS_KEY:
-            begun = frozenset(row.vm for row in world.cloud.maintained)
-            states.append((json.loads(value)['state'], begun))
-        return write(key, value, lease)
-
-    world.store._put = put
-    return states
-
-
-def find_completed(states):
-    """Return the VMs that had begun at each completion that was stored."""
-    return [begun for state, begun in states if state == 'completed']
-
-
-def list_since_completion(states):
-    names = [state for state, _ in states]
-    return names[names.index('completed') :]
+from verbenapost.scheduler.tests.scenarios import wait_for_leader
+from verbenapost.scheduler.tests.wavestates import (
+    STATUS_KEY,
+    find_completed,
+    find_pool_vms,
+    follow_states,
+    list_since_completion,
+)
 
 
 class TestUnlistedVm:
@@ -56,7 +26,7 @@
             vms = find_pool_vms(world)
             states = follow_states(world)
             await asyncio.sleep(3)
-            hide_vm(world, vms[0], seconds)
+            world.cloud.hide(vms[0], seconds)
             await asyncio.sleep(1)
             world.request_wave(1, vms[:1], duration=20, cap=1)
             await asyncio.sleep(25)
@@ -71,7 +41,7 @@
             states = follow_states(world)
             world.request_wave(1, vms, duration=30, cap=1)
             await asyncio.sleep(3)
-            hide_vm(world, vms[-1], 12)
+            world.cloud.hide(vms[-1], 12)
             await leader.kill()
             await asyncio.sleep(40)
             return find_completed(states)[:1] == [set(vms)]
