Waves: a read that fails is the last one of its round

Found by the review, by reading. What callers saw: rounds (list of VMs, moves, evacuation) held up for as many timeouts while the store is away right after a takeover. Change: the first failure ends the reads of that round. Evidence: test_a_round_waits_for_one_read_that_fails failed before (four keys read) and passes now.

--- a/verbenapost/scheduler/tests/test_wavestate.py
+++ b/verbenapost/scheduler/tests/test_wavestate.py
@@ -39,6 +39,25 @@
 
         assert play(scenario, standby_vms=1) == set()
 
+    def test_a_round_waits_for_one_read_that_fails(self, play):
+        """Each of the wave's keys took a timeout, in each round."""
+
+        async def scenario(world):
+            leader = await wait_for_leader(world)
+            reads = set()
+
+            async def fail(key):
+                reads.add(key)
+                await asyncio.sleep(1)
+                return Err(CallFault(CallFaultKind.UNKNOWN, 'no answer'))
+
+            leader.store.read_key = fail
+            world.request_wave(1, ['vm-w0'], duration=40, cap=1)
+            await asyncio.sleep(6)
+            return len(reads)
+
+        assert play(scenario, standby_vms=1) == 1
+
 
 class TestUnconfirmedRecord:
     """An order for which no record was stored (issue 35, LIMIT)."""
--- a/verbenapost/scheduler/wavestatus.py
+++ b/verbenapost/scheduler/wavestatus.py
@@ -125,18 +125,21 @@
         :returns: what earlier leaders stored, or ``None`` when it could not be
             read.
         """
-        status = await self._read(wave, f'{WAVE_STATUS_PREFIX}{wave}')
-        begun = await self._read(wave, make_wave_key(wave))
-        ordered = await self._read(wave, make_wave_orders_key(wave))
-        removed = await self._read(wave, make_wave_removed_key(wave))
-        if status is None or begun is None or ordered is None:
+        packed = await self._read_all(
+            wave,
+            f'{WAVE_STATUS_PREFIX}{wave}',
+            make_wave_key(wave),
+            make_wave_orders_key(wave),
+            make_wave_removed_key(wave),
+        )
+        if packed is None:
             return None
+        status, begun, ordered, removed = packed
         terms = self._decode(wave, begun)
         record = WaveRecord(
             terms,
             frozenset(self._decode(wave, ordered).keys() - terms.keys()),
-            # Without it, the VMs are ordered and refused again.
-            frozenset(self._decode(wave, removed or b'')),
+            frozenset(self._decode(wave, removed)),
         )
         found = self._waves[wave]
         found.shown_completed = is_wave_completed(status)
@@ -190,6 +193,16 @@
             found.shown_completed = not await self._write(wave, completed=False)
             return not found.shown_completed
 
+    async def _read_all(self, wave: int, *keys: str) -> list[bytes] | None:
+        """Return the values of keys, ``None`` once one could not be read."""
+        packed = []
+        for key in keys:
+            found = await self._read(wave, key)
+            if found is None:
+                return None
+            packed.append(found)
+        return packed
+
     async def _read(self, wave: int, key: str) -> bytes | None:
         """Return the value of a key, ``None`` when it could not be read."""
         found = await self._store.read_key(key)
