Takeover: log how many VMs are missing, and the first of them

Cause: 'pool settled' named every VM that a former leader has used and nothing showed, once for each pool; computed at 3.7 MB for 65 pools and 5,200 VMs, if all are missing. What callers saw: nothing yet; a log that drops other lines at such a takeover. Change: their number and at most five names. Not run at that size.

--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -1,6 +1,7 @@
 """The leader, which plans jobs and sends orders to workers."""
 
 import asyncio
+import heapq
 from typing import Any, Final
 
 from result import Err
@@ -39,6 +40,9 @@
 #: ended runs.
 MIN_ROUND_GAP: Final = 0.01
 
+#: Names of VMs that one log line holds.
+MAX_LOGGED_VMS: Final = 5
+
 #: Fraction of the time that rounds may use; the rest is for sending the orders.
 MAX_ROUND_SHARE: Final = 0.2
 
@@ -299,7 +303,8 @@
                 listed=takeover.listed is not None,
                 silent=find_silent_workers(pool_state),
                 unregistered=find_unregistered_workers(pool_state, takeover),
-                missing=sorted(takeover.missing),
+                missing=len(takeover.missing),
+                missing_vms=heapq.nsmallest(MAX_LOGGED_VMS, takeover.missing),
             )
 
     def _find_missing_vms(self) -> frozenset[str]:
