Streams: the handler of a message is an abstract method

Cause: the base class raised NotImplementedError where its one subclass handles a message, which reads like unfinished work. What callers saw: nothing. Change: abc in its place; a subclass without a handler fails as it is created. Measured: mypy, and the tests of transport and test_peers pass.

--- a/verbenapost/transport/streams.py
+++ b/verbenapost/transport/streams.py
@@ -1,5 +1,6 @@
 """Streams of msgpack messages over one connection."""
 
+import abc
 import asyncio
 from typing import Any
 
@@ -12,7 +13,7 @@
 MAX_BACKLOG_BYTES = 8 * 1024 * 1024
 
 
-class MessageStream(asyncio.Protocol):
+class MessageStream(asyncio.Protocol, abc.ABC):
     """One connection that carries messages in both directions.
 
     Messages that are queued in one iteration of the event loop are written
@@ -73,8 +74,9 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @abc.abstractmethod
     def _receive(self, message: Any) -> None:
-        raise NotImplementedError
+        """Handle a message of the other side."""
 
     def _unpack(self, chunk: bytes) -> None:
         self._unpacker.feed(chunk)
