Names: the reason for which a VM counts, and racks that are unreachable

Change: names; one context manager for a disturbed daemon in the soak; two tests of takeovers are one with two disturbances, the same eight cases; the platform's prefix of worker entries. No decision changes.

--- a/examples/histories/fleetnemesis.py
+++ b/examples/histories/fleetnemesis.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from examples.histories.fleetsite import FleetSoak
 from standins.fleet.world import SERVICE
@@ -47,14 +47,27 @@
     await _end_daemon(soak, signal.SIGTERM)
 
 
+@contextlib.contextmanager
+def _disturb(soak: FleetSoak, name: str) -> Iterator[None]:
+    """Let no other fault meet a daemon meanwhile."""
+    soak.disturbed.add(name)
+    yield
+    soak.disturbed.discard(name)
+
+
 async def _end_daemon(soak: FleetSoak, number: int) -> None:
     name = soak.choose_daemon()
     if name is None:
         return
-    soak.disturbed.add(name)
-    soak.processes.send_signal(name, number)
-    await soak.restart_daemon(name)
-    soak.disturbed.discard(name)
+    with _disturb(soak, name):
+        soak.processes.send_signal(name, number)
+        await soak.restart_daemon(name)
+
+
+async def _freeze_daemon(soak: FleetSoak, name: str, seconds: float) -> None:
+    soak.processes.send_signal(name, signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    soak.processes.send_signal(name, signal.SIGCONT)
 
 
 @register_fault
@@ -63,11 +76,9 @@
     name = soak.choose_daemon()
     if name is None:
         return
-    soak.disturbed.add(name)
-    soak.processes.send_signal(name, signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.choice((0.6, 1.2, 2, 4, 8)))
-    soak.processes.send_signal(name, signal.SIGCONT)
-    soak.disturbed.discard(name)
+    with _disturb(soak, name):
+        seconds = soak.rng.choice((0.6, 1.2, 2, 4, 8))
+        await _freeze_daemon(soak, name, seconds)
 
 
 @register_fault
@@ -76,11 +87,10 @@
     name = soak.choose_daemon()
     if name is None:
         return
-    soak.disturbed.add(name)
-    soak.world.cut.add(name)
-    await asyncio.sleep(soak.rng.uniform(0.5, 6))
-    soak.world.cut.discard(name)
-    soak.disturbed.discard(name)
+    with _disturb(soak, name):
+        soak.world.cut.add(name)
+        await asyncio.sleep(soak.rng.uniform(0.5, 6))
+        soak.world.cut.discard(name)
 
 
 @register_fault
@@ -123,13 +133,12 @@
     name = soak.choose_daemon()
     if name is None:
         return
-    soak.disturbed.add(name)
-    soak.world.store_cut.add(name)
-    if soak.rng.random() < REVOKED_SHARE:
-        soak.world.end_leadership()
-    await asyncio.sleep(soak.rng.uniform(0.5, 8))
-    soak.world.store_cut.discard(name)
-    soak.disturbed.discard(name)
+    with _disturb(soak, name):
+        soak.world.store_cut.add(name)
+        if soak.rng.random() < REVOKED_SHARE:
+            soak.world.end_leadership()
+        await asyncio.sleep(soak.rng.uniform(0.5, 8))
+        soak.world.store_cut.discard(name)
 
 
 @register_fault
@@ -138,20 +147,17 @@
     name = soak.world.find_leading()
     if name is None or name in soak.disturbed:
         return
-    soak.disturbed.add(name)
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(soak.world.wait_list(name), LIST_TIMEOUT)
-        await asyncio.sleep(soak.rng.uniform(0, 0.05))
-    soak.processes.send_signal(name, signal.SIGSTOP)
-    await asyncio.sleep(soak.rng.uniform(2, 9))
-    soak.processes.send_signal(name, signal.SIGCONT)
-    soak.disturbed.discard(name)
+    with _disturb(soak, name):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(soak.world.wait_list(name), LIST_TIMEOUT)
+            await asyncio.sleep(soak.rng.uniform(0, 0.05))
+        await _freeze_daemon(soak, name, soak.rng.uniform(2, 9))
 
 
 @register_fault
-async def darken_racks(soak: FleetSoak) -> None:
-    """Let racks be dark from the moment of orders for their VMs."""
-    soak.world.cloud.dark_orders.extend(
+async def isolate_racks(soak: FleetSoak) -> None:
+    """Let racks be unreachable from the moment of orders for their VMs."""
+    soak.world.cloud.rack_outages.extend(
         soak.rng.uniform(1, 8) for _ in range(2)
     )
     await request_wave(soak)
--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -16,7 +16,7 @@
 #: Seconds for which a VM is unavailable during its maintenance.
 MAINTENANCE_SECONDS = 2.0
 
-#: Seconds for which the entry of an ended or dark worker stays in the store.
+#: Seconds for which the store keeps the entry of an ended or unreachable worker.
 ENTRY_SECONDS = 4.0
 
 #: Seconds for which former lists are kept.
@@ -42,8 +42,8 @@
     :ivar reordered: whether the order of the list changes between the reads of
         its pages, so that a read may leave a VM out or show it twice.
     :ivar hidden: VMs that the next read of the list leaves out.
-    :ivar dark_orders: seconds for which the rack of the VM of each of the next
-        orders is dark, from the arrival of the order.
+    :ivar rack_outages: seconds for which the rack of the VM of each of the next
+        orders is unreachable, from the arrival of the order.
     """
 
     def __init__(self, world, standby='spare'):
@@ -59,9 +59,9 @@
         self.reordered = False
         self.hidden = set()
         self.removed = set()
-        self.dark_orders = []
+        self.rack_outages = []
         self._hidden_until = {}
-        self._dark_until = {}
+        self._isolated_until = {}
         self._former_lists = []
         self._tokens = {}
         self._states = {}
@@ -105,19 +105,21 @@
         self._hidden_until[vm] = self.world.now() + seconds
 
     def note_arrival(self, vm):
-        """Let the rack of a VM for which an order arrives go dark, if due."""
-        if self.dark_orders and vm in self._workers:
-            self.darken(self._workers[vm].labels, self.dark_orders.pop(0))
+        """Let the rack of a VM become unreachable as an order for it arrives."""
+        if self.rack_outages and vm in self._workers:
+            self.isolate_rack(
+                self._workers[vm].labels, self.rack_outages.pop(0)
+            )
 
-    def darken(self, labels, seconds):
+    def isolate_rack(self, labels, seconds):
         """Let nothing reach the workers of a rack, nor leave them."""
         until = self.world.now() + seconds
         for worker in list(self.world.workers.values()):
             if worker.labels == labels and self.is_current(worker):
                 worker.faults.unreachable = True
-                self._dark_until[worker.name] = until
-                self._call_later(ENTRY_SECONDS, self._drop_dark, worker)
-                self._call_later(seconds, self._relight, worker)
+                self._isolated_until[worker.name] = until
+                self._call_later(ENTRY_SECONDS, self._drop_isolated, worker)
+                self._call_later(seconds, self._reconnect, worker)
 
     def is_current(self, worker):
         """Return whether a worker is that of its VM, which is up."""
@@ -214,12 +216,12 @@
     def _remove_entry(self, worker):
         self.world.store.remove(f'servers/{worker.name}')
 
-    def _drop_dark(self, worker):
+    def _drop_isolated(self, worker):
         if worker.faults.unreachable:
             self._remove_entry(worker)
 
-    def _relight(self, worker):
-        if self.world.now() < self._dark_until[worker.name]:
+    def _reconnect(self, worker):
+        if self.world.now() < self._isolated_until[worker.name]:
             return
         worker.faults.unreachable = False
         if worker.up and self.is_current(worker):
--- a/standins/fleet/tests/test_cloud.py
+++ b/standins/fleet/tests/test_cloud.py
@@ -123,18 +123,24 @@
         assert play(scenario) == [FleetVmState.UP, FleetVmState.MAINTENANCE]
 
 
-class TestDarkRack:
-    def test_it_is_dark_from_the_arrival_of_an_order(self):
+class TestUnreachableRack:
+    def test_it_is_unreachable_from_the_arrival_of_an_order(self):
         """Workers 0 and 3 share a rack."""
 
         async def scenario(world, client):
-            world.cloud.dark_orders.append(6)
+            world.cloud.rack_outages.append(6)
             await client.maintain('vm-w0', 1, 1)
-            dark = [row.faults.unreachable for row in world.workers.values()]
+            unreachable = [
+                row.faults.unreachable for row in world.workers.values()
+            ]
             await asyncio.sleep(5)
             dropped = 'servers/w3' not in world.store.items
             await asyncio.sleep(1.5)
             back = not world.workers['w3'].faults.unreachable
-            return dark[1:], dropped, back and 'servers/w3' in world.store.items
+            return (
+                unreachable[1:],
+                dropped,
+                back and 'servers/w3' in world.store.items,
+            )
 
         assert play(scenario) == ([False, False, True], True, True)
--- a/verbenapost/coordination/scheduling/waveprogress.py
+++ b/verbenapost/coordination/scheduling/waveprogress.py
@@ -30,7 +30,7 @@
 
 
 @enum.unique
-class CountGround(enum.StrEnum):
+class CountReason(enum.StrEnum):
     """Why the completion of a wave doesn't wait for a VM.
 
     An order of this leader was confirmed, an earlier leader has recorded the
@@ -49,7 +49,7 @@
     """A VM for which the completion of a wave doesn't wait.
 
     :param vm: name of the VM.
-    :param ground: why it doesn't.
+    :param reason: why it doesn't.
     :param confirmation: the confirmation of its maintenance, if known.
     :param maintenance_seen_at: local seconds at which a list first showed it in
         maintenance, if any has.
@@ -59,7 +59,7 @@
     """
 
     vm: str
-    ground: CountGround
+    reason: CountReason
     confirmation: Confirmation | None
     maintenance_seen_at: float | None
     removed_at: float | None
@@ -79,8 +79,8 @@
         VM of the wave in maintenance.
     :param removed: local seconds at which refused orders have shown that a VM
         was removed, until a list shows the VM.
-    :param asked: local seconds of the last order for each VM that the list has
-        not shown since.
+    :param unlisted_orders: local seconds of the last order for each VM that the
+        list has not shown since.
     :param refusals: refused orders for these VMs.
     :param down: local seconds until which each VM counts as down at least.
     :param emptying: VMs that are being emptied.
@@ -95,7 +95,7 @@
     begun: dict[str, Confirmation] = dataclasses.field(default_factory=dict)
     maintenance_seen: dict[str, float] = dataclasses.field(default_factory=dict)
     removed: dict[str, float] = dataclasses.field(default_factory=dict)
-    asked: dict[str, float] = dataclasses.field(default_factory=dict)
+    unlisted_orders: dict[str, float] = dataclasses.field(default_factory=dict)
     refusals: Counter[str] = dataclasses.field(default_factory=Counter)
     down: dict[str, float] = dataclasses.field(default_factory=dict)
     emptying: set[str] = dataclasses.field(default_factory=set)
@@ -140,7 +140,7 @@
             if listed is None:
                 continue
             self.removed.pop(vm, None)
-            self.asked.pop(vm, None)
+            self.unlisted_orders.pop(vm, None)
             self.refusals.pop(vm, None)
             if listed.state is FleetVmState.MAINTENANCE:
                 self.maintenance_seen.setdefault(vm, now)
@@ -175,7 +175,7 @@
         :param vm_list: all VMs, including those with a pending order.
         """
         return all(
-            self._find_ground(vm, vm_list) is not None for vm in self.wave.vms
+            self._find_reason(vm, vm_list) is not None for vm in self.wave.vms
         )
 
     def find_counted(self, vm_list: VmList) -> Iterable[CountedVm]:
@@ -184,22 +184,22 @@
         :param vm_list: all VMs.
         """
         for vm in self.wave.vms:
-            ground = self._find_ground(vm, vm_list)
-            if ground is not None:
+            reason = self._find_reason(vm, vm_list)
+            if reason is not None:
                 yield CountedVm(
                     vm,
-                    ground,
+                    reason,
                     self.begun.get(vm),
                     self.maintenance_seen.get(vm),
                     self.removed.get(vm),
                     vm_list.measure_absence(vm),
                 )
 
-    def _find_ground(self, vm: str, vm_list: VmList) -> CountGround | None:
+    def _find_reason(self, vm: str, vm_list: VmList) -> CountReason | None:
         confirmation = self.begun.get(vm)
         if confirmation is None:
             removed = vm in self.removed and vm_list.has_left(vm)
-            return CountGround.REMOVED if removed else None
+            return CountReason.REMOVED if removed else None
         if confirmation.recorded:
-            return CountGround.RECORDED
-        return CountGround.CONFIRMED
+            return CountReason.RECORDED
+        return CountReason.CONFIRMED
--- a/verbenapost/coordination/scheduling/waves.py
+++ b/verbenapost/coordination/scheduling/waves.py
@@ -88,7 +88,7 @@
         for leaving in chosen:
             _mark_leaving(leaving)
             if leaving.unlisted:
-                progress.asked[leaving.vm.vm] = now
+                progress.unlisted_orders[leaving.vm.vm] = now
         return [MaintainVm(view.vm.vm, progress.wave.number) for view in chosen]
 
     def note_ordered(self, progress: WaveProgress, vm: str) -> None:
@@ -145,7 +145,7 @@
         """
         progress.down.pop(vm, None)
         progress.ordered.discard(vm)
-        if vm not in progress.asked:
+        if vm not in progress.unlisted_orders:
             return
         progress.refusals[vm] += 1
         if not known or progress.refusals[vm] >= MAX_UNLISTED_REFUSALS:
@@ -192,8 +192,8 @@
     """
     if not view.unlisted:
         return view.vm.state is FleetVmState.UP
-    asked_at = progress.asked.get(view.vm.vm, -math.inf)
-    return now - asked_at >= UNLISTED_ORDER_SECONDS
+    ordered_at = progress.unlisted_orders.get(view.vm.vm, -math.inf)
+    return now - ordered_at >= UNLISTED_ORDER_SECONDS
 
 
 def _mark_leaving(view: VmView) -> None:
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -1,7 +1,6 @@
 """The leader, which plans jobs and sends orders to workers."""
 
 import asyncio
-import heapq
 from typing import Any, Final
 
 from result import Err
@@ -304,7 +303,7 @@
                 silent=find_silent_workers(pool_state),
                 unregistered=find_unregistered_workers(pool_state, takeover),
                 missing=len(takeover.missing),
-                missing_vms=heapq.nsmallest(MAX_LOGGED_VMS, takeover.missing),
+                missing_vms=sorted(takeover.missing)[:MAX_LOGGED_VMS],
             )
 
     def _find_missing_vms(self) -> frozenset[str]:
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -21,7 +21,7 @@
     :ivar orders: orders to workers, by kind and outcome.
     :ivar order_seconds: time until a worker answered a start.
     :ivar takeovers: number of times that this daemon began to lead.
-    :ivar wave_vms: VMs of completed waves, by the ground on which they count.
+    :ivar wave_vms: VMs of completed waves, by reason.
     :ivar vms: VMs by pool and state, as the leader knows them.
     :ivar log_lines_dropped: log lines dropped because nobody read them.
     """
@@ -42,7 +42,7 @@
         )
         self.takeovers = self._count('takeovers_total', 'Leaderships begun.')
         self.wave_vms = self._count(
-            'wave_vms_total', 'VMs of completed waves by ground.'
+            'wave_vms_total', 'VMs of completed waves by reason.'
         )
         self.vms = self._gauge('vms', 'VMs by pool and state.')
         self.log_lines_dropped = self._gauge(
--- a/verbenapost/scheduler/tests/test_absentvms.py
+++ b/verbenapost/scheduler/tests/test_absentvms.py
@@ -32,6 +32,16 @@
     return leader
 
 
+def isolate_worker(world):
+    """Let nothing reach worker w0, which keeps its entry."""
+    world.workers['w0'].faults.unreachable = True
+
+
+def remove_entry(world):
+    """Remove the entry of worker w0, which can still be reached."""
+    world.store.remove(f'{WORKER_PREFIX}w0')
+
+
 def count_runs(world):
     return sum(
         len(worker.runs) for worker in world.workers.values() if worker.up
@@ -45,7 +55,7 @@
     def test_tasks_of_an_unregistered_worker_run_on(self, play, handover):
         async def scenario(world):
             leader = await start_tasks(world)
-            world.store.remove(f'{WORKER_PREFIX}w0')
+            remove_entry(world)
             await asyncio.sleep(0.5)
             await getattr(leader, handover)()
             world.cloud.hidden = {'vm-w0'}
@@ -62,7 +72,7 @@
     def test_its_tasks_run_on_after_a_takeover(self, play, handover):
         async def scenario(world):
             leader = await start_tasks(world)
-            world.workers['w0'].faults.unreachable = True
+            isolate_worker(world)
             await getattr(leader, handover)()
             world.cloud.hidden = {'vm-w0'}
             await asyncio.sleep(12)
@@ -73,7 +83,7 @@
     def test_its_tasks_run_on_under_one_leader(self, play):
         async def scenario(world):
             await start_tasks(world)
-            world.workers['w0'].faults.unreachable = True
+            isolate_worker(world)
             await asyncio.sleep(2.5)
             world.cloud.hidden = {'vm-w0'}
             await asyncio.sleep(12)
@@ -91,7 +101,7 @@
     ):
         async def scenario(world):
             await start_tasks(world)
-            world.workers['w0'].faults.unreachable = True
+            isolate_worker(world)
             await asyncio.sleep(1.5)
             world.cloud.hide('vm-w0', seconds)
             await asyncio.sleep(15)
@@ -101,28 +111,13 @@
 
     @pytest.mark.parametrize('handover', ['stop', 'kill'])
     @pytest.mark.parametrize('seconds', [2.5, 4])
-    def test_tasks_of_a_silent_worker_run_on_after_a_takeover(
-        self, play, handover, seconds
-    ):
-        async def scenario(world):
-            leader = await start_tasks(world)
-            world.workers['w0'].faults.unreachable = True
-            await asyncio.sleep(0.5)
-            await getattr(leader, handover)()
-            world.cloud.hide('vm-w0', seconds)
-            await asyncio.sleep(15)
-            return check_rules(world)
-
-        assert play(scenario, standby_vms=0) == []
-
-    @pytest.mark.parametrize('handover', ['stop', 'kill'])
-    @pytest.mark.parametrize('seconds', [2.5, 4])
-    def test_tasks_of_an_unregistered_worker_run_on(
-        self, play, handover, seconds
+    @pytest.mark.parametrize('disturb', [isolate_worker, remove_entry])
+    def test_its_tasks_run_on_after_a_takeover(
+        self, play, handover, seconds, disturb
     ):
         async def scenario(world):
             leader = await start_tasks(world)
-            world.store.remove(f'{WORKER_PREFIX}w0')
+            disturb(world)
             await asyncio.sleep(0.5)
             await getattr(leader, handover)()
             world.cloud.hide('vm-w0', seconds)
@@ -166,7 +161,7 @@
         async def scenario(world):
             leader = await start_tasks(world)
             show_state(world, 'vm-w0', 'degraded')
-            world.store.remove(f'{WORKER_PREFIX}w0')
+            remove_entry(world)
             await asyncio.sleep(0.5)
             await leader.kill()
             await asyncio.sleep(12)
@@ -178,7 +173,7 @@
         async def scenario(world):
             await start_tasks(world)
             show_state(world, 'vm-w0', 'degraded')
-            world.workers['w0'].faults.unreachable = True
+            isolate_worker(world)
             await asyncio.sleep(12)
             return check_rules(world)
 
--- a/verbenapost/scheduler/tests/test_fleetrecord.py
+++ b/verbenapost/scheduler/tests/test_fleetrecord.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler.keys import FLEET_KEY
 from verbenapost.scheduler.tests.scenarios import (
     check_rules,
@@ -14,6 +15,7 @@
 
 STEPS = [{'count': 8, 'cpu': 2000, 'long_running': True}]
 VMS = [f'vm-w{index}' for index in range(4)]
+W0_KEY = f'{WORKER_PREFIX}w0'
 
 
 def read_record(world):
@@ -89,7 +91,7 @@
             world.workers['w0'].crash()
             if world.cloud is not None:
                 world.cloud.remove('vm-w0')
-            world.store.remove('servers/w0')
+            world.store.remove(W0_KEY)
             await asyncio.sleep(20)
             return stored, read_record(world)
 
@@ -102,7 +104,7 @@
             await wait_for_leader(world)
             await asyncio.sleep(8)
             world.cloud.remove('vm-w0')
-            world.store.remove('servers/w0')
+            world.store.remove(W0_KEY)
             await asyncio.sleep(2.5)
             return read_record(world)
 
@@ -113,7 +115,7 @@
             leader = await wait_for_leader(world)
             await world.submit(name_long_running(1), STEPS)
             await asyncio.sleep(7)
-            world.store.remove('servers/w0')
+            world.store.remove(W0_KEY)
             world.cloud.hide('vm-w0', 8)
             for _ in range(2):
                 await leader.kill()
--- a/verbenapost/scheduler/tests/test_wavelog.py
+++ b/verbenapost/scheduler/tests/test_wavelog.py
@@ -113,26 +113,26 @@
         assert lines['vm-a'] == {
             'wave': 1,
             'vm': 'vm-a',
-            'ground': 'recorded',
+            'reason': 'recorded',
             'term': 2,
             'confirmed_age': 5,
             'reads_without': 3,
             'seconds_without': 3,
             'listed': 'never',
         }
-        assert lines['vm-b']['ground'] == 'confirmed'
+        assert lines['vm-b']['reason'] == 'confirmed'
         assert lines['vm-b']['confirmed_age'] == 3
         assert lines['vm-w0'] == {
             'wave': 1,
             'vm': 'vm-w0',
-            'ground': 'removed',
+            'reason': 'removed',
             'removed_age': 5,
             'reads_without': 2,
             'seconds_without': 3,
             'listed': 'up',
         }
         text = metrics.render().decode()
-        assert 'verbenapost_wave_vms_total{ground="removed"} 1' in text
+        assert 'verbenapost_wave_vms_total{reason="removed"} 1' in text
 
     def test_a_list_that_shows_the_maintenance_is_told(self):
         log = Log()
--- a/verbenapost/scheduler/tests/test_waves.py
+++ b/verbenapost/scheduler/tests/test_waves.py
@@ -80,7 +80,7 @@
 
 
 async def disturb_vms(world, rng, vms):
-    """Let lists be wrong about some VMs and racks be dark until cancelled."""
+    """Let lists be wrong and racks be unreachable until cancelled."""
     cloud = world.cloud
     while True:
         cloud.page_size = rng.choice((None, 1, 2, 3))
@@ -90,7 +90,7 @@
         if rng.random() < 0.4:
             cloud.hide(rng.choice(vms), rng.uniform(0.5, 10))
         if rng.random() < 0.2:
-            cloud.dark_orders.append(rng.uniform(1, 7))
+            cloud.rack_outages.append(rng.uniform(1, 7))
         await asyncio.sleep(rng.uniform(0.2, 2))
 
 
--- a/verbenapost/scheduler/wavelog.py
+++ b/verbenapost/scheduler/wavelog.py
@@ -7,7 +7,7 @@
 from verbenapost.coordination.scheduling.capacity import VmView
 from verbenapost.coordination.scheduling.waveprogress import (
     CountedVm,
-    CountGround,
+    CountReason,
     WaveProgress,
 )
 from verbenapost.scheduler.metrics import SchedulerMetrics
@@ -31,7 +31,7 @@
         self._log = log
         self._metrics = metrics
         self._logged_at: dict[int, float] = {}
-        self._counted: dict[int, dict[str, CountGround]] = {}
+        self._counted: dict[int, dict[str, CountReason]] = {}
 
     def note_waiting(
         self, progress: WaveProgress, views: Sequence[VmView], now: float
@@ -74,12 +74,12 @@
         """
         number = progress.wave.number
         rows = list(counted)
-        grounds = {row.vm: row.ground for row in rows}
-        if self._counted.get(number) == grounds:
+        reasons = {row.vm: row.reason for row in rows}
+        if self._counted.get(number) == reasons:
             return
-        self._counted[number] = grounds
+        self._counted[number] = reasons
         for row in rows:
-            self._metrics.wave_vms.inc({'ground': row.ground.value})
+            self._metrics.wave_vms.inc({'reason': row.reason.value})
             self._log.info(
                 'wave VM counted', wave=number, **describe_counted(row, now)
             )
@@ -92,7 +92,7 @@
     :param now: local seconds.
     """
     absence = row.absence
-    fields: dict[str, Any] = {'vm': row.vm, 'ground': row.ground.value}
+    fields: dict[str, Any] = {'vm': row.vm, 'reason': row.reason.value}
     if row.confirmation is not None:
         fields['term'] = row.confirmation.term
         fields['confirmed_age'] = round(now - row.confirmation.at, 3)
