--- a/standins/fleet/cloud.py
+++ b/standins/fleet/cloud.py
@@ -16,7 +16,7 @@
 #: Seconds for which a VM is unavailable during its maintenance.
 MAINTENANCE_SECONDS = 2.0
 
-#: Seconds for which the store keeps the entry of an ended or unreachable worker.
+#: Seconds for which an ended or unreachable worker keeps its entry.
 ENTRY_SECONDS = 4.0
 
 #: Seconds for which former lists are kept.
@@ -105,7 +105,7 @@
         self._hidden_until[vm] = self.world.now() + seconds
 
     def note_arrival(self, vm):
-        """Let the rack of a VM become unreachable as an order for it arrives."""
+        """Let a rack become unreachable as an order for its VM arrives."""
         if self.rack_outages and vm in self._workers:
             self.isolate_rack(
                 self._workers[vm].labels, self.rack_outages.pop(0)
