--- a/review/stage.py
+++ b/review/stage.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import random
 import re
@@ -296,6 +297,8 @@
         self.cpu = cpu
         self.labels = [kind, rack]
         self.up = False
+        self.dark = False
+        self.draining = False
         self.born = 0
         self.tickets = None
         self.on_start = None
@@ -329,6 +332,7 @@
         self._highest = {}
         self._ended = asyncio.Event()
         self.up = True
+        self.dark = False
         self._register()
 
     def crash(self):
@@ -342,6 +346,12 @@
             transport.abort()
         self._transports = set()
 
+    def darken(self):
+        """Crash with the machine: nothing is answered, nothing is reset."""
+        self._transports = set()
+        self.crash()
+        self.dark = True
+
     def read_clock(self):
         """Return the worker's clock in milliseconds."""
         return round((time.monotonic() - self._started) * 1000) + 5000
@@ -358,7 +368,7 @@
             'zone': 'a',
             'version': 'v1',
             'slots': 8,
-            'state': 'ready',
+            'state': 'draining' if self.draining else 'ready',
             'cold_remaining_ms': 0,
             'capacity': self.describe(),
             'labels': self.labels,
@@ -401,9 +411,9 @@
 
     @web.middleware
     async def _guard(self, request, handler):
+        await self._wait_for_light()
         if not self.up:
-            request.transport.abort()
-            raise web.HTTPServiceUnavailable
+            _reset(request)
         self._transports.add(request.transport)
         life = self.born
         expected = request.headers.get('X-Verbenapost-Expect-Instance')
@@ -415,12 +425,15 @@
         self._fence = body['fencing_token']
         request['body'] = body
         answer = await handler(request)
+        await self._wait_for_light()
         if not self.up or self.born != life:
-            if request.transport is not None:
-                request.transport.abort()
-            raise web.HTTPServiceUnavailable
+            _reset(request)
         return answer
 
+    async def _wait_for_light(self):
+        while self.dark:
+            await asyncio.sleep(0.05)
+
     def _answer(self, fields, status=200):
         fields = {'clock_ms': self.read_clock(), 'born': self.born} | fields
         return web.json_response(fields, status=status)
@@ -494,6 +507,13 @@
         self._deadline = max(self._deadline, min(deadline, latest))
 
 
+def _reset(request):
+    """Reset the connection of a call."""
+    if request.transport is not None:
+        request.transport.abort()
+    raise web.HTTPServiceUnavailable
+
+
 class Daemon:
     """A process of the project, restarted by the platform when it ends."""
 
@@ -627,6 +647,7 @@
         """Start everything and wait until all daemons are ready."""
         cloud = web.Application()
         cloud.router.add_get('/-/machines', self._list_machines)
+        cloud.router.add_post('/-/machine-upkeep', self._refuse_order)
         advice = web.Application()
         advice.router.add_post('/-/advise', self._advise)
         apps = (self.store.make_app(), cloud, advice)
@@ -737,6 +758,10 @@
         ]
         return web.json_response({'machines': rows, 'next_token': None})
 
+    async def _refuse_order(self, _request):
+        """Refuse an upkeep; the cases ask for that of leaving machines only."""
+        return web.json_response({'reason': 'busy'}, status=409)
+
     async def _advise(self, request):
         body = await request.json()
         names = body['workers']
@@ -803,6 +828,8 @@
         or ``None`` when the case couldn't run.
     """
     folder = Path(os.environ['CASE_FOLDER'])
+    # Calls that are cut off by the case itself need no trace.
+    logging.getLogger('aiohttp').setLevel(logging.CRITICAL)
 
     async def run():
         own = asyncio.current_task()
