Reservations: keep capacity only for a task that will fit there

Cause: each long-running task that waits reserved a worker whose whole capacity would hold it, also beside long-running tasks of other jobs, which end only when somebody cancels those. As many such tasks as workers stop a pool.

Change: a worker is a candidate only if the task fits beside the long-running tasks that stay and what is reserved there already, once the short tasks have ended, and within anti_affinity. It is looked at in each round, so that a large task has its turn once those in the way are cancelled. The same look at the whole capacity kept workers free for suspect long-running jobs; it is mended with the same measure.

--- a/verbenapost/coordination/scheduling/isolation.py
+++ b/verbenapost/coordination/scheduling/isolation.py
@@ -54,6 +54,7 @@
         }
         self._suspects = pool_state.suspects
         self._ready = ready
+        self._reservations = pool_state.reservations
         self._previous = pool_state.kept_workers
         self.kept: dict[str, str] = {}
         self._unproven_jobs: dict[str, set[str]] = {}
@@ -113,7 +114,7 @@
             worker
             for worker in filter_by_ticket(self._ready, tickets)
             if is_permitted(step, worker)
-            and _may_fit(step, worker)
+            and self._may_fit(step, worker)
             and not self._is_taken(worker)
         ]
         eligible.sort(key=lambda worker: self._rank(worker, step))
@@ -150,6 +151,18 @@
             len(self._unproven_jobs[name]),
         )
 
+    def _may_fit(self, step: StepRun, worker: Worker) -> bool:
+        """Return whether a worker is worth keeping for a step.
+
+        Capacity that is not free yet is awaited for long-running tasks only,
+        as reservations do.
+        """
+        size = compute_booking(step.spec)
+        if not step.spec.long_running:
+            return worker.has_capacity(size)
+        lasting = self._reservations.measure_lasting(worker)
+        return lasting.plus(size).fits(worker.entry.capacity)
+
     def _is_free(self, worker: Worker, job: Job) -> bool:
         name = worker.entry.worker
         if self.kept.get(name, job.spec.job) != job.spec.job:
@@ -162,17 +175,5 @@
         return name in self.kept or not self._suspects.keys().isdisjoint(jobs)
 
 
-def _may_fit(step: StepRun, worker: Worker) -> bool:
-    """Return whether a worker is worth keeping for a step.
-
-    Capacity that is not free yet is awaited for long-running tasks only, as
-    reservations do.
-    """
-    size = compute_booking(step.spec)
-    if step.spec.long_running:
-        return size.fits(worker.entry.capacity)
-    return worker.has_capacity(size)
-
-
 def _find_unproven_jobs(worker: Worker) -> set[str]:
     return {task.key.job for task in worker.tasks.values() if is_unproven(task)}
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -130,6 +130,14 @@
         due_in = self.due_at - moment.wall
         return max(self.job.arrived_at, moment.now + due_in)
 
+    def includes(self, key: TaskKey) -> bool:
+        """Return whether a task is one of this step and occurrence."""
+        return (
+            key.job == self.job.spec.job
+            and key.step == self.number
+            and key.occurrence == self.occurrence
+        )
+
     def has_waiting(self) -> bool:
         """Return whether a task waits to start."""
         return any(task.state is TaskState.WAITING for task in self.tasks)
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -168,14 +168,13 @@
         workers = self._isolation.find_workers(step.job)
         ranking = WorkerRanking(step, workers, tickets)
         permitted = filter_by_ticket(workers, tickets)
-        for task in waiting:
+        for placed, task in enumerate(waiting):
             worker = ranking.pop_best()
             if worker is None:
-                self._pool_state.unplaced.append(task)
-                reservations.reserve_next(
-                    step, task, permitted, previous[task.key]
-                )
-                continue
+                unplaced = waiting[placed:]
+                self._pool_state.unplaced.extend(unplaced)
+                reservations.reserve_next(step, unplaced, permitted, previous)
+                return
             yield self._start(step, task, worker, tickets)
             ranking.reinsert(worker)
 
--- a/verbenapost/coordination/scheduling/reservations.py
+++ b/verbenapost/coordination/scheduling/reservations.py
@@ -5,13 +5,21 @@
 task frees, so the next short task takes that capacity every time, and the
 service stays short of a member for as long as the burst lasts. A long-running
 task that has to leave its VM must not be stopped before another VM has
-capacity for it.
+capacity for it. Other long-running tasks may hold the capacity that one waits
+for until somebody cancels them; short tasks must not wait for that.
 """
 
-from collections.abc import Iterable, Mapping
+import dataclasses
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
-from verbenapost.coordination.scheduling.jobs import StepRun, Task, TaskState
+from verbenapost.coordination.scheduling.jobs import (
+    Job,
+    StepRun,
+    Task,
+    TaskState,
+)
 from verbenapost.coordination.scheduling.placement import (
     Tickets,
     WorkerRanking,
@@ -25,15 +33,24 @@
 
 _PENDING: Final = frozenset((TaskState.WAITING, TaskState.STOPPING))
 
+#: States in which a long-running task keeps its capacity until it is cancelled.
+_HOLDING: Final = frozenset(
+    (TaskState.STARTING, TaskState.UNSURE, TaskState.RUNNING)
+)
+
 
 class Reservations:
     """Reservations of one pool, at most one for each task.
 
     :param workers: workers of the pool by name.
+    :param jobs: jobs of the pool by identity.
     """
 
-    def __init__(self, workers: Mapping[str, Worker]) -> None:
+    def __init__(
+        self, workers: Mapping[str, Worker], jobs: Mapping[str, Job]
+    ) -> None:
         self._workers = workers
+        self._jobs = jobs
         self._by_task: dict[TaskKey, str] = {}
         self._tasks: dict[TaskKey, Task] = {}
 
@@ -82,37 +99,63 @@
     def reserve_next(
         self,
         step: StepRun,
-        task: Task,
+        tasks: Sequence[Task],
         workers: Iterable[Worker],
-        previous: str,
+        previous: Mapping[TaskKey, str],
     ) -> None:
-        """Reserve capacity that is not free yet for a waiting task.
+        """Reserve capacity that is not free yet for waiting tasks.
 
-        The capacity that the tasks of the worker free from now on is kept
-        until the task fits.
+        The capacity that the short tasks of a worker free from now on is kept
+        until the waiting task fits. Nothing is reserved for a task that fits
+        on no worker even then.
 
-        :param step: step of the task.
-        :param task: the waiting task.
+        :param step: step of the tasks.
+        :param tasks: the waiting tasks, without reservations.
         :param workers: workers that accept new tasks.
-        :param previous: worker of the task's last reservation, or empty.
+        :param previous: names of the workers of the tasks' last reservations,
+            or empty.
         """
         size = compute_booking(step.spec)
-        permitted = [
-            worker
+        reserved = Counter(
+            name for key, name in self._by_task.items() if step.includes(key)
+        )
+        candidates = [
+            _Candidate(
+                worker,
+                self.measure_lasting(worker),
+                worker.count_step_tasks(step) + reserved[worker.entry.worker],
+            )
             for worker in workers
-            if is_permitted(step, worker) and size.fits(worker.entry.capacity)
+            if is_permitted(step, worker)
         ]
-        chosen = min(
-            permitted,
-            key=lambda worker: (
-                worker.entry.worker != previous,
-                _measure_shortfall(worker, size),
-                worker.entry.worker,
-            ),
-            default=None,
+        for task in tasks:
+            ranked = [
+                (*row.rank(size, previous[task.key]), row)
+                for row in candidates
+                if row.may_fit(step, size)
+            ]
+            if not ranked:
+                return
+            chosen = min(ranked)[-1]
+            self._reserve(task, chosen.worker)
+            chosen.siblings += 1
+
+    def measure_lasting(self, worker: Worker) -> Resources:
+        """Return the capacity that long-running tasks hold until cancelled."""
+        lasting = Resources()
+        for task in worker.tasks.values():
+            if self._is_lasting(task):
+                lasting = lasting.plus(compute_booking(task.step))
+        return lasting
+
+    def _is_lasting(self, task: Task) -> bool:
+        job = self._jobs.get(task.key.job)
+        return (
+            task.step.long_running
+            and task.state in _HOLDING
+            and job is not None
+            and not job.state.ended
         )
-        if chosen is not None:
-            self._reserve(task, chosen)
 
     def _reserve(self, task: Task, worker: Worker) -> None:
         self._by_task[task.key] = worker.entry.worker
@@ -120,6 +163,33 @@
         worker.reserved = worker.reserved.plus(compute_booking(task.step))
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Candidate:
+    """A worker on which capacity may be reserved.
+
+    :param worker: the worker.
+    :param lasting: capacity that other long-running tasks hold there.
+    :param siblings: tasks of the step that are booked or reserved there.
+    """
+
+    worker: Worker
+    lasting: Resources
+    siblings: int
+
+    def may_fit(self, step: StepRun, size: Resources) -> bool:
+        """Return whether a task fits once all short tasks have ended."""
+        limit = step.spec.anti_affinity
+        if limit and self.siblings >= limit:
+            return False
+        held = self.lasting.plus(self.worker.reserved)
+        return held.plus(size).fits(self.worker.entry.capacity)
+
+    def rank(self, size: Resources, previous: str) -> tuple[bool, float, str]:
+        """Return the rank for a task; the lowest is the best."""
+        name = self.worker.entry.worker
+        return name != previous, _measure_shortfall(self.worker, size), name
+
+
 def _measure_shortfall(worker: Worker, size: Resources) -> float:
     """Return the largest missing share of a worker's capacity."""
     capacity = worker.entry.capacity
--- a/verbenapost/coordination/scheduling/tests/test_isolation.py
+++ b/verbenapost/coordination/scheduling/tests/test_isolation.py
@@ -73,6 +73,21 @@
         start_all(pool_state, now=1)
         assert bad.worker == 'w1'
 
+    def test_no_worker_is_kept_where_a_suspect_task_will_not_fit(self):
+        """Guards against a kept worker that nobody can use."""
+        pool_state = make_pool(2)
+        stays = StepSpec(2, SMALL, long_running=True, anti_affinity=1)
+        add_job(pool_state, stays, job=GOOD)
+        start_all(pool_state)
+        bad = add_job(
+            pool_state, StepSpec(1, CAPACITY, long_running=True), job=BAD
+        )
+        next(bad.tasks()).crashed_runs = (1,)
+        pool_state.suspects[BAD] = bad
+        add_job(pool_state, StepSpec(6, SMALL))
+        assert len(start_all(pool_state, now=1)) == 6
+        assert not pool_state.kept_workers
+
     def test_a_busy_pool_keeps_a_worker_for_it(self):
         """New tasks start everywhere, so no worker is without such a run."""
         pool_state = make_pool(2)
--- a/verbenapost/coordination/scheduling/tests/test_reservations.py
+++ b/verbenapost/coordination/scheduling/tests/test_reservations.py
@@ -23,7 +23,10 @@
 from verbenapost.state.workloads import Resources, StepSpec
 
 LARGE = Resources(3000, 300)
+SPREAD = Resources(1000, 250)
+LARGER = Resources(1000, 800)
 LASTING = '1a57000000000000'
+LATER = '1a57000000000001'
 VMS = 5
 
 
@@ -79,6 +82,77 @@
         assert not any(row.reserved.cpu for row in pool_state.workers.values())
 
 
+class TestTasksThatStay:
+    """A long-running task that fits beside no other that stays."""
+
+    def make_crowded_pool(self):
+        """Return a pool with a task that stays on each VM, and a larger job."""
+        pool_state = make_pool_state(
+            *(make_entry(f'w{row}') for row in range(VMS))
+        )
+        add_job(pool_state, self.make_step(SPREAD), job=LASTING)
+        running = start_all(pool_state)
+        add_job(pool_state, self.make_step(LARGER), job=LATER, now=1.0)
+        assert not plan(pool_state, now=1)
+        return pool_state, running
+
+    def make_step(self, size):
+        return StepSpec(VMS, size, long_running=True, anti_affinity=1)
+
+    def test_short_tasks_start_beside_them(self):
+        """Guards against review/7: no short job of the service started."""
+        pool_state, _ = self.make_crowded_pool()
+        add_job(pool_state, StepSpec(2, SMALL))
+        assert len(start_all(pool_state, now=2)) == 2
+
+    def test_one_whose_run_ends_starts_again_on_its_vm(self):
+        """Guards against reservations that exclude each other."""
+        pool_state, running = self.make_crowded_pool()
+        end_run(pool_state, running[0], RunEndKind.FAILED, now=2)
+        (start,) = plan(pool_state, now=2)
+        assert (start.task, start.worker) == (
+            running[0].task,
+            running[0].worker,
+        )
+
+    def test_the_larger_one_has_its_turn_once_they_are_cancelled(self):
+        pool_state, running = self.make_crowded_pool()
+        add_job(pool_state, StepSpec(100, SMALL))
+        short = start_all(pool_state, now=2)
+        pool_state.cancel_job(LASTING)
+        plan(pool_state, now=2)
+        assert sum(row.reserved.cpu for row in pool_state.workers.values())
+        for start in (*running, *short):
+            end_run(pool_state, start, RunEndKind.STOPPED, now=3)
+        starts = [row.task.key.job for row in plan(pool_state, now=3)]
+        assert starts.count(LATER) == VMS
+
+    def test_two_that_exclude_each_other_are_reserved_apart(self):
+        pool_state, _ = make_full_pool()
+        for row in range(VMS + 1):
+            name = f'1a570000000000{row:02x}'
+            step = StepSpec(1, Resources(1000, 600), long_running=True)
+            add_job(pool_state, step, job=name)
+        plan(pool_state)
+        for worker in pool_state.workers.values():
+            assert worker.reserved == Resources(1000, 600)
+
+    def test_reservations_keep_to_the_limit_of_a_step_per_vm(self):
+        pool_state = make_pool_state(make_entry('w0'), make_entry('w1'))
+        add_job(pool_state, StepSpec(1, Resources(500, 950)))
+        add_job(pool_state, StepSpec(1, Resources(4000, 100)), job=LATER)
+        assert len({row.worker for row in start_all(pool_state)}) == 2
+        size = Resources(2000, 100)
+        add_job(
+            pool_state,
+            StepSpec(2, size, long_running=True, anti_affinity=1),
+            job=LASTING,
+        )
+        plan(pool_state)
+        for worker in pool_state.workers.values():
+            assert worker.reserved == size
+
+
 class TestMix:
     """Random stops, ends and leaving VMs, with room for all tasks."""
 
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -104,13 +104,7 @@
 
     def count_step_tasks(self, step: StepRun) -> int:
         """Return how many tasks of a step are booked."""
-        return sum(
-            1
-            for key in self.tasks
-            if key.job == step.job.spec.job
-            and key.step == step.number
-            and key.occurrence == step.occurrence
-        )
+        return sum(step.includes(key) for key in self.tasks)
 
     def book(self, task: Task) -> None:
         """Book the capacity of a task, unless it is booked already."""
