Reservations: end them with the incarnation of their worker

What callers would see: more runs on a worker than its capacity holds.

Cause: reservations knew their worker by name. After a restart under the same identity, the reservation of the former incarnation was taken off the new one, whose reserved capacity became negative.

Change: a reservation refers to the incarnation, so that nothing is taken off its successor.

Evidence: the new test failed before (-3000 thousandths of a core reserved, and the worker filled beyond its capacity) and passes now. Found by reading; no play has shown it.

--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -59,7 +59,7 @@
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.routes: dict[str, Route] = {}
-        self.reservations = Reservations(self.workers, self.jobs)
+        self.reservations = Reservations(self.jobs)
         self.unplaced: list[Task] = []
         self.suspects: dict[str, Job] = {}
         self.kept_workers: dict[str, str] = {}
--- a/verbenapost/coordination/scheduling/reservations.py
+++ b/verbenapost/coordination/scheduling/reservations.py
@@ -42,16 +42,13 @@
 class Reservations:
     """Reservations of one pool, at most one for each task.
 
-    :param workers: workers of the pool by name.
     :param jobs: jobs of the pool by identity.
     """
 
-    def __init__(
-        self, workers: Mapping[str, Worker], jobs: Mapping[str, Job]
-    ) -> None:
-        self._workers = workers
+    def __init__(self, jobs: Mapping[str, Job]) -> None:
         self._jobs = jobs
-        self._by_task: dict[TaskKey, str] = {}
+        # By incarnation: a worker that starts again has no reservations.
+        self._by_task: dict[TaskKey, Worker] = {}
         self._tasks: dict[TaskKey, Task] = {}
 
     def prune(self) -> None:
@@ -67,12 +64,12 @@
 
         :returns: name of the worker, or empty without a reservation.
         """
-        name = self._by_task.pop(task.key, '')
         self._tasks.pop(task.key, None)
-        worker = self._workers.get(name)
-        if worker is not None:
-            worker.reserved = worker.reserved.minus(compute_booking(task.step))
-        return name
+        worker = self._by_task.pop(task.key, None)
+        if worker is None:
+            return ''
+        worker.reserved = worker.reserved.minus(compute_booking(task.step))
+        return worker.entry.worker
 
     def reserve_free(
         self,
@@ -117,13 +114,15 @@
         """
         size = compute_booking(step.spec)
         reserved = Counter(
-            name for key, name in self._by_task.items() if step.includes(key)
+            worker
+            for key, worker in self._by_task.items()
+            if step.includes(key)
         )
         candidates = [
             _Candidate(
                 worker,
                 self.measure_lasting(worker),
-                worker.count_step_tasks(step) + reserved[worker.entry.worker],
+                worker.count_step_tasks(step) + reserved[worker],
             )
             for worker in workers
             if is_permitted(step, worker)
@@ -158,7 +157,7 @@
         )
 
     def _reserve(self, task: Task, worker: Worker) -> None:
-        self._by_task[task.key] = worker.entry.worker
+        self._by_task[task.key] = worker
         self._tasks[task.key] = task
         worker.reserved = worker.reserved.plus(compute_booking(task.step))
 
--- a/verbenapost/coordination/scheduling/tests/test_reservations.py
+++ b/verbenapost/coordination/scheduling/tests/test_reservations.py
@@ -82,6 +82,28 @@
         assert not any(row.reserved.cpu for row in pool_state.workers.values())
 
 
+class TestRestartedWorker:
+    """A worker that restarts under its identity has no reservations."""
+
+    def test_it_is_not_filled_beyond_its_capacity(self):
+        """Guards against a reservation that is released from its successor."""
+        pool_state, _ = make_full_pool()
+        add_job(pool_state, StepSpec(1, LARGE, long_running=True), job=LASTING)
+        plan(pool_state)
+        (name,) = [
+            name
+            for name, worker in pool_state.workers.items()
+            if worker.reserved.cpu
+        ]
+        pool_state.remove_worker(name)
+        worker = pool_state.set_worker(make_entry(name))
+        worker.reconciled = True
+        worker.reachable = True
+        start_all(pool_state, now=1)
+        assert worker.reserved == Resources()
+        assert_within_capacity(pool_state)
+
+
 class TestTasksThatStay:
     """A long-running task that fits beside no other that stays."""
 
