Cancels: withdraw a job whose submission may still be on its way

Cause: the cancel of a job that is not stored answered 410 from a read. The write of the submission was on its way to the store, and expected only that its own key didn't exist.

Change: such a cancel stores its mark before the answer, and a submission expects that there is none. One that meets a mark is answered with 410. The leader removes marks after the retention time of ended jobs. Submissions and cancels have moved from the entry to a module of their own.

--- a/verbenapost/scheduler/answers.py
+++ b/verbenapost/scheduler/answers.py
@@ -2,9 +2,13 @@
 
 import dataclasses
 import enum
-from typing import final
+from typing import Final, final
 
 from verbenapost.platform.submissions import encode_refusal
+from verbenapost.protocol.orders import CallFault, CallFaultKind
+
+#: Seconds after which a caller may retry when no better estimate exists.
+UNAVAILABLE_RETRY_SECONDS: Final = 1.0
 
 
 @enum.unique
@@ -64,3 +68,14 @@
 ) -> EntryAnswer:
     """Return an error answer with its reason."""
     return EntryAnswer(status, encode_refusal(reason), retry_after)
+
+
+def refuse_fault(fault: CallFault) -> EntryAnswer:
+    """Return the answer to a caller whose call to the store has failed."""
+    if fault.kind is not CallFaultKind.UNKNOWN:
+        return refuse(
+            Status.UNAVAILABLE,
+            'the store is away; not run',
+            UNAVAILABLE_RETRY_SECONDS,
+        )
+    return refuse(Status.TIMEOUT, 'not known whether it was stored')
--- a/verbenapost/scheduler/cleanup.py
+++ b/verbenapost/scheduler/cleanup.py
@@ -1,6 +1,7 @@
-"""Removal of jobs that ended long ago."""
+"""Removal of jobs that ended, or were withdrawn, long ago."""
 
 import asyncio
+import itertools
 from collections.abc import Sequence
 from typing import Any, Final
 
@@ -15,7 +16,7 @@
     TransactionConflict,
 )
 from verbenapost.scheduler.election import Election
-from verbenapost.scheduler.intake import JobIntake
+from verbenapost.scheduler.intake import CancelMark, JobIntake
 from verbenapost.scheduler.keys import (
     LEADER_KEY,
     make_cancel_key,
@@ -34,12 +35,16 @@
 #: allows.
 BATCH_JOBS: Final = 7
 
+#: Withdrawn jobs of one transaction; each uses three entries.
+BATCH_WITHDRAWN: Final = 10
+
 
 class Cleanup:
-    """Removes the keys of ended jobs after their retention time.
+    """Removes the keys of ended and withdrawn jobs after their retention time.
 
     A removal without an answer may take effect seconds later, when the job may
-    have been submitted again. It therefore expects the stored end of each job.
+    have been submitted again. It therefore expects the stored end of each job,
+    and for a withdrawn job the mark and that no submission is stored.
 
     :param store: the store.
     :param election: leadership of this daemon.
@@ -69,6 +74,7 @@
             await asyncio.sleep(ROUND_SECONDS)
             if self._election.holds_lease():
                 await self.remove_expired(read_clock())
+                await self.remove_withdrawn(read_clock())
 
     async def remove_expired(self, now: float) -> None:
         """Remove one batch of jobs whose retention time has passed."""
@@ -97,6 +103,36 @@
         self._jobs.forget(names)
         self._log.info('jobs removed', jobs=len(names))
 
+    async def remove_withdrawn(self, now: float) -> None:
+        """Remove the marks of withdrawn jobs whose retention time has passed.
+
+        Callers set these marks, so that there may be many.
+        """
+        marks = self._jobs.find_withdrawn(now - self._retention)
+        for first in range(0, len(marks), BATCH_WITHDRAWN):
+            batch = marks[first : first + BATCH_WITHDRAWN]
+            if not await self._remove_marks(batch):
+                return
+
+    async def _remove_marks(self, marks: Sequence[CancelMark]) -> bool:
+        """Remove marks and return whether the store has answered."""
+        expected = (
+            ExpectedRevision(LEADER_KEY, self._election.revision),
+            *itertools.chain.from_iterable(map(_expect_withdrawn, marks)),
+        )
+        removed = [make_cancel_key(mark.job) for mark in marks]
+        answer = await self._store.commit(Transaction(expected, (), removed))
+        names = [mark.job for mark in marks]
+        if isinstance(answer, Err):
+            fault = answer.err_value
+            self._log.warning('marks not removed', fault=str(fault))
+            if isinstance(fault, CallFault):
+                return False
+            names = _find_changed(marks, fault)
+        self._jobs.forget_withdrawn(names)
+        self._log.info('withdrawn jobs forgotten', jobs=len(names))
+        return True
+
     def _expect_end(self, name: str) -> ExpectedRevision:
         job = self._jobs.find_job(name)
         revision = 0 if job is None else job.revision
@@ -112,3 +148,26 @@
         if found.get(LEADER_KEY) != self._election.revision:
             return []
         return [name for name in names if make_progress_key(name) not in found]
+
+
+def _expect_withdrawn(mark: CancelMark) -> Sequence[ExpectedRevision]:
+    return (
+        ExpectedRevision(make_cancel_key(mark.job), mark.revision),
+        ExpectedRevision(make_spec_key(mark.job), 0),
+    )
+
+
+def _find_changed(
+    marks: Sequence[CancelMark], conflict: TransactionConflict
+) -> list[str]:
+    """Return the jobs whose mark is gone, or whose submission is stored.
+
+    A stored submission that this leader doesn't know is one that it can't read.
+    """
+    found = {item.key: item.revision for item in conflict.items}
+    return [
+        mark.job
+        for mark in marks
+        if found.get(make_cancel_key(mark.job)) != mark.revision
+        or make_spec_key(mark.job) in found
+    ]
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -19,20 +19,14 @@
     encode_state,
     is_job_id,
 )
-from verbenapost.protocol.orders import (
-    CallFault,
-    CallFaultKind,
-    ExpectedRevision,
-    KeyValue,
-    Transaction,
-    TransactionConflict,
-    Write,
-)
+from verbenapost.protocol.orders import CallFault, KeyValue
 from verbenapost.scheduler.answers import (
+    UNAVAILABLE_RETRY_SECONDS,
     EntryAnswer,
     EntryRequest,
     Status,
     refuse,
+    refuse_fault,
 )
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.keys import (
@@ -47,16 +41,13 @@
 )
 from verbenapost.scheduler.peers import LeaderClient
 from verbenapost.scheduler.retries import RetryingStore
-from verbenapost.state.submissions import pack_job
+from verbenapost.scheduler.submissions import Submissions
 from verbenapost.state.workloads import CallerJobState, JobSpec, Route
 
 #: Seconds after which a caller may retry at a daemon that has no configuration
 #: yet.
 UNCONFIGURED_RETRY: Final = 0.15
 
-#: Seconds after which a caller may retry when no better estimate exists.
-UNAVAILABLE_RETRY_SECONDS: Final = 1.0
-
 #: Seconds for which a count of pending jobs may be reused.
 PENDING_CACHE_SECONDS: Final = 1.5
 
@@ -93,6 +84,7 @@
         self._leader = leader
         self._outage_detector = outage_detector
         self._retrying = RetryingStore(store, outage_detector)
+        self._submissions = Submissions(store, self._retrying, log)
         self._log = log
         self._pending: dict[str, _PendingCount] = {}
 
@@ -122,7 +114,7 @@
         if request.method == 'GET':
             return await self._answer_state(request, name)
         if request.method == 'DELETE':
-            return await self._cancel(request, name)
+            return await self._submissions.cancel(name, request.deadline)
         return refuse(Status.NOT_ALLOWED, 'use POST, GET or DELETE')
 
     async def _submit(
@@ -162,7 +154,7 @@
             return await self._refuse_full(name, admission.ok_value.retry_after)
         if not await self._reaches_store(suspect=suspect):
             return self._refuse_unavailable(name)
-        answer = await self._store_job(spec, request.deadline)
+        answer = await self._submissions.submit(spec, request.deadline)
         if answer.status is Status.UNAVAILABLE:
             return self._refuse_unavailable(name)
         self._log.info(
@@ -208,21 +200,6 @@
         self._log.info('submission refused', job=name, retry_after=retry)
         return refuse(Status.REFUSED, 'the pool is full; not run', retry)
 
-    async def _store_job(self, spec: JobSpec, deadline: float) -> EntryAnswer:
-        key = make_spec_key(spec.job)
-        transaction = Transaction(
-            (ExpectedRevision(key, 0),),
-            (Write(key, pack_job(spec)),),
-        )
-        outcome = await self._retrying.write(transaction, deadline)
-        if isinstance(outcome, Ok) or isinstance(
-            outcome.err_value, TransactionConflict
-        ):
-            # On a conflict the key exists, from an earlier submission of the
-            # job or from an earlier attempt of this one.
-            return EntryAnswer(Status.OK)
-        return _refuse_fault(outcome.err_value)
-
     async def _answer_state(
         self,
         request: EntryRequest,
@@ -235,7 +212,7 @@
             lambda: self._read_state(name), request.deadline
         )
         if isinstance(stored, Err):
-            return _refuse_fault(stored.err_value)
+            return refuse_fault(stored.err_value)
         if stored.ok_value is None:
             self._log.info('no such job', job=name)
             return refuse(Status.NO_JOB, 'no such job')
@@ -269,41 +246,6 @@
     async def _read(self, key: str) -> Result[KeyValue | None, CallFault]:
         return await self._store.read_key(key)
 
-    async def _cancel(
-        self,
-        request: EntryRequest,
-        name: str,
-    ) -> EntryAnswer:
-        submitted = await self._retrying.read(
-            lambda: self._read(make_spec_key(name)), request.deadline
-        )
-        if isinstance(submitted, Err):
-            return _refuse_fault(submitted.err_value)
-        spec = submitted.ok_value
-        if spec is None:
-            return refuse(Status.NO_JOB, 'no such job')
-        key = make_cancel_key(name)
-        # A cancel that is carried out late must not reach a job that is
-        # submitted under this identity once this one has been removed.
-        transaction = Transaction(
-            (
-                ExpectedRevision(key, 0),
-                ExpectedRevision(spec.key, spec.revision),
-            ),
-            (Write(key, b''),),
-        )
-        outcome = await self._retrying.write(transaction, request.deadline)
-        self._log.info('cancel answered', job=name, stored=outcome.is_ok())
-        if isinstance(outcome, Ok):
-            return EntryAnswer(Status.OK)
-        fault = outcome.err_value
-        if isinstance(fault, CallFault):
-            return _refuse_fault(fault)
-        # The job has been cancelled before or has ended, unless it is gone.
-        if fault.items:
-            return EntryAnswer(Status.OK)
-        return refuse(Status.NO_JOB, 'no such job')
-
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(PendingRequest(route.name))
         now = read_clock()
@@ -326,16 +268,6 @@
     return EntryAnswer(Status.OK, encode_state(state))
 
 
-def _refuse_fault(fault: CallFault | TransactionConflict) -> EntryAnswer:
-    if isinstance(fault, CallFault) and fault.kind is not CallFaultKind.UNKNOWN:
-        return refuse(
-            Status.UNAVAILABLE,
-            'the store is away; not run',
-            UNAVAILABLE_RETRY_SECONDS,
-        )
-    return refuse(Status.TIMEOUT, 'not known whether it was stored')
-
-
 def _count_cores(spec: JobSpec) -> float:
     """Return the total cores of all tasks except long-running ones."""
     return sum(
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -1,8 +1,9 @@
 """The jobs of the leader, as submitted through the store."""
 
+import dataclasses
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final
+from typing import Any, Final, final
 
 from verbenapost.coordination.scheduling.commands import Command
 from verbenapost.coordination.scheduling.jobs import Job
@@ -22,6 +23,21 @@
 Send = Callable[[PoolState, list[Command]], None]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelMark:
+    """The stored mark of a cancel.
+
+    :param job: identity of the job.
+    :param revision: revision of the mark's key.
+    :param read_at: local seconds at which this leader first read the mark.
+    """
+
+    job: str
+    revision: int
+    read_at: float
+
+
 class JobIntake:
     """Adds each submitted job to the state of the pool of its service.
 
@@ -48,7 +64,7 @@
         self.notify: Callable[[PoolState, Job], None] | None = None
         self._pool_states_by_job: dict[str, PoolState] = {}
         self._progress: dict[str, KeyValue] = {}
-        self._cancelled: set[str] = set()
+        self._cancels: dict[str, CancelMark] = {}
 
     def __len__(self) -> int:
         """Return the number of known jobs."""
@@ -96,14 +112,34 @@
         """Drop jobs whose keys were removed from the store."""
         for name in names:
             self._pool_states_by_job.pop(name).drop_job(name)
-            self._cancelled.discard(name)
+            self._cancels.pop(name, None)
+
+    def find_withdrawn(self, before: float) -> list[CancelMark]:
+        """Return the marks of jobs that were withdrawn before they were stored.
+
+        :param before: local clock in seconds before which they were read.
+        """
+        return [
+            mark
+            for name, mark in self._cancels.items()
+            if name not in self._pool_states_by_job and mark.read_at < before
+        ]
+
+    def forget_withdrawn(self, names: Iterable[str]) -> None:
+        """Drop the marks of withdrawn jobs."""
+        for name in names:
+            self._cancels.pop(name, None)
 
     def apply_change(self, change: KeyChange) -> None:
         """Apply a change of a submission key."""
-        if change.value is None:
-            return
         key = parse_submitted(change.key)
-        if key.cancel:
+        if change.value is None:
+            if key.cancel:
+                self._cancels.pop(key.job, None)
+        elif key.cancel:
+            self._cancels.setdefault(
+                key.job, CancelMark(key.job, change.revision, read_clock())
+            )
             self._cancel(key.job)
         elif key.job not in self._pool_states_by_job:
             self._load_job(key.job, change.value)
@@ -135,7 +171,7 @@
         )
         if self.notify is not None and not job.state.ended:
             self.notify(pool_state, job)
-        if spec.job in self._cancelled:
+        if spec.job in self._cancels:
             self._cancel(spec.job)
 
     def _find_route(self, job: Job) -> Route:
@@ -157,7 +193,6 @@
         )
 
     def _cancel(self, name: str) -> None:
-        self._cancelled.add(name)
         pool_state = self._pool_states_by_job.get(name)
         if pool_state is None:
             return
--- a/verbenapost/scheduler/tests/test_cancels.py
+++ b/verbenapost/scheduler/tests/test_cancels.py
@@ -1,11 +1,18 @@
 """Cancels that reach the store late, in virtual time."""
 
 import asyncio
+import dataclasses
 
 from result import Err
 
+from standins.fleet.workers import RunStarted
 from verbenapost.protocol.orders import CallFault, CallFaultKind
-from verbenapost.scheduler.keys import make_cancel_key, make_spec_key
+from verbenapost.scheduler.cleanup import EXTRA_RETENTION_SECONDS
+from verbenapost.scheduler.keys import (
+    SUBMITTED_PREFIX,
+    make_cancel_key,
+    make_spec_key,
+)
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     STEPS,
@@ -14,8 +21,12 @@
 )
 
 JOB = name_job(1)
+CANCELLED = '{"state":"cancelled"}'
 OK = 200
 GONE = 410
+UNKNOWN = 504
+
+STATUS_SECONDS = 120
 
 
 def is_cancel(transaction):
@@ -99,3 +110,148 @@
             return answer.status, state.body.decode()
 
         assert play(scenario) == (OK, COMPLETED)
+
+
+def hold_submissions(world, daemon):
+    """Let a daemon's submissions get no answer; return their transactions."""
+    store = world.daemons[daemon].store
+    commit = store.commit
+    held = []
+
+    async def hold(transaction):
+        if make_spec_key(JOB) not in {row.key for row in transaction.writes}:
+            return await commit(transaction)
+        held.append(transaction)
+        return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
+
+    store.commit = hold
+    return held
+
+
+async def withdraw(world):
+    """Cancel a job whose submission was not answered; return both statuses."""
+    held = hold_submissions(world, 'd0')
+    submitted = await world.submit(JOB, STEPS, daemon='d0')
+    cancelled = await world.call('DELETE', JOB, daemon='d1')
+    return held[0], (submitted.status, cancelled.status)
+
+
+def count_starts(world):
+    return sum(
+        isinstance(event, RunStarted) and event.task.job == JOB
+        for event in world.history
+    )
+
+
+class TestWithdrawnJob:
+    """A cancel is answered while the submission is on its way to the store."""
+
+    def test_a_submission_that_is_carried_out_late_starts_nothing(self, play):
+        """Guards against review/8: the job started after its cancel's 410."""
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            late, statuses = await withdraw(world)
+            world.store.apply(late)
+            await asyncio.sleep(10)
+            state = await world.call('GET', JOB)
+            return statuses, state.status, count_starts(world)
+
+        assert play(scenario) == ((UNKNOWN, GONE), GONE, 0)
+
+    def test_it_stays_so_under_the_next_leader(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            late, _ = await withdraw(world)
+            await world.find_leader().kill()
+            await wait_for_leader(world)
+            world.store.apply(late)
+            await asyncio.sleep(10)
+            return count_starts(world)
+
+        assert play(scenario) == 0
+
+    def test_one_from_a_daemon_of_an_older_version_is_cancelled(self, play):
+        """Such a daemon's submission doesn't expect that there is no cancel."""
+
+        async def scenario(world):
+            await wait_for_leader(world)
+            late, _ = await withdraw(world)
+            world.store.apply(
+                dataclasses.replace(late, expected=late.expected[:1])
+            )
+            await asyncio.sleep(10)
+            state = await world.call('GET', JOB)
+            return state.body.decode(), count_starts(world)
+
+        assert play(scenario) == (CANCELLED, 0)
+
+    def test_a_repeated_submission_is_told_that_it_never_runs(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await withdraw(world)
+            answer = await world.submit(JOB, STEPS, daemon='d2')
+            await asyncio.sleep(10)
+            return answer.status, count_starts(world)
+
+        assert play(scenario) == (GONE, 0)
+
+    def test_a_cancel_that_finds_no_job_is_confirmed_once_more(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            await withdraw(world)
+            return (await world.call('DELETE', JOB, daemon='d2')).status
+
+        assert play(scenario) == GONE
+
+    def test_a_job_that_is_stored_meanwhile_is_cancelled(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            held = hold_submissions(world, 'd0')
+            await world.submit(JOB, STEPS, daemon='d0')
+            store = world.daemons['d1'].store
+            commit = store.commit
+
+            async def commit_after_submission(transaction):
+                if is_cancel(transaction):
+                    world.store.apply(held[0])
+                return await commit(transaction)
+
+            store.commit = commit_after_submission
+            answer = await world.call('DELETE', JOB, daemon='d1')
+            await asyncio.sleep(10)
+            state = await world.call('GET', JOB)
+            return answer.status, state.body.decode()
+
+        assert play(scenario) == (OK, CANCELLED)
+
+    def test_a_late_cancel_reaches_no_later_submission(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            held = hold_cancels(world, 'd0')
+            await world.call('DELETE', JOB, daemon='d0')
+            await world.submit(JOB, STEPS, daemon='d1')
+            world.store.apply(held[0])
+            await asyncio.sleep(20)
+            state = await world.call('GET', JOB)
+            return state.body.decode()
+
+        assert play(scenario) == COMPLETED
+
+    def test_its_mark_is_removed_after_the_retention_time(self, play):
+        async def scenario(world):
+            await wait_for_leader(world)
+            for number in range(2, 30):
+                await world.call('DELETE', name_job(number))
+            await asyncio.sleep(STATUS_SECONDS + EXTRA_RETENTION_SECONDS - 2)
+            kept = count_marks(world)
+            await asyncio.sleep(12)
+            left = count_marks(world)
+            answer = await world.submit(name_job(2), STEPS)
+            return kept, left, answer.status
+
+        assert play(scenario) == (28, 0, OK)
+
+
+def count_marks(world):
+    return sum(key.startswith(SUBMITTED_PREFIX) for key in world.store.items)
