Ends: start a long-running task again after a run that is done

Cause: an end of kind done was taken for the end of the task, whatever its step. Failed makes that difference.

Change: a long-running task waits to start again however its run ends, also where a record of an older version has it as done. Plain tasks that are done stay done. The checker of the stand-in tells the two apart, and is tested with both.

--- a/standins/fleet/rules.py
+++ b/standins/fleet/rules.py
@@ -36,7 +36,7 @@
     """
     return [
         *_find_concurrent_runs(history),
-        *_find_starts_after_done(history),
+        *_find_starts_after_done(history, steps),
         *_find_early_starts(history, steps),
         *_find_overload(history, steps, capacities),
         *_find_excess_attempts(history, max_attempts),
@@ -57,16 +57,22 @@
             running.pop(event.task)
 
 
-def _find_starts_after_done(history):
+def _find_starts_after_done(history, steps):
     done = set()
     for event in history:
         if isinstance(event, RunStarted):
-            if event.task in done:
+            if event.task in done and not _is_lasting(event.task, steps):
                 yield Violation('after_done', str(event))
         elif event.kind is RunEndKind.DONE:
             _update_ends(done, event, event.task)
 
 
+def _is_lasting(task, steps):
+    """Return whether a task starts again however its run ends."""
+    job_steps = steps.get(task.job)
+    return bool(job_steps and job_steps[task.step].get('long_running'))
+
+
 def _find_early_starts(history, steps):
     # A lost end still counts: a daemon may have read it before the loss.
     done = set()
--- a/standins/fleet/tests/test_rules.py
+++ b/standins/fleet/tests/test_rules.py
@@ -59,6 +59,15 @@
         found = find_violations(history, STEPS, CAPACITIES)
         assert [row.rule for row in found] == [rule]
 
+    def test_a_task_that_lasts_starts_again_after_it_was_done(self):
+        history = [start_run(), end_run(), start_run(run=2)]
+        lasting = {
+            job: [row | {'long_running': True} for row in rows]
+            for job, rows in STEPS.items()
+        }
+        assert find_violations(history, lasting, CAPACITIES) == []
+        assert find_violations(history, STEPS, CAPACITIES) != []
+
     def test_a_valid_history_has_no_violations(self):
         history = [
             start_run(0),
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -285,7 +285,10 @@
         """
         fields = msgpack.unpackb(packed)
         for position in fields.get(_DONE, ()):
-            self.finish(self._locate(position))
+            task = self._locate(position)
+            # Older versions took a long-running task for done.
+            if not task.step.long_running:
+                self.finish(task)
         for *position, runs in fields.get(_FAILED, ()):
             self._locate(position).failed_runs = tuple(runs)
         for *position, runs in fields.get(_CRASHED, ()):
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -114,8 +114,12 @@
             return []
         name = self._worker.entry.worker
         current = task.worker == name and task.run == end.run
-        if end.kind is RunEndKind.DONE:
+        done = end.kind is RunEndKind.DONE
+        if done and not task.step.long_running:
             return self._finish(task, current=current)
+        if done:
+            # A long-running task starts again however its run ends.
+            clear_suspicion(self._pool_state, task)
         if current:
             self._keep_checkpoint(task, end)
             self._pool_state.free_task(task)
