Jobs: the state in which a job has ended stays

What callers would see: a job whose cancel was confirmed, shown as cancelled, is shown as completed once its last tasks end as done before their stops arrive. The same for a failed job.

Cause: the last task that is done completed its job, whatever its state.

Change: only an open job completes.

Evidence: both cases of the new test failed before and pass now.

--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -235,13 +235,14 @@
         return step.tasks[key.index]
 
     def finish(self, task: Task) -> None:
-        """Mark a task as done; the job completes with its last task."""
+        """Mark a task as done; an open job completes with its last task."""
         step = self.find_step(task.key)
         if step is None or task.state is TaskState.DONE:
             return
         task.state = TaskState.DONE
         step.done += 1
-        if all(other.complete for other in self.steps()):
+        complete = all(other.complete for other in self.steps())
+        if complete and not self.state.ended:
             self.state = CallerJobState.COMPLETED
 
     def pack(self) -> bytes:
--- a/verbenapost/coordination/scheduling/tests/test_poolstate.py
+++ b/verbenapost/coordination/scheduling/tests/test_poolstate.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from verbenapost.coordination.scheduling.commands import StopTask
 from verbenapost.coordination.scheduling.jobs import Job, TaskState
 from verbenapost.coordination.scheduling.tests import sample
@@ -321,3 +323,21 @@
         runs = [task.failed_runs for task in successor.tasks()]
         assert runs == [(), (1,), ()]
         assert [task.checkpoint for task in successor.tasks()][2] == 'half'
+
+
+class TestEndedJobs:
+    """The state in which a job has ended stays."""
+
+    @pytest.mark.parametrize(
+        'state', [CallerJobState.CANCELLED, CallerJobState.FAILED]
+    )
+    def test_ends_that_are_done_afterwards_do_not_complete_it(self, state):
+        """Guards against a cancelled job that is shown as completed later."""
+        pool_state = make_pool_state()
+        job = add_job(pool_state)
+        running = start_all(pool_state)
+        pool_state.end_job(job, state)
+        for start in running:
+            end_run(pool_state, start)
+        assert job.state is state
+        assert not pool_state.workers['w0'].tasks
