Admission: leave tasks that fit on no worker out of the backlog

What callers would see: behind a job that no worker of its service can run, all later jobs are refused with 429, with the pool empty.

Cause: the estimated wait counted all waiting tasks, also those that need a label or a size that no worker has.

Change: such a step is no part of the backlog, unless VMs are moving into the pool, which it may fit on.

Evidence: two of the three new cases failed before and pass now; the third keeps the backlog while VMs join.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -13,6 +13,7 @@
 from verbenapost.coordination.scheduling.jobs import StepRun, TaskState
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.workers import compute_booking
 from verbenapost.state.workloads import Route
 
 #: Share of a job's slack that it may spend waiting. The slack is the time
@@ -131,7 +132,9 @@
     """Return the seconds until the current backlog has started.
 
     An occurrence of a scheduled job belongs to the backlog if it becomes due
-    before the rest has started.
+    before the rest has started. A step that fits on no worker of the pool, even
+    on an empty one, takes no time of the others; while VMs are moving into the
+    pool, it may fit on one of them.
 
     :param incoming: cores of the VMs that are moving into the pool.
     :param moment: time of the estimate.
@@ -146,6 +149,8 @@
     for step in sorted(_find_waiting(pool_state), key=_get_due_time):
         if step.due_at > moment.wall + wait:
             break
+        if cores and not incoming and _is_misfit(pool_state, step):
+            continue
         if not cores:
             return math.inf
         wait += _estimate_work(pool_state, step) / cores
@@ -161,6 +166,17 @@
                 yield step
 
 
+def _is_misfit(pool_state: PoolState, step: StepRun) -> bool:
+    """Return whether no worker of the pool could run a task of a step."""
+    size = compute_booking(step.spec)
+    label = step.spec.requires
+    return not any(
+        size.fits(worker.entry.capacity)
+        and (not label or label in worker.entry.labels)
+        for worker in pool_state.workers.values()
+    )
+
+
 def _get_due_time(step: StepRun) -> float:
     return step.due_at
 
--- a/verbenapost/coordination/scheduling/tests/test_admission.py
+++ b/verbenapost/coordination/scheduling/tests/test_admission.py
@@ -1,4 +1,6 @@
-"""Admission beside jobs with several occurrences."""
+"""Admission beside jobs with several occurrences, and that can't run."""
+
+import pytest
 
 from verbenapost.coordination.scheduling.admission import (
     JobDemand,
@@ -14,7 +16,7 @@
     make_pool_state,
     plan,
 )
-from verbenapost.state.workloads import JobSpec, StepSpec
+from verbenapost.state.workloads import JobSpec, Resources, StepSpec
 
 #: Unix seconds of all tests.
 WALL = 1000.0
@@ -64,6 +66,27 @@
         add_timed_job(pool_state, start_in=2.5)
         assert estimate_wait(pool_state, 0, NOW) == 2
 
+    @pytest.mark.parametrize(
+        'step',
+        [
+            StepSpec(500, SMALL, requires='other kind'),
+            StepSpec(500, Resources(1000, 9000)),
+        ],
+    )
+    def test_tasks_that_fit_on_no_worker_leave_the_pool_open(self, step):
+        """Guards against refusals for good behind a job that can't run."""
+        pool_state = make_pool_state()
+        add_job(pool_state, step)
+        assert plan(pool_state, wall=WALL) == []
+        assert estimate_wait(pool_state, 0, NOW) == 0
+        add_job(pool_state, StepSpec(8, SMALL), job='b' * 16)
+        assert estimate_wait(pool_state, 0, NOW) == 2
+
+    def test_tasks_that_may_fit_on_a_vm_that_joins_wait(self):
+        pool_state = make_pool_state()
+        add_job(pool_state, StepSpec(8, SMALL, requires='other kind'))
+        assert estimate_wait(pool_state, 4, NOW) == 1
+
     def test_many_scheduled_jobs_leave_a_free_pool_open(self):
         pool_state = make_pool_state()
         for number in range(50):
