Links: a stop counts for the incarnation that has confirmed it only

What callers would see: a task runs twice. Its start gets no answer, the worker confirms a stop and starts again under its identity, and the start is carried out late there, while the task runs elsewhere.

Cause: the confirmed stop was kept across the restart, so that the first report of the next incarnation, which knows nothing of it, freed the task.

Change: after a restart such runs are stopped once more before they are freed.

Evidence: the new test failed before the change and passes now.

--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 
 from verbenapost.coordination.scheduling.jobs import StepRun, Task
 from verbenapost.state.workloads import (
@@ -117,6 +118,12 @@
         if self.tasks.pop(task.key, None) is not None:
             self.used = self.used.minus(compute_booking(task.step))
 
+    def forget_stops(self) -> None:
+        """Record that the next incarnation knows of no stop of these tasks."""
+        for task in self.tasks.values():
+            task.stop_acknowledged = False
+            task.stop_requested_at = -math.inf
+
     def has_long_running(self) -> bool:
         """Return whether a long-running task is booked on the worker."""
         return any(task.step.long_running for task in self.tasks.values())
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -158,8 +158,8 @@
 
         Runs that the former incarnation has listed have ended with it. Others
         stay booked until the next one reports, since their starts may have
-        reached it. Nothing else is started there before its entry shows its
-        capacity.
+        reached it; what the former one was told to stop, it doesn't know.
+        Nothing else is started there before its entry shows its capacity.
 
         :param started_at_ms: start of the incarnation in Unix milliseconds.
         """
@@ -169,6 +169,7 @@
         lost = [task for task in worker.tasks.values() if task.proven]
         for task in lost:
             self.pool_state.free_task(task)
+        worker.forget_stops()
         self.ports.log.warning(
             'worker restarted',
             worker=self.name,
--- a/verbenapost/scheduler/tests/test_lateanswers.py
+++ b/verbenapost/scheduler/tests/test_lateanswers.py
@@ -315,6 +315,28 @@
         assert play(scenario, standby_vms=0) == (False, 4, [])
 
 
+class TestStopOfTheIncarnationBefore:
+    async def test_the_next_one_has_to_confirm_it_too(self, monkeypatch):
+        """Guards against a late start on a worker that has forgotten it."""
+        clock = Clock()
+        pool_state, client, link = make_link(clock, monkeypatch)
+        add_job(pool_state, StepSpec(1, SMALL))
+        await link.renew_leases(0)
+        (start,) = plan(pool_state, now=clock.now)
+        task = start.task
+        unknown = CallFaultKind.UNKNOWN
+        pool_state.note_start_failed(task, start.run, unknown, clock.now)
+        pool_state.note_stopped(task, start.run, clock.now)
+        clock.now += 0.1
+        client.restart()
+        await link.renew_leases(0)
+        assert task.state is TaskState.UNSURE
+        pool_state.note_stopped(task, start.run, clock.now)
+        clock.now += 0.1
+        await link.renew_leases(0)
+        assert task.state is TaskState.WAITING
+
+
 class TestWorkerBackAtOnce:
     """Its new ends were forgotten unread within 0.2 s (issue 35, TWICE)."""
 
