Stand-in: watches that end at almost the same time end

What was seen: two of 1,619 random histories in virtual time (a trial) did not end. Watches whose ends differ by less than a nanosecond, each in another turn of the event loop, go on without end: the loop runs a timer by its clock's resolution too early, and the virtual time stands still while other tasks can run.

Change: a watch ends once less than that resolution remains.

--- a/standins/fleet/store.py
+++ b/standins/fleet/store.py
@@ -23,6 +23,10 @@
 #: The same for a probe.
 PROBE_SECONDS = 0.5
 
+#: Seconds before its time at which the event loop runs a timer; the virtual
+#: time stands still meanwhile, so that no wait may be shorter.
+CLOCK_RESOLUTION = 1e-9
+
 
 @dataclasses.dataclass
 class FleetStoreFaults:
@@ -205,7 +209,7 @@
                 if row.revision > after and row.key.startswith(prefix)
             ]
             remaining = deadline - self.core.now()
-            if found or remaining <= 0:
+            if found or remaining <= CLOCK_RESOLUTION:
                 return Ok(ChangeBatch(found, self.core.revision))
             await self.core.wait_change(remaining)
             self.core.expire()
