Cleanup: keep a withdrawn job's mark as it was written last

Cause: the first revision of a mark was kept. If the follower lists the keys after a mark was removed and written anew, the removal would expect the old revision, fail, and leave the mark in the store until another daemon leads.

Evidence: the new test reads both revisions; it failed with the first form.

--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -30,7 +30,7 @@
 
     :param job: identity of the job.
     :param revision: revision of the mark's key.
-    :param read_at: local seconds at which this leader first read the mark.
+    :param read_at: local seconds at which this leader read the mark.
     """
 
     job: str
@@ -137,8 +137,8 @@
             if key.cancel:
                 self._cancels.pop(key.job, None)
         elif key.cancel:
-            self._cancels.setdefault(
-                key.job, CancelMark(key.job, change.revision, read_clock())
+            self._cancels[key.job] = CancelMark(
+                key.job, change.revision, read_clock()
             )
             self._cancel(key.job)
         elif key.job not in self._pool_states_by_job:
--- a/verbenapost/scheduler/tests/test_cancels.py
+++ b/verbenapost/scheduler/tests/test_cancels.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import dataclasses
+import math
 
 from result import Err
 
 from standins.fleet.workers import RunStarted
-from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.daemon.logs import make_logger
+from verbenapost.protocol.orders import CallFault, CallFaultKind, KeyChange
 from verbenapost.scheduler.cleanup import EXTRA_RETENTION_SECONDS
+from verbenapost.scheduler.intake import JobIntake
 from verbenapost.scheduler.keys import (
     SUBMITTED_PREFIX,
     make_cancel_key,
     make_spec_key,
 )
+from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.tests.scenarios import (
     COMPLETED,
     STEPS,
@@ -253,5 +257,17 @@
         assert play(scenario) == (28, 0, OK)
 
 
+class TestMarks:
+    def test_one_that_was_written_anew_is_kept_as_it_is_now(self):
+        """The follower may not show the removal in between."""
+        intake = JobIntake(PoolStateSet(1), None, None, make_logger('jobs'))
+        for revision in (5, 9):
+            intake.apply_change(KeyChange(make_cancel_key(JOB), b'', revision))
+        (mark,) = intake.find_withdrawn(math.inf)
+        assert mark.revision == 9
+        intake.apply_change(KeyChange(make_cancel_key(JOB), None, 10))
+        assert intake.find_withdrawn(math.inf) == []
+
+
 def count_marks(world):
     return sum(key.startswith(SUBMITTED_PREFIX) for key in world.store.items)
