--- a/examples/histories/workerfaults.py
+++ b/examples/histories/workerfaults.py
@@ -5,6 +5,7 @@
 
 from examples.histories.fleetnemesis import register_fault
 from examples.histories.fleetsite import FleetSoak
+from standins.fleet.workers import WorkerFaults
 from standins.fleet.world import SERVICE
 
 #: Share of the calls to a worker that take effect late.
@@ -27,6 +28,20 @@
     return found[:count]
 
 
+async def _disturb_some(
+    soak: FleetSoak, faults: WorkerFaults, bounds: tuple[float, float]
+) -> None:
+    """Give faults to some workers for a time within bounds in seconds."""
+    chosen = _choose_workers(soak, soak.rng.randint(1, MANY))
+    for worker in chosen:
+        worker.faults.mute = faults.mute
+        worker.faults.late = faults.late
+    await asyncio.sleep(soak.rng.uniform(*bounds))
+    for worker in chosen:
+        worker.faults.mute = False
+        worker.faults.late = 0
+
+
 @register_fault
 async def isolate_workers(soak: FleetSoak) -> None:
     """Let nothing reach some workers, which run on."""
@@ -39,23 +54,13 @@
 @register_fault
 async def mute_workers(soak: FleetSoak) -> None:
     """Let the answers of some workers be lost, which do what they are told."""
-    chosen = _choose_workers(soak, soak.rng.randint(1, MANY))
-    for worker in chosen:
-        worker.faults.mute = True
-    await asyncio.sleep(soak.rng.uniform(0.5, 12))
-    for worker in chosen:
-        worker.faults.mute = False
+    await _disturb_some(soak, WorkerFaults(mute=True), (0.5, 12))
 
 
 @register_fault
 async def delay_calls(soak: FleetSoak) -> None:
     """Let calls to some workers take effect late and get no answer."""
-    chosen = _choose_workers(soak, soak.rng.randint(1, MANY))
-    for worker in chosen:
-        worker.faults.late = LATE_SHARE
-    await asyncio.sleep(soak.rng.uniform(1, 8))
-    for worker in chosen:
-        worker.faults.late = 0
+    await _disturb_some(soak, WorkerFaults(late=LATE_SHARE), (1, 8))
 
 
 @register_fault
--- a/verbenapost/scheduler/tests/test_longrunning.py
+++ b/verbenapost/scheduler/tests/test_longrunning.py
@@ -26,18 +26,25 @@
     )
 
 
+def draw_done(_worker, _task):
+    """Return the duration of a run, which then is done."""
+    return RUN_SECONDS, RunEndKind.DONE
+
+
+async def begin(world):
+    """Submit the job, all runs of which end as done."""
+    world.draw_run = draw_done
+    await wait_for_leader(world)
+    await world.submit(JOB, STEPS)
+
+
 class TestRunsThatAreDone:
     """Each run of a long-running job ends as done after some time."""
 
     @pytest.mark.parametrize('seed', range(5))
     def test_they_start_again_under_this_leader_and_the_next(self, play, seed):
         async def scenario(world):
-            world.draw_run = lambda _worker, _task: (
-                RUN_SECONDS,
-                RunEndKind.DONE,
-            )
-            await wait_for_leader(world)
-            await world.submit(JOB, STEPS)
+            await begin(world)
             await asyncio.sleep(10 + seed / 5)
             before = count_starts(world)
             await world.find_leader().kill()
@@ -56,12 +63,7 @@
 
     def test_a_cancel_ends_them(self, play):
         async def scenario(world):
-            world.draw_run = lambda _worker, _task: (
-                RUN_SECONDS,
-                RunEndKind.DONE,
-            )
-            await wait_for_leader(world)
-            await world.submit(JOB, STEPS)
+            await begin(world)
             await asyncio.sleep(5)
             await world.call('DELETE', JOB)
             await asyncio.sleep(3)
