Tenants: types of tenants and their terms, stored with a job

Cause: the configuration and the records of jobs know no tenant, so that neither keys nor caps can be kept. Change: state/tenants.py holds the terms of a tenant; a route may be exempt from keys; a job's record carries the terms of its tenant. Fields without effect are left out of the record, so that daemons of an older version go on reading it. Resources move into a module of their own.

--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -22,7 +22,7 @@
 from verbenapost.scheduler.ports import LeaderPorts
 from verbenapost.scheduler.settings import SchedulerSettings
 from verbenapost.scheduler.storecalls import StoreCallObserver
-from verbenapost.state.workloads import Resources
+from verbenapost.state.resources import Resources
 
 HOST = 'host'
 PREFIX = '/plan/'
--- a/verbenapost/coordination/scheduling/packing.py
+++ b/verbenapost/coordination/scheduling/packing.py
@@ -7,7 +7,7 @@
 
 from verbenapost.coordination.scheduling.jobs import Task
 from verbenapost.coordination.scheduling.workers import compute_booking
-from verbenapost.state.workloads import Resources
+from verbenapost.state.resources import Resources
 
 
 @final
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -25,7 +25,7 @@
     Worker,
     compute_booking,
 )
-from verbenapost.state.workloads import Resources
+from verbenapost.state.resources import Resources
 
 
 class StartPlanner:
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -21,7 +21,11 @@
     RunEndKind,
     WorkerReport,
 )
-from verbenapost.state.workloads import CallerJobState, Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    CallerJobState,
+    StepSpec,
+)
 
 #: Seconds after which an unanswered stop is requested again.
 STOP_RETRY_SECONDS: Final = 1.0
--- a/verbenapost/coordination/scheduling/reservations.py
+++ b/verbenapost/coordination/scheduling/reservations.py
@@ -29,7 +29,10 @@
     Worker,
     compute_booking,
 )
-from verbenapost.state.workloads import Resources, TaskKey
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    TaskKey,
+)
 
 _PENDING: Final = frozenset((TaskState.WAITING, TaskState.STOPPING))
 
--- a/verbenapost/coordination/scheduling/tests/sample.py
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -11,9 +11,9 @@
     RunEndKind,
     WorkerReport,
 )
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     JobSpec,
-    Resources,
     Route,
     StepSpec,
     WorkerEntry,
--- a/verbenapost/coordination/scheduling/tests/test_admission.py
+++ b/verbenapost/coordination/scheduling/tests/test_admission.py
@@ -16,7 +16,11 @@
     make_pool_state,
     plan,
 )
-from verbenapost.state.workloads import JobSpec, Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    JobSpec,
+    StepSpec,
+)
 
 #: Unix seconds of all tests.
 WALL = 1000.0
--- a/verbenapost/coordination/scheduling/tests/test_capacitychanges.py
+++ b/verbenapost/coordination/scheduling/tests/test_capacitychanges.py
@@ -13,7 +13,10 @@
     plan,
     start_all,
 )
-from verbenapost.state.workloads import Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    StepSpec,
+)
 
 
 class TestShrunkCapacity:
--- a/verbenapost/coordination/scheduling/tests/test_evacuation.py
+++ b/verbenapost/coordination/scheduling/tests/test_evacuation.py
@@ -18,7 +18,10 @@
     start_all,
 )
 from verbenapost.protocol.orders import RunEndKind
-from verbenapost.state.workloads import Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    StepSpec,
+)
 
 
 def add_worker(pool_state, name):
--- a/verbenapost/coordination/scheduling/tests/test_isolation.py
+++ b/verbenapost/coordination/scheduling/tests/test_isolation.py
@@ -29,9 +29,9 @@
     plan,
     start_all,
 )
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     AdviceTerms,
-    Resources,
     StepSpec,
 )
 
--- a/verbenapost/coordination/scheduling/tests/test_planning.py
+++ b/verbenapost/coordination/scheduling/tests/test_planning.py
@@ -24,7 +24,11 @@
 )
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.protocol.orders import RunEndKind
-from verbenapost.state.workloads import JobSpec, Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    JobSpec,
+    StepSpec,
+)
 
 VMS = 180
 JOBS = 300
--- a/verbenapost/coordination/scheduling/tests/test_poolstate.py
+++ b/verbenapost/coordination/scheduling/tests/test_poolstate.py
@@ -19,7 +19,11 @@
     start_all,
 )
 from verbenapost.protocol.orders import CallFaultKind, RunEndKind
-from verbenapost.state.workloads import CallerJobState, Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    CallerJobState,
+    StepSpec,
+)
 
 
 class TestStarts:
--- a/verbenapost/coordination/scheduling/tests/test_reservations.py
+++ b/verbenapost/coordination/scheduling/tests/test_reservations.py
@@ -20,7 +20,10 @@
 )
 from verbenapost.coordination.scheduling.workers import compute_booking
 from verbenapost.protocol.orders import RunEndKind
-from verbenapost.state.workloads import Resources, StepSpec
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    StepSpec,
+)
 
 LARGE = Resources(3000, 300)
 SPREAD = Resources(1000, 250)
--- a/verbenapost/coordination/scheduling/vmlist.py
+++ b/verbenapost/coordination/scheduling/vmlist.py
@@ -4,7 +4,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, final
 
-from verbenapost.state.workloads import FleetVm, Resources
+from verbenapost.state.resources import Resources
+from verbenapost.state.workloads import (
+    FleetVm,
+)
 
 #: Successive reads without a VM after which it counts as gone. The pages of
 #: one read are not a snapshot, so a VM may be missing in a single read.
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -5,8 +5,8 @@
 import math
 
 from verbenapost.coordination.scheduling.jobs import StepRun, Task
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
-    Resources,
     StepSpec,
     TaskKey,
     WorkerEntry,
--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -21,13 +21,13 @@
     read_texts,
     shorten,
 )
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     AdviceTerms,
     FleetConfiguration,
     FleetVm,
     FleetVmState,
     MaintenanceWave,
-    Resources,
     Route,
     ServicePool,
     WorkerEntry,
--- a/verbenapost/platform/submissions.py
+++ b/verbenapost/platform/submissions.py
@@ -15,10 +15,10 @@
     read_text,
 )
 from verbenapost.protocol.strictjson import parse_json
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     CallerJobState,
     JobSpec,
-    Resources,
     Route,
     StepSpec,
     TaskKey,
--- a/verbenapost/scheduler/demands.py
+++ b/verbenapost/scheduler/demands.py
@@ -15,7 +15,7 @@
 from verbenapost.coordination.scheduling.packing import count_vms
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.scheduler.clock import read_moment
-from verbenapost.state.workloads import Resources
+from verbenapost.state.resources import Resources
 
 #: Seconds between two log lines on a pool's demand.
 LOG_SECONDS: Final = 1.0
--- a/verbenapost/scheduler/tests/test_capacitychanges.py
+++ b/verbenapost/scheduler/tests/test_capacitychanges.py
@@ -12,7 +12,7 @@
     read_states,
     wait_for_leader,
 )
-from verbenapost.state.workloads import Resources
+from verbenapost.state.resources import Resources
 
 SHRUNK = Resources(2000, 2000)
 
--- a/verbenapost/scheduler/tests/test_link.py
+++ b/verbenapost/scheduler/tests/test_link.py
@@ -32,10 +32,10 @@
     make_link,
     start_task,
 )
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     FleetVm,
     FleetVmState,
-    Resources,
     StepSpec,
 )
 
--- a/verbenapost/scheduler/waverunner.py
+++ b/verbenapost/scheduler/waverunner.py
@@ -20,11 +20,11 @@
 from verbenapost.scheduler.vmorders import Outcome, VmOrders
 from verbenapost.scheduler.wavelog import WaveLog
 from verbenapost.scheduler.wavestatus import WaveRecord, WaveStatus
+from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     FleetVm,
     FleetVmState,
     MaintenanceWave,
-    Resources,
 )
 
 #: Seconds after a takeover during which no maintenance begins, since the VM
--- a/verbenapost/state/submissions.py
+++ b/verbenapost/state/submissions.py
@@ -6,15 +6,18 @@
 
 import msgpack
 
+from verbenapost.state.resources import Resources
+from verbenapost.state.tenants import TenantTerms
 from verbenapost.state.workloads import (
     AdviceTerms,
     JobSpec,
-    Resources,
     Route,
     StepSpec,
 )
 
-_Record = TypeVar('_Record', JobSpec, StepSpec, Resources, Route, AdviceTerms)
+_Record = TypeVar(
+    '_Record', JobSpec, StepSpec, Resources, Route, AdviceTerms, TenantTerms
+)
 
 #: Types of the values of a field, by the field's own type.
 _ACCEPTED: Final[dict[Any, tuple[type, ...]]] = {
@@ -34,7 +37,14 @@
     >>> unpack_job(pack_job(spec)) == spec
     True
     """
-    packed: bytes = msgpack.packb(dataclasses.asdict(spec))
+    fields = dataclasses.asdict(spec)
+    # Daemons of an older version refuse a record with a field that they don't
+    # know, so that fields without effect are left out.
+    if spec.tenant is None:
+        fields.pop('tenant')
+    if spec.terms is not None and not spec.terms.auth_exempt:
+        fields['terms'].pop('auth_exempt')
+    packed: bytes = msgpack.packb(fields)
     return packed
 
 
@@ -50,7 +60,10 @@
             for number, row in enumerate(fields.pop('steps'))
         )
         terms = _read_terms(fields.pop('terms', None))
-        return _check_fields(JobSpec(steps=steps, terms=terms, **fields))
+        tenant = _read_tenant(fields.pop('tenant', None))
+        return _check_fields(
+            JobSpec(steps=steps, terms=terms, tenant=tenant, **fields)
+        )
     except (AttributeError, KeyError, TypeError) as fault:
         raise ValueError(f'malformed job: {fault}') from fault
 
@@ -72,6 +85,13 @@
     return _check_fields(Route(advice=advice, **row))
 
 
+def _read_tenant(row: dict[str, Any] | None) -> TenantTerms | None:
+    if row is None:
+        return None
+    cap = _check_fields(Resources(**row.pop('cap')))
+    return _check_fields(TenantTerms(cap=cap, **row))
+
+
 def _check_fields(record: _Record) -> _Record:
     """Return a record whose texts, numbers and flags are valid.
 
--- a/verbenapost/state/workloads.py
+++ b/verbenapost/state/workloads.py
@@ -5,47 +5,8 @@
 from collections.abc import Mapping
 from typing import final
 
-
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resources:
-    """Resources that a task needs or that a worker has.
-
-    >>> Resources(500, 256, 0).fits(Resources(1000, 256, 0))
-    True
-
-    :param cpu: processors, in thousandths of a core.
-    :param memory: memory in MB.
-    :param gpus: accelerators.
-    """
-
-    cpu: int = 0
-    memory: int = 0
-    gpus: int = 0
-
-    def fits(self, capacity: 'Resources') -> bool:
-        """Return whether no resource exceeds a capacity."""
-        return (
-            self.cpu <= capacity.cpu
-            and self.memory <= capacity.memory
-            and self.gpus <= capacity.gpus
-        )
-
-    def plus(self, other: 'Resources') -> 'Resources':
-        """Return the sum of the resources."""
-        return Resources(
-            self.cpu + other.cpu,
-            self.memory + other.memory,
-            self.gpus + other.gpus,
-        )
-
-    def minus(self, other: 'Resources') -> 'Resources':
-        """Return the difference of the resources, which may be negative."""
-        return Resources(
-            self.cpu - other.cpu,
-            self.memory - other.memory,
-            self.gpus - other.gpus,
-        )
+from verbenapost.state.resources import Resources
+from verbenapost.state.tenants import Tenant, TenantTerms
 
 
 @final
@@ -75,7 +36,7 @@
     """
 
     count: int
-    size: Resources = Resources()
+    size: Resources = dataclasses.field(default_factory=Resources)
     estimate: float = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
@@ -122,6 +83,8 @@
         time of its longest chain of steps.
     :param target_latency: seconds that a job may take in addition.
     :param advice: terms of the policy service, or ``None`` for no policy.
+    :param auth_exempt: whether calls need no API key, so that the jobs belong
+        to no tenant.
     """
 
     name: str
@@ -133,6 +96,7 @@
     slack_factor: float = 1
     target_latency: float = 0
     advice: AdviceTerms | None = None
+    auth_exempt: bool = False
 
 
 @final
@@ -153,6 +117,8 @@
     :param interval: seconds between two occurrences.
     :param terms: the route when the job was accepted; ``None`` if the job has
         ended, or was stored by a version without this field.
+    :param tenant: terms of the job's tenant when the job was accepted; ``None``
+        for a job of no tenant.
     """
 
     job: str
@@ -165,6 +131,7 @@
     start_at: float = 0
     interval: float = 0
     terms: Route | None = None
+    tenant: TenantTerms | None = None
 
 
 @final
@@ -221,16 +188,19 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetConfiguration:
-    """Routes and services as the operators configure them.
+    """Routes, services and tenants as the operators configure them.
 
     :param version: number that increases with each change.
     :param routes: routes by name.
     :param services: services by name.
+    :param tenants: tenants by name, or ``None`` for a configuration without
+        tenants, whose callers need no API keys.
     """
 
     version: int
     routes: Mapping[str, Route]
     services: Mapping[str, ServicePool]
+    tenants: Mapping[str, Tenant] | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path."""
