--- a/verbenapost/state/tests/test_submissions.py
+++ b/verbenapost/state/tests/test_submissions.py
@@ -38,7 +38,7 @@
 
 
 class TestRecordsForOlderVersions:
-    """A daemon of an older version can't read a record with an unknown field."""
+    """A daemon of an older version refuses a record with an unknown field."""
 
     def test_fields_without_effect_are_left_out(self) -> None:
         spec = JobSpec(JOB, 'plan', '', (StepSpec(1),), terms=ROUTE)
