Cleanup: unschedulable steps by their usual name, cancels of tests held in one place

Cause: a step that fits on no worker was called a misfit, which is no term of the field, and the tests of cancels held transactions in five copies.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -149,7 +149,7 @@
     for step in sorted(_find_waiting(pool_state), key=_get_due_time):
         if step.due_at > moment.wall + wait:
             break
-        if cores and not incoming and _is_misfit(pool_state, step):
+        if cores and not incoming and _is_unschedulable(pool_state, step):
             continue
         if not cores:
             return math.inf
@@ -166,7 +166,7 @@
                 yield step
 
 
-def _is_misfit(pool_state: PoolState, step: StepRun) -> bool:
+def _is_unschedulable(pool_state: PoolState, step: StepRun) -> bool:
     """Return whether no worker of the pool could run a task of a step."""
     size = compute_booking(step.spec)
     label = step.spec.requires
--- a/verbenapost/scheduler/tests/test_cancels.py
+++ b/verbenapost/scheduler/tests/test_cancels.py
@@ -33,18 +33,18 @@
 STATUS_SECONDS = 120
 
 
-def is_cancel(transaction):
-    return make_cancel_key(JOB) in {row.key for row in transaction.writes}
+def writes_key(transaction, key):
+    return key in {row.key for row in transaction.writes}
 
 
-def hold_cancels(world, daemon):
-    """Let a daemon's cancels get no answer; return their transactions."""
+def hold_writes(world, daemon, key):
+    """Let a daemon's writes of a key get no answer; return them."""
     store = world.daemons[daemon].store
     commit = store.commit
     held = []
 
     async def hold(transaction):
-        if not is_cancel(transaction):
+        if not writes_key(transaction, key):
             return await commit(transaction)
         held.append(transaction)
         return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
@@ -53,6 +53,19 @@
     return held
 
 
+def run_before_cancels(world, daemon, action):
+    """Run an action before each cancel that a daemon writes."""
+    store = world.daemons[daemon].store
+    commit = store.commit
+
+    async def commit_after_action(transaction):
+        if writes_key(transaction, make_cancel_key(JOB)):
+            await action()
+        return await commit(transaction)
+
+    store.commit = commit_after_action
+
+
 async def wait_until_removed(world):
     while make_spec_key(JOB) in world.store.items:
         await asyncio.sleep(0.5)
@@ -64,7 +77,7 @@
     def test_a_job_submitted_again_is_not_cancelled(self, play):
         async def scenario(world):
             await wait_for_leader(world)
-            held = hold_cancels(world, 'd0')
+            held = hold_writes(world, 'd0', make_cancel_key(JOB))
             await world.submit(JOB, STEPS)
             await world.call('DELETE', JOB, daemon='d0')
             await wait_until_removed(world)
@@ -80,15 +93,7 @@
         async def scenario(world):
             await wait_for_leader(world)
             await world.submit(JOB, STEPS)
-            store = world.daemons['d0'].store
-            commit = store.commit
-
-            async def commit_after_removal(transaction):
-                if is_cancel(transaction):
-                    await wait_until_removed(world)
-                return await commit(transaction)
-
-            store.commit = commit_after_removal
+            run_before_cancels(world, 'd0', lambda: wait_until_removed(world))
             answer = await world.call('DELETE', JOB, daemon='d0')
             return answer.status, make_cancel_key(JOB) in world.store.items
 
@@ -100,15 +105,7 @@
         async def scenario(world):
             await wait_for_leader(world)
             await world.submit(JOB, STEPS)
-            store = world.daemons['d0'].store
-            commit = store.commit
-
-            async def commit_after_end(transaction):
-                if is_cancel(transaction):
-                    await asyncio.sleep(20)
-                return await commit(transaction)
-
-            store.commit = commit_after_end
+            run_before_cancels(world, 'd0', lambda: asyncio.sleep(20))
             answer = await world.call('DELETE', JOB, daemon='d0')
             state = await world.call('GET', JOB)
             return answer.status, state.body.decode()
@@ -116,25 +113,9 @@
         assert play(scenario) == (OK, COMPLETED)
 
 
-def hold_submissions(world, daemon):
-    """Let a daemon's submissions get no answer; return their transactions."""
-    store = world.daemons[daemon].store
-    commit = store.commit
-    held = []
-
-    async def hold(transaction):
-        if make_spec_key(JOB) not in {row.key for row in transaction.writes}:
-            return await commit(transaction)
-        held.append(transaction)
-        return Err(CallFault(CallFaultKind.UNKNOWN, 'timeout'))
-
-    store.commit = hold
-    return held
-
-
 async def withdraw(world):
     """Cancel a job whose submission was not answered; return both statuses."""
-    held = hold_submissions(world, 'd0')
+    held = hold_writes(world, 'd0', make_spec_key(JOB))
     submitted = await world.submit(JOB, STEPS, daemon='d0')
     cancelled = await world.call('DELETE', JOB, daemon='d1')
     return held[0], (submitted.status, cancelled.status)
@@ -211,17 +192,13 @@
     def test_a_job_that_is_stored_meanwhile_is_cancelled(self, play):
         async def scenario(world):
             await wait_for_leader(world)
-            held = hold_submissions(world, 'd0')
+            held = hold_writes(world, 'd0', make_spec_key(JOB))
             await world.submit(JOB, STEPS, daemon='d0')
-            store = world.daemons['d1'].store
-            commit = store.commit
 
-            async def commit_after_submission(transaction):
-                if is_cancel(transaction):
-                    world.store.apply(held[0])
-                return await commit(transaction)
+            async def apply_submission():
+                world.store.apply(held[0])
 
-            store.commit = commit_after_submission
+            run_before_cancels(world, 'd1', apply_submission)
             answer = await world.call('DELETE', JOB, daemon='d1')
             await asyncio.sleep(10)
             state = await world.call('GET', JOB)
@@ -232,7 +209,7 @@
     def test_a_late_cancel_reaches_no_later_submission(self, play):
         async def scenario(world):
             await wait_for_leader(world)
-            held = hold_cancels(world, 'd0')
+            held = hold_writes(world, 'd0', make_cancel_key(JOB))
             await world.call('DELETE', JOB, daemon='d0')
             await world.submit(JOB, STEPS, daemon='d1')
             world.store.apply(held[0])
