Tenants: read tenants, API keys and exempt routes of the configuration

Cause: the decoder of the operator configuration drops tenants and auth_exempt, so that no caller can be authenticated.

--- a/verbenapost/platform/names.py
+++ b/verbenapost/platform/names.py
@@ -30,5 +30,8 @@
 HOLDER_HEADER: Final = 'X-Verbenapost-Duty-Holder'
 TOKEN_HEADER: Final = 'X-Verbenapost-Fencing-Token'  # noqa: S105
 CALLER_TIMEOUT_HEADER: Final = 'x-verbenapost-deadline-ms'
+AUTHORIZATION_HEADER: Final = 'authorization'
+AUTHORIZATION_SCHEME: Final = 'Token'
+CHALLENGE_HEADER: Final = 'www-authenticate'
 
 SETTINGS_VARIABLE: Final = 'VERBENAPOST_BOOT'
--- a/verbenapost/platform/records.py
+++ b/verbenapost/platform/records.py
@@ -21,6 +21,7 @@
     read_texts,
     shorten,
 )
+from verbenapost.platform.tenants import read_tenants
 from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     AdviceTerms,
@@ -134,6 +135,7 @@
         version=read_count(fields, 'version'),
         routes={route.name: route for route in routes},
         services={service.name: service for service in services},
+        tenants=read_tenants(fields),
     )
 
 
@@ -148,6 +150,7 @@
         slack_factor=read_number(fields, 'slack_factor', 1),
         target_latency=read_number(fields, 'target_latency_ms', 0) / _MS,
         advice=_read_advice(fields),
+        auth_exempt=read_flag(fields, 'auth_exempt'),
     )
 
 
