Tenants: authenticate callers and keep each tenant's jobs its own

Cause: any caller can submit to, ask for and cancel any job, also where the configuration has tenants with API keys. Change: an entry finds the tenant of a key by its digest in the version in force, after the route and before everything else, and answers 401 with WWW-Authenticate otherwise; refusals are counted by reason. Jobs are stored with the terms of their tenant, and 403 is answered to another tenant, by the leader's word or from the store, also for ended jobs and for jobs withdrawn before they were stored, whose mark names the tenant. The followers keep no values, and values of the store are left out of reprs. The states of jobs and the request for admission move out of entry.py.

--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -164,12 +164,22 @@
         self.store.write(f'op/wave/{number}', json.dumps(fields).encode())
 
     def configure(
-        self, version=1, max_attempts=3, *, removed=False, standby=True
+        self,
+        version=1,
+        max_attempts=3,
+        *,
+        removed=False,
+        standby=True,
+        tenants=None,
+        auth_exempt=False,
     ):
         """Write the operators' configuration.
 
         :param removed: whether the configuration is without the queue.
         :param standby: whether there is a pool of VMs that are off.
+        :param tenants: entries of the tenants, or ``None`` for a configuration
+            without tenants.
+        :param auth_exempt: whether the queue needs no API keys.
         """
         route = {
             'name': 'plan',
@@ -190,6 +200,10 @@
             'services': services,
             'limits': {},
         }
+        if auth_exempt:
+            route['auth_exempt'] = True
+        if tenants is not None:
+            fields['tenants'] = tenants
         self.store.write('op/config', json.dumps(fields).encode())
 
     def draw_run(self, worker, task):
@@ -229,18 +243,23 @@
                 return daemon
         return None
 
-    async def submit(self, job, steps, daemon='d0'):
+    async def submit(self, job, steps, daemon='d0', key=''):
         """Submit a job and record the job when it is accepted."""
         body = json.dumps({'spec': f'text {job}', 'steps': steps}).encode()
-        answer = await self.call('POST', job, body, daemon)
+        answer = await self.call('POST', job, body, daemon, key)
         if answer.status == 200:
             self.accepted[job] = steps
         return answer
 
-    async def call(self, method, job='', body=b'', daemon='d0'):
+    async def call(self, method, job='', body=b'', daemon='d0', key=''):
         """Send a request to a daemon and return its answer."""
         request = EntryRequest(
-            method, HOST, f'{PREFIX}{job}', body, self.now() + 3
+            method,
+            HOST,
+            f'{PREFIX}{job}',
+            body,
+            self.now() + 3,
+            f'Token {key}'.encode() if key else None,
         )
         return await self.daemons[daemon].entry.serve(request)
 
--- a/verbenapost/platform/http.py
+++ b/verbenapost/platform/http.py
@@ -57,11 +57,12 @@
     """A decoded answer.
 
     :param status: HTTP status.
-    :param fields: decoded body; empty without a body.
+    :param fields: decoded body, which may hold secrets of the store; empty
+        without a body.
     """
 
     status: int
-    fields: Fields
+    fields: Fields = dataclasses.field(repr=False)
 
     @property
     def ok(self) -> bool:
@@ -96,11 +97,11 @@
     """An answer with an encoded body.
 
     :param status: HTTP status.
-    :param payload: encoded body.
+    :param payload: encoded body, which may hold secrets of the store.
     """
 
     status: int
-    payload: bytes
+    payload: bytes = dataclasses.field(repr=False)
 
 
 class Transport(Protocol):
--- a/verbenapost/protocol/orders.py
+++ b/verbenapost/protocol/orders.py
@@ -61,13 +61,13 @@
     """Key of the store with its value.
 
     :param key: the key.
-    :param value: its value.
+    :param value: its value, which may hold secrets.
     :param revision: revision of its last change.
     :param lease: lease with which the key ends, or 0.
     """
 
     key: str
-    value: bytes
+    value: bytes = dataclasses.field(repr=False)
     revision: int
     lease: int = 0
 
@@ -75,10 +75,16 @@
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeyChange:
-    """Change of a key; ``value`` is ``None`` after a deletion."""
+    """Change of a key.
+
+    :param key: the key.
+    :param value: its new value, which may hold secrets; ``None`` after a
+        deletion.
+    :param revision: revision of the change.
+    """
 
     key: str
-    value: bytes | None
+    value: bytes | None = dataclasses.field(repr=False)
     revision: int
 
 
--- a/verbenapost/scheduler/answers.py
+++ b/verbenapost/scheduler/answers.py
@@ -4,6 +4,7 @@
 import enum
 from typing import Final, final
 
+from verbenapost.platform.authorization import AuthenticationFault
 from verbenapost.platform.submissions import encode_refusal
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 
@@ -17,6 +18,8 @@
 
     OK = 200
     INVALID = 400
+    UNAUTHENTICATED = 401
+    FORBIDDEN = 403
     NO_ROUTE = 404
     NOT_ALLOWED = 405
     NO_JOB = 410
@@ -34,15 +37,17 @@
     :param method: HTTP method.
     :param host: value of the ``Host`` header, without the port.
     :param path: path without the query.
-    :param body: complete body.
+    :param body: complete body, or ``None`` for one that is too large.
     :param deadline: local clock in seconds until which the caller waits.
+    :param authorization: value of the ``Authorization`` header, or ``None``.
     """
 
     method: str
     host: str
     path: str
-    body: bytes
+    body: bytes | None
     deadline: float
+    authorization: bytes | None = dataclasses.field(default=None, repr=False)
 
 
 @final
@@ -54,11 +59,13 @@
     :param body: JSON body.
     :param retry_after: seconds for the ``Retry-After`` header, or ``None`` to
         omit the header.
+    :param authentication_fault: reason of a refusal for the caller's API key.
     """
 
     status: Status
     body: bytes = b'{}'
     retry_after: float | None = None
+    authentication_fault: AuthenticationFault | None = None
 
 
 def refuse(
--- a/verbenapost/scheduler/applications.py
+++ b/verbenapost/scheduler/applications.py
@@ -1,17 +1,20 @@
 """ASGI applications for callers, readiness probes and metrics scrapes."""
 
-from collections.abc import Awaitable, Callable, MutableMapping
+from collections.abc import Awaitable, Callable, Iterable, MutableMapping
 from typing import Any, Final
 
-from result import Err
-
 from verbenapost.daemon.timers import read_clock
-from verbenapost.platform.names import CALLER_TIMEOUT_HEADER, READY_PATH
+from verbenapost.platform.names import (
+    AUTHORIZATION_HEADER,
+    AUTHORIZATION_SCHEME,
+    CALLER_TIMEOUT_HEADER,
+    CHALLENGE_HEADER,
+    READY_PATH,
+)
 from verbenapost.scheduler.answers import (
     EntryAnswer,
     EntryRequest,
     Status,
-    refuse,
 )
 from verbenapost.scheduler.entry import Entry
 from verbenapost.scheduler.metrics import SchedulerMetrics
@@ -33,6 +36,9 @@
 _HTTP: Final = 'http'
 _METHODS: Final = frozenset(('POST', 'GET', 'DELETE'))
 
+#: Header that names the scheme of a missing or refused key.
+_CHALLENGE: Final = (CHALLENGE_HEADER.encode(), AUTHORIZATION_SCHEME.encode())
+
 Scope = MutableMapping[str, Any]
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
@@ -71,17 +77,15 @@
         reader = BodyReader(self._budget, MAX_BODY_BYTES)
         try:
             body = await reader.read(receive)
-            if isinstance(body, Err):
-                answer = refuse(Status.TOO_LARGE, 'the body is too large')
-            else:
-                request = EntryRequest(
-                    scope['method'],
-                    _read_host(headers),
-                    scope['path'],
-                    body.ok_value,
-                    began + _read_timeout(headers),
-                )
-                answer = await self._entry.serve(request)
+            request = EntryRequest(
+                scope['method'],
+                _read_host(headers),
+                scope['path'],
+                body.ok(),
+                began + _read_timeout(headers),
+                _read_authorization(scope['headers']),
+            )
+            answer = await self._entry.serve(request)
         finally:
             reader.release()
         self._count(scope['method'], answer, read_clock() - began)
@@ -92,12 +96,17 @@
         status = str(int(answer.status))
         self._metrics.requests.inc({'method': known, 'status': status})
         self._metrics.request_seconds.observe({'method': known}, seconds)
+        fault = answer.authentication_fault
+        if fault is not None:
+            self._metrics.unauthenticated.inc({'reason': fault.value})
 
     async def _write(self, answer: EntryAnswer, send: Send) -> None:
         headers = [(b'content-type', b'application/json')]
         if answer.retry_after is not None:
             seconds = f'{answer.retry_after:.2f}'.encode()
             headers.append((b'retry-after', seconds))
+        if answer.status is Status.UNAUTHENTICATED:
+            headers.append(_CHALLENGE)
         if self.closing:
             headers.append((b'connection', b'close'))
         await _respond(send, answer.status, headers, answer.body)
@@ -170,6 +179,13 @@
     return host.rpartition(':')[0] if ':' in host else host
 
 
+def _read_authorization(headers: Iterable[tuple[bytes, bytes]]) -> bytes | None:
+    """Return the value of the header, joined by commas if it is repeated."""
+    name = AUTHORIZATION_HEADER.encode()
+    found = [value for header, value in headers if header == name]
+    return b', '.join(found) if found else None
+
+
 def _read_timeout(headers: dict[bytes, bytes]) -> float:
     text = headers.get(CALLER_TIMEOUT_HEADER.encode(), b'')
     return int(text) / _MILLI if text.isdigit() else DEFAULT_TIMEOUT
--- a/verbenapost/scheduler/configuration.py
+++ b/verbenapost/scheduler/configuration.py
@@ -9,6 +9,7 @@
 from verbenapost.platform.names import CONFIGURATION_KEY, WAVE_PREFIX
 from verbenapost.platform.records import decode_configuration, decode_wave
 from verbenapost.protocol.orders import KeyChange
+from verbenapost.state.tenants import TenantTerms
 from verbenapost.state.workloads import (
     FleetConfiguration,
     MaintenanceWave,
@@ -46,6 +47,13 @@
         """Return a route by name, including one that was removed."""
         return self._routes.get(name)
 
+    def find_tenant(self, name: str) -> TenantTerms | None:
+        """Return the terms of a tenant of the version in force."""
+        if self.current is None or self.current.tenants is None:
+            return None
+        tenant = self.current.tenants.get(name)
+        return None if tenant is None else tenant.terms
+
     def find_services(self) -> Mapping[str, ServicePool]:
         """Return the configured services by name."""
         return {} if self.current is None else self.current.services
@@ -70,6 +78,7 @@
             version=found.version,
             routes=len(found.routes),
             services=len(found.services),
+            tenants=None if found.tenants is None else len(found.tenants),
         )
         self.known.set()
         for notify in self.changed:
--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -128,7 +128,10 @@
             )
         if isinstance(message, StateRequest):
             state = leader.jobs.read_state(message.job)
-            return StateResponse('' if state is None else state.value)
+            return StateResponse(
+                '' if state is None else state.value,
+                leader.jobs.find_owner(message.job),
+            )
         if isinstance(message, PendingRequest):
             return PendingResponse(leader.count_pending(message.route))
         raise ValueError(f'{type(message).__name__} has no answer')
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -6,43 +6,40 @@
 import time
 from typing import Any, Final, final
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from verbenapost.coordination.scheduling.jobs import read_packed_state
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.timers import read_clock
+from verbenapost.platform.authorization import AuthenticationFault
 from verbenapost.platform.fields import FieldError
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.submissions import (
     decode_job,
     encode_pending,
-    encode_state,
     is_job_id,
 )
-from verbenapost.protocol.orders import CallFault, KeyValue
+from verbenapost.scheduler.admissionrequests import make_admission_request
 from verbenapost.scheduler.answers import (
     UNAVAILABLE_RETRY_SECONDS,
     EntryAnswer,
     EntryRequest,
     Status,
     refuse,
-    refuse_fault,
 )
-from verbenapost.scheduler.configuration import ConfigurationFollower
-from verbenapost.scheduler.keys import (
-    make_cancel_key,
-    make_progress_key,
-    make_spec_key,
-)
-from verbenapost.scheduler.messages import (
-    AdmissionRequest,
-    PendingRequest,
-    StateRequest,
+from verbenapost.scheduler.authentication import (
+    Authenticator,
+    Caller,
+    refuse_other_tenant,
+    refuse_unauthenticated,
 )
+from verbenapost.scheduler.configuration import ConfigurationFollower
+from verbenapost.scheduler.jobstates import JobStates
+from verbenapost.scheduler.keys import make_spec_key
+from verbenapost.scheduler.messages import PendingRequest
 from verbenapost.scheduler.peers import LeaderClient
 from verbenapost.scheduler.retries import RetryingStore
 from verbenapost.scheduler.submissions import Submissions
-from verbenapost.state.workloads import CallerJobState, JobSpec, Route
+from verbenapost.state.workloads import JobSpec, Route
 
 #: Seconds after which a caller may retry at a daemon that has no configuration
 #: yet.
@@ -51,8 +48,6 @@
 #: Seconds for which a count of pending jobs may be reused.
 PENDING_CACHE_SECONDS: Final = 1.5
 
-_MILLI: Final = 1000
-
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +78,10 @@
         self._store = store
         self._leader = leader
         self._outage_detector = outage_detector
-        self._retrying = RetryingStore(store, outage_detector)
-        self._submissions = Submissions(store, self._retrying, log)
+        retrying = RetryingStore(store, outage_detector)
+        self._submissions = Submissions(store, retrying, log)
+        self._states = JobStates(leader, store, retrying, log)
+        self._authenticator = Authenticator()
         self._log = log
         self._pending: dict[str, _PendingCount] = {}
 
@@ -104,44 +101,59 @@
                 version=current.version,
             )
             return refuse(Status.NO_ROUTE, 'no such queue')
+        caller = self._authenticator.identify(
+            request.authorization, current, route
+        )
+        if isinstance(caller, Err):
+            return self._refuse_caller(request, route, caller.err_value)
+        if request.body is None:
+            return refuse(Status.TOO_LARGE, 'the body is too large')
+        return await self._serve_route(
+            request, request.body, route, caller.ok_value
+        )
+
+    async def _serve_route(
+        self, request: EntryRequest, body: bytes, route: Route, caller: Caller
+    ) -> EntryAnswer:
         name = request.path.removeprefix(route.prefix)
         if not name and request.method == 'GET':
             return await self._count_pending(route)
         if not is_job_id(name):
             return refuse(Status.INVALID, 'the job is not 16 hex digits')
         if request.method == 'POST':
-            return await self._submit(request, route, name)
+            try:
+                spec = _decode_job(name, route, body, caller)
+            except FieldError as refusal:
+                return refuse(Status.INVALID, str(refusal))
+            return await self._submit(spec, caller, request.deadline)
         if request.method == 'GET':
-            return await self._answer_state(request, name)
+            return await self._states.answer(name, caller, request.deadline)
         if request.method == 'DELETE':
-            return await self._submissions.cancel(name, request.deadline)
+            return await self._submissions.cancel(
+                name, caller, request.deadline
+            )
         return refuse(Status.NOT_ALLOWED, 'use POST, GET or DELETE')
 
+    def _refuse_caller(
+        self, request: EntryRequest, route: Route, fault: AuthenticationFault
+    ) -> EntryAnswer:
+        name = request.path.removeprefix(route.prefix)
+        self._log.info(
+            'caller not authenticated',
+            job=name if is_job_id(name) else '',
+            route=route.name,
+            method=request.method,
+            reason=fault.value,
+        )
+        return refuse_unauthenticated(fault)
+
     async def _submit(
-        self,
-        request: EntryRequest,
-        route: Route,
-        name: str,
+        self, spec: JobSpec, caller: Caller, deadline: float
     ) -> EntryAnswer:
-        try:
-            spec = decode_job(name, route, request.body)
-            spec = dataclasses.replace(
-                spec, submitted_at=time.time(), terms=route
-            )
-        except FieldError as refusal:
-            return refuse(Status.INVALID, str(refusal))
+        name = spec.job
         if self._outage_detector.is_unavailable(read_clock()):
             return self._refuse_unavailable(name)
-        admission = await self._leader.ask(
-            AdmissionRequest(
-                name,
-                route.name,
-                route.service,
-                _count_cores(spec),
-                _count_steps(spec),
-                _get_due_in(spec),
-            ),
-        )
+        admission = await self._leader.ask(make_admission_request(spec))
         # A leader that does not answer may have lost its lease with the store.
         suspect = True
         if isinstance(admission, Err):
@@ -151,16 +163,18 @@
         elif admission.ok_value.accepted:
             suspect = admission.ok_value.store_suspect
         else:
-            return await self._refuse_full(name, admission.ok_value.retry_after)
+            return await self._refuse_full(
+                name, caller, admission.ok_value.retry_after
+            )
         if not await self._reaches_store(suspect=suspect):
             return self._refuse_unavailable(name)
-        answer = await self._submissions.submit(spec, request.deadline)
+        answer = await self._submissions.submit(spec, caller, deadline)
         if answer.status is Status.UNAVAILABLE:
             return self._refuse_unavailable(name)
         self._log.info(
             'submission answered',
             job=name,
-            route=route.name,
+            route=spec.route,
             status=int(answer.status),
             retry_after=answer.retry_after,
         )
@@ -190,62 +204,20 @@
         self._log.info('submission refused', job=name, retry_after=retry)
         return refuse(Status.UNAVAILABLE, 'the store is away; not run', retry)
 
-    async def _refuse_full(self, name: str, retry: float) -> EntryAnswer:
+    async def _refuse_full(
+        self, name: str, caller: Caller, retry: float
+    ) -> EntryAnswer:
         """Refuse a job unless an earlier attempt may have stored it."""
         found = await self._store.read_key(make_spec_key(name))
         if isinstance(found, Err):
             return refuse(Status.TIMEOUT, 'not known whether it was stored')
         if found.ok_value is not None:
+            if not caller.may_use_stored(found.ok_value.value):
+                return refuse_other_tenant(name, caller, self._log)
             return EntryAnswer(Status.OK)
         self._log.info('submission refused', job=name, retry_after=retry)
         return refuse(Status.REFUSED, 'the pool is full; not run', retry)
 
-    async def _answer_state(
-        self,
-        request: EntryRequest,
-        name: str,
-    ) -> EntryAnswer:
-        asked = await self._leader.ask(StateRequest(name))
-        if isinstance(asked, Ok) and asked.ok_value.state:
-            return _make_state_answer(CallerJobState(asked.ok_value.state))
-        stored = await self._retrying.read(
-            lambda: self._read_state(name), request.deadline
-        )
-        if isinstance(stored, Err):
-            return refuse_fault(stored.err_value)
-        if stored.ok_value is None:
-            self._log.info('no such job', job=name)
-            return refuse(Status.NO_JOB, 'no such job')
-        return _make_state_answer(stored.ok_value)
-
-    async def _read_state(
-        self,
-        name: str,
-    ) -> Result[CallerJobState | None, CallFault]:
-        """Return a job's state as stored, or ``None`` for an unknown job."""
-        # In this order, an ended job that is removed meanwhile is not taken
-        # for one without progress.
-        progress = await self._read(make_progress_key(name))
-        if isinstance(progress, Err):
-            return progress
-        state = CallerJobState.QUEUED
-        if progress.ok_value is not None:
-            state = read_packed_state(progress.ok_value.value)
-        if state.ended:
-            return Ok(state)
-        submitted = await self._read(make_spec_key(name))
-        if isinstance(submitted, Err):
-            return submitted
-        if submitted.ok_value is None:
-            return Ok(None)
-        cancel = await self._read(make_cancel_key(name))
-        if isinstance(cancel, Err):
-            return cancel
-        return Ok(CallerJobState.CANCELLED if cancel.ok_value else state)
-
-    async def _read(self, key: str) -> Result[KeyValue | None, CallFault]:
-        return await self._store.read_key(key)
-
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(PendingRequest(route.name))
         now = read_clock()
@@ -264,30 +236,16 @@
         return EntryAnswer(Status.OK, encode_pending(known.jobs))
 
 
-def _make_state_answer(state: CallerJobState) -> EntryAnswer:
-    return EntryAnswer(Status.OK, encode_state(state))
+def _decode_job(
+    name: str, route: Route, body: bytes, caller: Caller
+) -> JobSpec:
+    """Return the job of a submission with the terms in force.
 
-
-def _count_cores(spec: JobSpec) -> float:
-    """Return the total cores of all tasks except long-running ones."""
-    return sum(
-        step.count * step.size.cpu / _MILLI
-        for step in spec.steps
-        if not step.long_running
+    :raises FieldError: when the body is invalid.
+    """
+    return dataclasses.replace(
+        decode_job(name, route, body),
+        submitted_at=time.time(),
+        terms=route,
+        tenant=caller.job_tenant,
     )
-
-
-def _get_due_in(spec: JobSpec) -> float:
-    """Return the seconds until the first occurrence is due."""
-    if not spec.repetitions:
-        return 0
-    return max(0, spec.start_at - spec.submitted_at)
-
-
-def _count_steps(spec: JobSpec) -> int:
-    """Return the number of steps in the longest dependency chain."""
-    depths: list[int] = []
-    for step in spec.steps:
-        before = (depths[number] for number in step.after)
-        depths.append(1 + max(before, default=0))
-    return max(depths)
--- a/verbenapost/scheduler/follower.py
+++ b/verbenapost/scheduler/follower.py
@@ -58,7 +58,6 @@
     :param log: logger.
     :ivar fresh_at: local clock in seconds at the start of the last successful
         request.
-    :ivar values: values by key.
     :ivar listed: set after the first listing.
     """
 
@@ -70,12 +69,13 @@
         log: Any,
     ) -> None:
         self.fresh_at: float = 0
-        self.values: dict[str, bytes] = {}
         self.listed = asyncio.Event()
         self._store = store
         self._prefix = prefix
         self._notify = notify
         self._log = log
+        # Only the keys: a value may hold secrets, such as API keys.
+        self._present: set[str] = set()
         self._revisions: dict[str, int] = {}
         self._position = _Position()
         self._lost = False
@@ -102,7 +102,7 @@
             return page.err_value
         found = {item.key: item for item in page.ok_value.items}
         revision = page.ok_value.revision
-        absent = [key for key in self.values if key not in found]
+        absent = [key for key in self._present if key not in found]
         for key in absent:
             if self._revisions[key] <= revision:
                 self._apply(KeyChange(key, None, revision))
@@ -144,10 +144,10 @@
             return
         self._revisions[change.key] = change.revision
         if change.value is None:
-            self.values.pop(change.key, None)
+            self._present.discard(change.key)
             self._forget_removed()
         else:
-            self.values[change.key] = change.value
+            self._present.add(change.key)
         try:
             self._notify(change)
         except Exception:
@@ -157,9 +157,9 @@
             )
 
     def _forget_removed(self) -> None:
-        if len(self._revisions) < len(self.values) + MAX_REMOVED_REVISIONS:
+        if len(self._revisions) < len(self._present) + MAX_REMOVED_REVISIONS:
             return
-        self._revisions = {key: self._revisions[key] for key in self.values}
+        self._revisions = {key: self._revisions[key] for key in self._present}
 
     def _note_fresh(self, sent_at: float) -> None:
         self.fresh_at = sent_at
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -95,6 +95,13 @@
             return CallerJobState.RUNNING
         return job.state
 
+    def find_owner(self, name: str) -> str:
+        """Return the name of a job's tenant, empty if there is none."""
+        job = self.find_job(name)
+        if job is None or job.spec.tenant is None:
+            return ''
+        return job.spec.tenant.name
+
     def find_ended(self, before: float) -> list[str]:
         """Return the jobs whose end was stored before a time.
 
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -37,6 +37,7 @@
     :param task_cores: total cores of the tasks, without long-running ones.
     :param steps: steps of the longest dependency chain.
     :param due_in: seconds until the first occurrence is due.
+    :param tenant: name of the tenant, empty for a job of no tenant.
     """
 
     job: str
@@ -45,6 +46,7 @@
     task_cores: float
     steps: int
     due_in: float = 0
+    tenant: str = ''
 
 
 @final
@@ -80,9 +82,14 @@
 @register_message(_STATE_RESPONSE)
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateResponse:
-    """Answer to :class:`StateRequest`; ``state`` is empty for unknown jobs."""
+    """Answer to :class:`StateRequest`.
+
+    :param state: state of the job, empty for an unknown job.
+    :param tenant: name of the job's tenant, empty for a job of no tenant.
+    """
 
     state: str
+    tenant: str = ''
 
 
 @final
@@ -150,12 +157,12 @@
     """A worker's answer to a relayed call.
 
     :param status: HTTP status; 0 without an answer.
-    :param payload: body of the answer.
+    :param payload: body of the answer, which may hold secrets of the store.
     :param fault: fault of a call without an answer; empty otherwise.
     :param detail: description of the fault for the log.
     """
 
     status: int
-    payload: bytes
+    payload: bytes = dataclasses.field(repr=False)
     fault: str = ''
     detail: str = ''
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -16,6 +16,7 @@
     """Counters, gauges and histograms of one daemon.
 
     :ivar requests: answers to callers, by method and status.
+    :ivar unauthenticated: requests refused for their API key, by reason.
     :ivar request_seconds: time to answer callers, by method.
     :ivar store_calls: calls of the store, by kind and outcome.
     :ivar orders: orders to workers, by kind and outcome.
@@ -30,6 +31,9 @@
         self._registry = Registry()
         self._sources: list[Callable[[], None]] = []
         self.requests = self._count('requests_total', 'Answers to callers.')
+        self.unauthenticated = self._count(
+            'unauthenticated_total', 'Requests refused for their API key.'
+        )
         self.request_seconds = self._time(
             'request_seconds', 'Time to answer callers.'
         )
--- a/verbenapost/scheduler/submissions.py
+++ b/verbenapost/scheduler/submissions.py
@@ -24,6 +24,7 @@
     refuse,
     refuse_fault,
 )
+from verbenapost.scheduler.authentication import Caller, refuse_other_tenant
 from verbenapost.scheduler.keys import make_cancel_key, make_spec_key
 from verbenapost.scheduler.retries import RetryingStore
 from verbenapost.state.submissions import pack_job
@@ -53,10 +54,13 @@
         self._retrying = retrying
         self._log = log
 
-    async def submit(self, spec: JobSpec, deadline: float) -> EntryAnswer:
+    async def submit(
+        self, spec: JobSpec, caller: Caller, deadline: float
+    ) -> EntryAnswer:
         """Store a job unless it is stored or withdrawn already.
 
         :param spec: the job.
+        :param caller: who submits it.
         :param deadline: local clock in seconds until which the caller waits.
         """
         key = make_spec_key(spec.job)
@@ -73,15 +77,23 @@
         fault = outcome.err_value
         if isinstance(fault, CallFault):
             return refuse_fault(fault)
-        if _find_item(fault, key) is not None:
+        stored = _find_item(fault, key)
+        if stored is not None:
+            if not caller.may_use_stored(stored.value):
+                return refuse_other_tenant(spec.job, caller, self._log)
             # From an earlier submission of the job or attempt of this one.
             return EntryAnswer(Status.OK)
+        if not _may_use_mark(caller, spec.job, fault):
+            return refuse_other_tenant(spec.job, caller, self._log)
         return refuse(Status.NO_JOB, 'the job was withdrawn; it never runs')
 
-    async def cancel(self, name: str, deadline: float) -> EntryAnswer:
+    async def cancel(
+        self, name: str, caller: Caller, deadline: float
+    ) -> EntryAnswer:
         """Cancel a job, or withdraw one that is not stored.
 
         :param name: identity of the job.
+        :param caller: who cancels it.
         :param deadline: local clock in seconds until which the caller waits.
         """
         key = make_spec_key(name)
@@ -91,12 +103,16 @@
         if isinstance(found, Err):
             return refuse_fault(found.err_value)
         if found.ok_value is not None:
-            return await self._cancel_stored(name, found.ok_value, deadline)
-        return await self._withdraw(name, deadline)
+            return await self._cancel_stored(
+                name, found.ok_value, caller, deadline
+            )
+        return await self._withdraw(name, caller, deadline)
 
     async def _cancel_stored(
-        self, name: str, spec: KeyValue, deadline: float
+        self, name: str, spec: KeyValue, caller: Caller, deadline: float
     ) -> EntryAnswer:
+        if not caller.may_use_stored(spec.value):
+            return refuse_other_tenant(name, caller, self._log)
         # A cancel that is carried out late must not reach a job that is
         # submitted under this identity once this one has been removed.
         transaction = _make_cancel(name, spec.revision)
@@ -112,8 +128,10 @@
             return EntryAnswer(Status.OK)
         return refuse(Status.NO_JOB, 'no such job')
 
-    async def _withdraw(self, name: str, deadline: float) -> EntryAnswer:
-        transaction = _make_cancel(name, 0)
+    async def _withdraw(
+        self, name: str, caller: Caller, deadline: float
+    ) -> EntryAnswer:
+        transaction = _make_cancel(name, 0, caller.withdrawal_mark)
         outcome = await self._retrying.write(transaction, deadline)
         self._log.info('job withdrawn', job=name, stored=outcome.is_ok())
         if isinstance(outcome, Err):
@@ -123,20 +141,34 @@
             submitted = _find_item(fault, make_spec_key(name))
             if submitted is not None:
                 # It was stored after it had been looked for.
-                return await self._cancel_stored(name, submitted, deadline)
+                return await self._cancel_stored(
+                    name, submitted, caller, deadline
+                )
+            if not _may_use_mark(caller, name, fault):
+                return refuse_other_tenant(name, caller, self._log)
         return refuse(Status.NO_JOB, 'no such job; it never runs')
 
 
-def _make_cancel(name: str, spec_revision: int) -> Transaction:
+def _make_cancel(
+    name: str, spec_revision: int, mark: bytes = b''
+) -> Transaction:
     key = make_cancel_key(name)
     return Transaction(
         (
             ExpectedRevision(key, 0),
             ExpectedRevision(make_spec_key(name), spec_revision),
         ),
-        (Write(key, b''),),
+        (Write(key, mark),),
     )
 
 
+def _may_use_mark(
+    caller: Caller, name: str, conflict: TransactionConflict
+) -> bool:
+    """Return whether a caller may see that a job was withdrawn."""
+    mark = _find_item(conflict, make_cancel_key(name))
+    return mark is None or caller.may_use_mark(mark.value)
+
+
 def _find_item(conflict: TransactionConflict, key: str) -> KeyValue | None:
     return next((item for item in conflict.items if item.key == key), None)
--- a/verbenapost/scheduler/tests/test_applications.py
+++ b/verbenapost/scheduler/tests/test_applications.py
@@ -1,6 +1,7 @@
 """Statuses of the caller port, also for invalid requests."""
 
 import asyncio
+import itertools
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -8,6 +9,7 @@
 
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
+from verbenapost.platform.authorization import digest_key
 from verbenapost.protocol.orders import CallFault, CallFaultKind
 from verbenapost.scheduler import entry as entry_module
 from verbenapost.scheduler.applications import MAX_BODY_BYTES, CallerApp
@@ -15,10 +17,12 @@
 from verbenapost.scheduler.entry import Entry
 from verbenapost.scheduler.messages import AdmissionResponse, PendingResponse
 from verbenapost.scheduler.metrics import SchedulerMetrics
+from verbenapost.state.tenants import Tenant, TenantTerms
 from verbenapost.state.workloads import FleetConfiguration, Route, ServicePool
 
 JOB = '5c0e7a21d94b36f8'
 ROUTE = Route('plan', 'host', '/plan/', 'routing')
+TENANTS = {'one': Tenant(TenantTerms('one'), frozenset((digest_key(b'KEY'),)))}
 
 
 class Store:
@@ -45,10 +49,10 @@
         return self.admission
 
 
-def make_app(answer=None, admission=None, leader=None):
+def make_app(answer=None, admission=None, leader=None, tenants=None):
     configuration = ConfigurationFollower(make_logger('configuration'))
     configuration.current = FleetConfiguration(
-        1, {'plan': ROUTE}, {'routing': ServicePool('routing')}
+        1, {'plan': ROUTE}, {'routing': ServicePool('routing')}, tenants
     )
     entry = Entry(
         configuration,
@@ -121,6 +125,42 @@
         status, _ = await send_request(make_app(), 'POST', f'/plan/{JOB}', body)
         assert status == 413
 
+    async def test_refused_keys_are_challenged_and_counted(self):
+        app = make_app(tenants=TENANTS)
+        cases = {
+            'missing': [[]],
+            'malformed': [[b'Bearer KEY'], [b'Token KEY', b'Token KEY']],
+            'unknown': [[b'Token KEY2'], [b'Token key'], [b'Token \xff']],
+        }
+        for values in itertools.chain.from_iterable(cases.values()):
+            sent = [(b'authorization', value) for value in values]
+            status, headers = await send_request(
+                app, 'POST', f'/plan/{JOB}', GOOD, sent
+            )
+            assert (status, headers[b'www-authenticate']) == (401, b'Token')
+            assert b'retry-after' not in headers
+        rendered = app._metrics.render().decode()
+        for reason, refused in cases.items():
+            line = f'unauthenticated_total{{reason="{reason}"}} {len(refused)}'
+            assert line in rendered
+
+    async def test_a_valid_key_is_not_challenged(self):
+        app = make_app(tenants=TENANTS)
+        sent = [(b'authorization', b'Token KEY')]
+        status, headers = await send_request(
+            app, 'POST', f'/plan/{JOB}', GOOD, sent
+        )
+        assert status == 200
+        assert b'www-authenticate' not in headers
+
+    async def test_key_is_checked_before_the_size_of_the_body(self):
+        body = b'x' * (MAX_BODY_BYTES + 1)
+        app = make_app(tenants=TENANTS)
+        path = f'/plan/{JOB}'
+        sent = [(b'authorization', b'Token KEY')]
+        assert (await send_request(app, 'POST', path, body))[0] == 401
+        assert (await send_request(app, 'POST', path, body, sent))[0] == 413
+
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(
         st.sampled_from(('GET', 'POST', 'DELETE', 'PATCH')),
--- a/verbenapost/state/submissions.py
+++ b/verbenapost/state/submissions.py
@@ -68,6 +68,21 @@
         raise ValueError(f'malformed job: {fault}') from fault
 
 
+def read_owner(packed: bytes) -> str:
+    """Return the name of a stored job's tenant, empty for a job of no tenant.
+
+    Fields that a newer version has added don't matter here.
+
+    :raises ValueError: when the bytes are not a job.
+    """
+    fields: Any = msgpack.unpackb(packed)
+    try:
+        tenant = _read_tenant(fields.get('tenant'))
+    except (AttributeError, KeyError, TypeError) as fault:
+        raise ValueError(f'malformed job: {fault}') from fault
+    return '' if tenant is None else tenant.name
+
+
 def _read_step(row: dict[str, Any], number: int) -> StepSpec:
     size = _check_fields(Resources(**row.pop('size')))
     after = tuple(row.pop('after'))
