--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -175,6 +175,7 @@
             'submission answered',
             job=name,
             route=spec.route,
+            tenant=caller.tenant_name,
             status=int(answer.status),
             retry_after=answer.retry_after,
         )
--- a/verbenapost/scheduler/submissions.py
+++ b/verbenapost/scheduler/submissions.py
@@ -133,7 +133,12 @@
     ) -> EntryAnswer:
         transaction = _make_cancel(name, 0, caller.withdrawal_mark)
         outcome = await self._retrying.write(transaction, deadline)
-        self._log.info('job withdrawn', job=name, stored=outcome.is_ok())
+        self._log.info(
+            'job withdrawn',
+            job=name,
+            tenant=caller.tenant_name,
+            stored=outcome.is_ok(),
+        )
         if isinstance(outcome, Err):
             fault = outcome.err_value
             if isinstance(fault, CallFault):
