CLI: the command tenants shows the newest use of each tenant

Cause: an operator who looks for a tenant at its cap has to search the logs of all daemons for its newest line. Change: `verbenapost tenants LOG...` prints a table of the newest `tenants: usage` line of each tenant, or JSON. The reading of log lines moves to cli/loglines.py, which `explain` uses, too.

--- a/verbenapost/cli/commands.py
+++ b/verbenapost/cli/commands.py
@@ -24,6 +24,7 @@
 )
 from verbenapost.cli.joblog import ExplainCommand
 from verbenapost.cli.tables import format_fields
+from verbenapost.cli.tenantlog import TenantsCommand
 
 _Function = TypeVar('_Function', bound=Callable[..., None])
 
@@ -41,7 +42,10 @@
     show: Formatter
 
 
-SelectCommand = Callable[[Command | ExplainCommand], None]
+#: A command that reads logs and sends no request.
+LogCommand = ExplainCommand | TenantsCommand
+
+SelectCommand = Callable[[Command | LogCommand], None]
 
 
 def parse_as_text(function: _Function) -> _Function:
@@ -295,6 +299,14 @@
         """
         self._select(ExplainCommand(job, logs))
 
+    @parse_as_text
+    def tenants(self, *logs: str) -> None:
+        """Show the newest use of each tenant from the logs of the daemons.
+
+        :param logs: files with logs; standard input when there are none.
+        """
+        self._select(TenantsCommand(logs))
+
 
 def _quote(name: str) -> str:
     return quote(name, safe='')
--- a/verbenapost/cli/joblog.py
+++ b/verbenapost/cli/joblog.py
@@ -2,12 +2,11 @@
 
 import dataclasses
 import json
-import sys
 from collections.abc import Iterable, Iterator
-from pathlib import Path
 from typing import Any, Final, final
 
-from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
+from verbenapost.cli.exits import CommandError, ExitCode
+from verbenapost.cli.loglines import LogRecord, find_records, read_lines
 
 #: Fields that every record has and that :class:`JobEvent` does not repeat.
 _COMMON_FIELDS: Final = frozenset(('event', 'timestamp', 'level', 'job'))
@@ -55,28 +54,21 @@
 
 
 def _find_events(job: str, lines: Iterable[str]) -> Iterator[JobEvent]:
-    for line in lines:
-        prefix, brace, rest = line.partition('{')
-        if not brace or job not in rest:
-            continue
-        try:
-            record = json.loads(brace + rest)
-        except ValueError:
-            # A truncated line holds no complete record.
-            continue
-        if record.get('job') == job:
-            yield _make_event(prefix, record)
-
-
-def _make_event(prefix: str, record: dict[str, Any]) -> JobEvent:
-    words = prefix.split()
+    for record in find_records(job, lines):
+        if record.fields.get('job') == job:
+            yield _make_event(record)
+
+
+def _make_event(record: LogRecord) -> JobEvent:
     fields = {
-        key: value for key, value in record.items() if key not in _COMMON_FIELDS
+        key: value
+        for key, value in record.fields.items()
+        if key not in _COMMON_FIELDS
     }
     return JobEvent(
-        record.get('timestamp', ''),
-        words[-1] if words else '',
-        record.get('event', ''),
+        record.timestamp,
+        record.daemon,
+        record.fields.get('event', ''),
         fields,
     )
 
@@ -97,30 +89,21 @@
     job: str
     files: tuple[str, ...] = ()
 
-    def read_events(self) -> list[JobEvent]:
-        """Return the events of the job.
+    def run(self, *, as_json: bool) -> str:
+        """Return the events of the job as text.
 
+        :param as_json: whether the text is JSON instead of lines.
         :raises CommandError: when a file cannot be read or there are no
             events.
         """
-        events = read_job_events(self.job, self._read_lines())
+        events = read_job_events(self.job, read_lines(self.files))
         if not events:
             raise CommandError(
                 ExitCode.REFUSED,
                 f'no line on job {self.job}',
                 'give the logs of all daemons of that time',
             )
-        return events
-
-    def _read_lines(self) -> list[str]:
-        if not self.files:
-            return list(sys.stdin)
-        lines: list[str] = []
-        for name in self.files:
-            try:
-                text = Path(name).read_text(errors='replace')
-            except OSError as fault:
-                advice = 'give files with logs, or none for standard input'
-                raise make_usage_error(f'{name}: {fault}', advice) from fault
-            lines.extend(text.splitlines())
-        return lines
+        if as_json:
+            rows = [dataclasses.asdict(job_event) for job_event in events]
+            return json.dumps(rows, indent=2)
+        return '\n'.join(job_event.show() for job_event in events)
--- a/verbenapost/cli/main.py
+++ b/verbenapost/cli/main.py
@@ -1,7 +1,6 @@
 """Entry point of the command-line tool."""
 
 import asyncio
-import dataclasses
 import json
 import os
 import sys
@@ -12,9 +11,8 @@
 import fire
 
 from verbenapost.cli.client import send_request
-from verbenapost.cli.commands import Command, Commands
+from verbenapost.cli.commands import Command, Commands, LogCommand
 from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
-from verbenapost.cli.joblog import ExplainCommand
 from verbenapost.cli.options import Options, parse_options
 
 # Keeps the command-line library from starting a pager for the help.
@@ -46,8 +44,9 @@
     command = _parse_command(command_line.rest)
     if command is None:
         return int(ExitCode.SUCCESS)
-    if isinstance(command, ExplainCommand):
-        _write_events(command_line.options, command)
+    if isinstance(command, LogCommand):
+        text = command.run(as_json=command_line.options.as_json)
+        sys.stdout.write(f'{text}\n')
         return int(ExitCode.SUCCESS)
     command_line.options.check()
     answer = asyncio.run(send_request(command_line.options, command.request))
@@ -61,9 +60,9 @@
     return int(ExitCode.SUCCESS)
 
 
-def _parse_command(words: Sequence[str]) -> Command | ExplainCommand | None:
+def _parse_command(words: Sequence[str]) -> Command | LogCommand | None:
     """Return the command, or ``None`` when the help was shown."""
-    selected: list[Command | ExplainCommand] = []
+    selected: list[Command | LogCommand] = []
     try:
         fire.Fire(
             Commands(selected.append),
@@ -79,16 +78,6 @@
     return selected[0] if selected else None
 
 
-def _write_events(options: Options, command: ExplainCommand) -> None:
-    events = command.read_events()
-    if options.as_json:
-        rows = [dataclasses.asdict(job_event) for job_event in events]
-        text = json.dumps(rows, indent=2)
-    else:
-        text = '\n'.join(job_event.show() for job_event in events)
-    sys.stdout.write(f'{text}\n')
-
-
 def _write_answer(options: Options, command: Command, content: Any) -> None:
     if options.as_json:
         text = json.dumps(content, indent=2, sort_keys=True)
