Tenants: caps over all pools, and weighted fair shares of a full pool

Cause: the leader starts whatever fits, so that one tenant can fill every pool and its older steps go before those of all others. Change: each booking and each reported run counts for its tenant, over all pools; the planner starts nothing beyond a cap and skips the steps behind it without reservations, kept workers, unplaced tasks or requests for advice. After a takeover whatever an inherited job may be running counts until its pool has settled. Within a class of urgency, tenants take turns by dominant share and weight.

--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -49,6 +49,7 @@
 
     :param key: identity.
     :param step: specification of the task's step.
+    :param tenant: name of the job's tenant, or empty.
     :param state: state of the task.
     :param worker: identity of the worker, or empty.
     :param run: number of the last run.
@@ -72,6 +73,7 @@
 
     key: TaskKey
     step: StepSpec
+    tenant: str = ''
     state: TaskState = TaskState.WAITING
     worker: str = ''
     run: int = 0
@@ -185,6 +187,12 @@
             for number in range(max(1, spec.repetitions))
         ]
 
+    @property
+    def tenant_name(self) -> str:
+        """Name of the job's tenant, or empty."""
+        tenant = self.spec.tenant
+        return '' if tenant is None else tenant.name
+
     @property
     def long_running(self) -> bool:
         """Whether the job runs until it is cancelled."""
@@ -306,8 +314,11 @@
 
     def _make_step(self, occurrence: int, number: int) -> StepRun:
         step = self.spec.steps[number]
+        tenant = self.tenant_name
         tasks = [
-            Task(TaskKey(self.spec.job, occurrence, number, index), step)
+            Task(
+                TaskKey(self.spec.job, occurrence, number, index), step, tenant
+            )
             for index in range(step.count)
         ]
         return StepRun(self, occurrence, number, step, tasks)
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -2,9 +2,13 @@
 
 import math
 import sys
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterable, Iterator
 
 from verbenapost.coordination.scheduling.commands import StartTask
+from verbenapost.coordination.scheduling.fairness import (
+    FairOrder,
+    sum_capacity,
+)
 from verbenapost.coordination.scheduling.isolation import Isolation
 from verbenapost.coordination.scheduling.jobs import (
     FULL_PACE,
@@ -20,6 +24,7 @@
     has_constraints,
 )
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.quotas import UNLIMITED, TenantUsage
 from verbenapost.coordination.scheduling.tickets import Tickets
 from verbenapost.coordination.scheduling.workers import (
     Worker,
@@ -38,6 +43,10 @@
     def __init__(self, pool_state: PoolState, moment: Moment) -> None:
         self._pool_state = pool_state
         self._moment = moment
+        self._gate = pool_state.gate
+        self._gate.begin_round(moment)
+        # Tasks for which capacity is reserved in this round, by tenant.
+        self._pledged = TenantUsage()
         self._ready = [
             worker
             for worker in pool_state.workers.values()
@@ -55,10 +64,10 @@
         """
         commands: list[StartTask] = []
         self._pool_state.unplaced = []
-        self._pool_state.reservations.prune()
-        steps = self.find_waiting()
-        self._isolation.sort(steps)
-        for step in steps:
+        self._pool_state.reservations.prune(
+            self._may_start if self._pool_state.has_tenants else None
+        )
+        for step in self._arrange(self.find_waiting()):
             commands.extend(self._place_step(step, limit - len(commands)))
             if len(commands) >= limit:
                 break
@@ -66,8 +75,13 @@
         return commands
 
     def find_waiting(self) -> list[StepRun]:
-        """Return the steps with startable tasks, most urgent first."""
+        """Return the steps with startable tasks, most urgent first.
+
+        Steps of tenants at their caps are left out.
+        """
         found = self._pool_state.find_waiting_steps(self._moment.wall)
+        if self._pool_state.has_tenants:
+            found = [step for step in found if self._find_room(step)]
         found.sort(key=self._rank)
         return found
 
@@ -80,6 +94,32 @@
             and self._find_tickets(step) is None
         ]
 
+    def _arrange(self, steps: list[StepRun]) -> Iterable[StepRun]:
+        self._isolation.sort(steps)
+        if not self._pool_state.has_tenants:
+            return steps
+        capacity = sum_capacity(self._pool_state.workers.values())
+        order = FairOrder(self._pool_state.usage, capacity, self._gate)
+        return order.arrange(steps, self._classify)
+
+    def _classify(self, step: StepRun) -> Hashable:
+        """Return the class of a step, within which tenants take turns."""
+        urgency = self._rank(step)[:-1]
+        return self._isolation.is_isolated(step.job), urgency
+
+    def _may_start(self, task: Task) -> bool:
+        stored = self._pool_state.jobs[task.key.job].spec.tenant
+        return stored is None or self._gate.may_start(stored)
+
+    def _find_room(self, step: StepRun) -> int:
+        """Return how many tasks of a step its tenant's cap lets start."""
+        stored = step.job.spec.tenant
+        if stored is None:
+            return UNLIMITED
+        return self._gate.count_startable(
+            stored, step.spec.size, self._pledged.read(stored.name)
+        )
+
     def _find_tickets(self, step: StepRun) -> Tickets | None:
         return self._pool_state.tickets.find(
             step.tasks[0].key, self._moment.now
@@ -104,9 +144,9 @@
         advised = self._pool_state.find_route(step.job).advice is not None
         if advised and tickets is None:
             return
-        waiting = [
-            task for task in step.tasks if task.state is TaskState.WAITING
-        ]
+        waiting = self._find_startable(step)
+        if not waiting:
+            return
         if step.spec.gang:
             yield from self._place_gang(step, waiting, tickets)
         elif step.spec.long_running:
@@ -115,12 +155,29 @@
             yield from self._place_isolated(step, waiting[:limit], tickets)
         else:
             yield from self._place_short(step, waiting[:limit], tickets)
-        if self._isolation.is_isolated(step.job) and step.has_waiting():
+        if self._needs_kept_worker(step):
             if step.spec.gang:
                 self._isolation.keep_gang_workers(step, waiting, tickets)
             else:
                 self._isolation.keep_worker(step, tickets)
 
+    def _needs_kept_worker(self, step: StepRun) -> bool:
+        if not self._isolation.is_isolated(step.job):
+            return False
+        return step.has_waiting() and bool(self._find_room(step))
+
+    def _find_startable(self, step: StepRun) -> list[Task]:
+        """Return the waiting tasks that the tenant's cap lets start."""
+        waiting = [
+            task for task in step.tasks if task.state is TaskState.WAITING
+        ]
+        room = self._find_room(step)
+        if room >= len(waiting):
+            return waiting
+        for task in waiting[room:]:
+            self._pool_state.reservations.release(task)
+        return [] if step.spec.gang else waiting[:room]
+
     def _place_isolated(
         self,
         step: StepRun,
@@ -174,10 +231,15 @@
                 unplaced = waiting[placed:]
                 self._pool_state.unplaced.extend(unplaced)
                 reservations.reserve_next(step, unplaced, permitted, previous)
+                self._note_pledged(unplaced)
                 return
             yield self._start(step, task, worker, tickets)
             ranking.reinsert(worker)
 
+    def _note_pledged(self, tasks: Iterable[Task]) -> None:
+        for task in filter(self._pool_state.reservations.is_reserved, tasks):
+            self._pledged.add(task.tenant, task.step.size)
+
     def _place_gang(
         self,
         step: StepRun,
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -10,6 +10,7 @@
     Task,
     TaskState,
 )
+from verbenapost.coordination.scheduling.quotas import QuotaGate, TenantUsage
 from verbenapost.coordination.scheduling.reservations import Reservations
 from verbenapost.coordination.scheduling.runtimes import RunTimes
 from verbenapost.coordination.scheduling.tickets import TicketCache
@@ -48,14 +49,22 @@
 
     :param service: name of the pool's service.
     :param token: fencing token of this leader.
+    :param gate: caps of the tenants, shared by the pools of a leader.
+    :ivar usage: use of this pool by tenant.
+    :ivar has_tenants: whether there has been a job of a tenant.
     :ivar unplaced: long-running tasks for which no worker has capacity.
     :ivar suspects: open jobs under whose tasks workers have crashed.
     :ivar kept_workers: names of the workers that are kept free for a suspect
         job, with the job.
     """
 
-    def __init__(self, service: str, token: int) -> None:
+    def __init__(
+        self, service: str, token: int, gate: QuotaGate | None = None
+    ) -> None:
         self.service = service
+        self.gate = QuotaGate() if gate is None else gate
+        self.usage = TenantUsage(self.gate.usage)
+        self.has_tenants = False
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.routes: dict[str, Route] = {}
@@ -76,7 +85,7 @@
         """Store a worker's entry; a new worker has yet to be reconciled."""
         worker = self.workers.get(entry.worker)
         if worker is None:
-            worker = Worker(entry)
+            worker = Worker(entry, usage=self.usage)
             self.workers[entry.worker] = worker
         worker.entry = entry
         worker.listed = True
@@ -92,6 +101,7 @@
 
         :returns: the tasks, which wait again unless they are done.
         """
+        worker.clear_unbooked()
         lost = list(worker.tasks.values())
         for task in lost:
             worker.release(task)
@@ -102,6 +112,7 @@
         """Add a job; one that has ended only answers queries."""
         self.jobs[job.spec.job] = job
         self.routes[job.spec.job] = route
+        self.has_tenants = self.has_tenants or job.spec.tenant is not None
         if not job.state.ended:
             self._open_jobs[job.spec.job] = job
         if job.suspect:
--- a/verbenapost/coordination/scheduling/reports.py
+++ b/verbenapost/coordination/scheduling/reports.py
@@ -11,17 +11,13 @@
 from verbenapost.coordination.scheduling.evacuation import may_stop
 from verbenapost.coordination.scheduling.jobs import Task, TaskState
 from verbenapost.coordination.scheduling.poolstate import PoolState
-from verbenapost.coordination.scheduling.workers import (
-    Worker,
-    compute_booking,
-)
+from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.protocol.orders import (
     ListedRun,
     RunEnd,
     RunEndKind,
     WorkerReport,
 )
-from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     CallerJobState,
     StepSpec,
@@ -65,7 +61,7 @@
         :param sent: local seconds at which the report was requested.
         """
         commands: list[Command] = []
-        self._worker.unbooked = Resources()
+        self._worker.clear_unbooked()
         self._worker.has_unknown_runs = False
         for row in report.running:
             commands.extend(self.reconcile_run(row))
@@ -106,8 +102,7 @@
             task.pace = None
             self._worker.book(task)
             return self._confirm(task, row)
-        size = compute_booking(task.step)
-        self._worker.unbooked = self._worker.unbooked.plus(size)
+        self._worker.add_unbooked(task)
         return [StopTask(name, task, row.run)]
 
     def apply_end(self, end: RunEnd) -> list[Command]:
--- a/verbenapost/coordination/scheduling/reservations.py
+++ b/verbenapost/coordination/scheduling/reservations.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Final
 
 from verbenapost.coordination.scheduling.jobs import (
@@ -54,14 +54,29 @@
         self._by_task: dict[TaskKey, Worker] = {}
         self._tasks: dict[TaskKey, Task] = {}
 
-    def prune(self) -> None:
-        """Release the reservations of tasks that no longer need a place."""
+    def prune(self, may_start: Callable[[Task], bool] | None = None) -> None:
+        """Release the reservations of tasks that no longer need a place.
+
+        :param may_start: whether a task that waits may start now; one that
+            may not keeps no capacity from others.
+        """
         ended = [
-            task for task in self._tasks.values() if task.state not in _PENDING
+            task
+            for task in self._tasks.values()
+            if task.state not in _PENDING
+            or (
+                may_start is not None
+                and task.state is TaskState.WAITING
+                and not may_start(task)
+            )
         ]
         for task in ended:
             self.release(task)
 
+    def is_reserved(self, task: Task) -> bool:
+        """Return whether capacity is reserved for a task."""
+        return task.key in self._by_task
+
     def release(self, task: Task) -> str:
         """Release the reservation of a task.
 
--- a/verbenapost/coordination/scheduling/tests/sample.py
+++ b/verbenapost/coordination/scheduling/tests/sample.py
@@ -58,9 +58,16 @@
     return pool_state
 
 
-def add_job(pool_state, *steps, job=JOB, now=0.0, route=ROUTE, **changes):
+def add_job(
+    pool_state, *steps, job=JOB, now=0.0, route=ROUTE, tenant=None, **changes
+):
     spec = JobSpec(
-        job, route.name, 'text', steps or (StepSpec(2, SMALL),), 'routing'
+        job,
+        route.name,
+        'text',
+        steps or (StepSpec(2, SMALL),),
+        'routing',
+        tenant=tenant,
     )
     made = Job(spec, now, **changes)
     pool_state.add_job(made, route)
--- a/verbenapost/coordination/scheduling/workers.py
+++ b/verbenapost/coordination/scheduling/workers.py
@@ -5,6 +5,7 @@
 import math
 
 from verbenapost.coordination.scheduling.jobs import StepRun, Task
+from verbenapost.coordination.scheduling.quotas import TenantUsage
 from verbenapost.state.resources import Resources
 from verbenapost.state.workloads import (
     StepSpec,
@@ -43,6 +44,8 @@
     :param tasks: tasks that are booked.
     :param lapsed_runs: runs that were not proven when their leases lapsed,
         with their tasks.
+    :param usage: use of the pool by tenant.
+    :param unbooked_tasks: tasks of the reported runs that are not booked here.
     """
 
     entry: WorkerEntry
@@ -58,6 +61,8 @@
     has_unknown_runs: bool = False
     tasks: dict[TaskKey, Task] = dataclasses.field(default_factory=dict)
     lapsed_runs: tuple[tuple[Task, int], ...] = ()
+    usage: TenantUsage = dataclasses.field(default_factory=TenantUsage)
+    unbooked_tasks: list[Task] = dataclasses.field(default_factory=list)
 
     @property
     def rack(self) -> str:
@@ -112,11 +117,26 @@
         if task.key not in self.tasks:
             self.tasks[task.key] = task
             self.used = self.used.plus(compute_booking(task.step))
+            self.usage.add(task.tenant, task.step.size)
 
     def release(self, task: Task) -> None:
         """Release the capacity that is booked for a task."""
         if self.tasks.pop(task.key, None) is not None:
             self.used = self.used.minus(compute_booking(task.step))
+            self.usage.remove(task.tenant, task.step.size)
+
+    def add_unbooked(self, task: Task) -> None:
+        """Count a reported run of a task that is not booked here."""
+        self.unbooked_tasks.append(task)
+        self.unbooked = self.unbooked.plus(compute_booking(task.step))
+        self.usage.add(task.tenant, task.step.size)
+
+    def clear_unbooked(self) -> None:
+        """Stop counting the runs that are not booked here."""
+        for task in self.unbooked_tasks:
+            self.usage.remove(task.tenant, task.step.size)
+        self.unbooked_tasks = []
+        self.unbooked = Resources()
 
     def forget_stops(self) -> None:
         """Record that the next incarnation knows of no stop of these tasks."""
--- a/verbenapost/scheduler/configuration.py
+++ b/verbenapost/scheduler/configuration.py
@@ -9,6 +9,7 @@
 from verbenapost.platform.names import CONFIGURATION_KEY, WAVE_PREFIX
 from verbenapost.platform.records import decode_configuration, decode_wave
 from verbenapost.protocol.orders import KeyChange
+from verbenapost.state.tenants import TenantTerms
 from verbenapost.state.workloads import (
     FleetConfiguration,
     MaintenanceWave,
@@ -46,6 +47,12 @@
         """Return a route by name, including one that was removed."""
         return self._routes.get(name)
 
+    def find_tenant(self, name: str) -> TenantTerms | None:
+        """Return the terms of a tenant in the version in force."""
+        tenants = None if self.current is None else self.current.tenants
+        tenant = None if tenants is None else tenants.get(name)
+        return None if tenant is None else tenant.terms
+
     def find_services(self) -> Mapping[str, ServicePool]:
         """Return the configured services by name."""
         return {} if self.current is None else self.current.services
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -61,7 +61,9 @@
         self.ready = False
         self._ports = ports
         self._log = make_logger('leader')
-        self._pool_states = PoolStateSet(ports.election.token)
+        self._pool_states = PoolStateSet(
+            ports.election.token, ports.configuration.find_tenant
+        )
         self._started_at = read_clock()
         self._longest_lease = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
--- a/verbenapost/scheduler/link.py
+++ b/verbenapost/scheduler/link.py
@@ -169,6 +169,7 @@
         lost = [task for task in worker.tasks.values() if task.proven]
         for task in lost:
             self.pool_state.free_task(task)
+        worker.clear_unbooked()
         worker.forget_stops()
         self.ports.log.warning(
             'worker restarted',
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -37,6 +37,7 @@
     :param task_cores: total cores of the tasks, without long-running ones.
     :param steps: steps of the longest dependency chain.
     :param due_in: seconds until the first occurrence is due.
+    :param tenant: name of the job's tenant, or empty.
     """
 
     job: str
@@ -45,6 +46,7 @@
     task_cores: float
     steps: int
     due_in: float = 0
+    tenant: str = ''
 
 
 @final
--- a/verbenapost/scheduler/poolstates.py
+++ b/verbenapost/scheduler/poolstates.py
@@ -2,18 +2,24 @@
 
 from collections.abc import Iterator
 
+from verbenapost.coordination.scheduling.inheritedusage import InheritedUsage
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.quotas import FindTerms, QuotaGate
 
 
 class PoolStateSet:
     """Creates the state of each pool on first use.
 
     :param token: fencing token of the leader that owns the pool states.
+    :param find_terms: finds a tenant's terms in the version in force.
+    :ivar gate: caps of the tenants over all pools.
     """
 
-    def __init__(self, token: int) -> None:
+    def __init__(self, token: int, find_terms: FindTerms | None = None) -> None:
         self._token = token
         self._pool_states: dict[str, PoolState] = {}
+        inherited = InheritedUsage(self._pool_states.values)
+        self.gate = QuotaGate(find_terms, inherited.count)
 
     def __iter__(self) -> Iterator[PoolState]:
         """Yield the pool states that there are now.
@@ -26,7 +32,7 @@
         """Return the state of a service's pool."""
         pool_state = self._pool_states.get(service)
         if pool_state is None:
-            pool_state = PoolState(service, self._token)
+            pool_state = PoolState(service, self._token, self.gate)
             # The first leader inherits no runs to wait for.
             pool_state.recovering = self._token > 1
             self._pool_states[service] = pool_state
