Tenants: admission by rate, own backlog and cap

Cause: a job's wait was that of the whole backlog, so that a tenant that sends many times its usual load had the jobs of all others refused. Change: a tenant's job waits for its own tenant's backlog at the fair share of the pool. A job takes one token however often its caller comes back, and refused callers are told times one token apart. Work of a tenant at its cap no longer counts in the wait of others.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -66,6 +66,19 @@
     estimated_at: float
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """Steps that wait in a pool and are due.
+
+    :param cores: capacity of the pool in thousandths of a core.
+    :param steps: the steps, without those that fit on no worker.
+    """
+
+    cores: float
+    steps: list[StepRun]
+
+
 def decide_admission(
     pool_state: PoolState, demand: JobDemand, wait: float
 ) -> AdmissionDecision:
@@ -118,10 +131,14 @@
 
 
 def count_waiting_tasks(pool_state: PoolState) -> int:
-    """Return the number of tasks that wait to start, due or not."""
+    """Return the number of tasks that wait to start, due or not.
+
+    Tasks of tenants at their caps have no turn.
+    """
     return sum(
         task.state is TaskState.WAITING
         for job in pool_state.list_open_jobs()
+        if not pool_state.gate.is_capped(job.spec.tenant)
         for task in job.tasks()
     )
 
@@ -134,29 +151,56 @@
     An occurrence of a scheduled job belongs to the backlog if it becomes due
     before the rest has started. A step that fits on no worker of the pool, even
     on an empty one, takes no time of the others; while VMs are moving into the
-    pool, it may fit on one of them.
+    pool, it may fit on one of them. A step of a tenant at its cap takes no time
+    of the others either.
 
     :param incoming: cores of the VMs that are moving into the pool.
     :param moment: time of the estimate.
     """
-    cores: float = sum(
-        worker.entry.capacity.cpu
-        for worker in pool_state.workers.values()
-        if worker.accepts_tasks(moment.now) or not worker.reconciled
-    )
-    cores += incoming * _MILLI
+    cores = _count_cores(pool_state, incoming, moment)
     wait: float = 0
-    for step in sorted(_find_waiting(pool_state), key=_get_due_time):
+    for step in sorted(_find_competing(pool_state), key=_get_due_time):
         if step.due_at > moment.wall + wait:
             break
         if cores and not incoming and _is_misfit(pool_state, step):
             continue
         if not cores:
             return math.inf
-        wait += _estimate_work(pool_state, step) / cores
+        work = estimate_work(pool_state, step) * step.spec.size.cpu
+        wait += work / cores
     return wait
 
 
+def find_backlog(
+    pool_state: PoolState, incoming: float, moment: Moment
+) -> Backlog:
+    """Return the steps that wait and are due, as in :func:`estimate_wait`.
+
+    :param incoming: cores of the VMs that are moving into the pool.
+    :param moment: time of the request.
+    """
+    cores = _count_cores(pool_state, incoming, moment)
+    steps = [
+        step
+        for step in _find_waiting(pool_state)
+        if step.due_at <= moment.wall
+        and (incoming or not cores or not _is_misfit(pool_state, step))
+    ]
+    return Backlog(cores, steps)
+
+
+def _count_cores(
+    pool_state: PoolState, incoming: float, moment: Moment
+) -> float:
+    """Return the capacity of a pool in thousandths of a core."""
+    cores: float = sum(
+        worker.entry.capacity.cpu
+        for worker in pool_state.workers.values()
+        if worker.accepts_tasks(moment.now) or not worker.reconciled
+    )
+    return cores + incoming * _MILLI
+
+
 def _find_waiting(pool_state: PoolState) -> Iterator[StepRun]:
     for job in pool_state.list_open_jobs():
         if job.long_running:
@@ -166,6 +210,13 @@
                 yield step
 
 
+def _find_competing(pool_state: PoolState) -> Iterator[StepRun]:
+    """Yield the waiting steps of tenants that are not at their caps."""
+    for step in _find_waiting(pool_state):
+        if not pool_state.gate.is_capped(step.job.spec.tenant):
+            yield step
+
+
 def _is_misfit(pool_state: PoolState, step: StepRun) -> bool:
     """Return whether no worker of the pool could run a task of a step."""
     size = compute_booking(step.spec)
@@ -181,8 +232,8 @@
     return step.due_at
 
 
-def _estimate_work(pool_state: PoolState, step: StepRun) -> float:
-    """Return the work of a step's waiting tasks in millicore-seconds."""
+def estimate_work(pool_state: PoolState, step: StepRun) -> float:
+    """Return the seconds that a step's waiting tasks run in total."""
     waiting = sum(task.state is TaskState.WAITING for task in step.tasks)
     seconds = pool_state.run_times.estimate(step.job.spec.route)
-    return waiting * step.spec.size.cpu * seconds
+    return waiting * seconds
--- a/verbenapost/coordination/scheduling/fairness.py
+++ b/verbenapost/coordination/scheduling/fairness.py
@@ -15,9 +15,6 @@
 from verbenapost.coordination.scheduling.workers import Worker
 from verbenapost.state.resources import Resources
 
-#: Weight of the jobs that belong to no tenant, as one group.
-NO_TENANT_WEIGHT = 1.0
-
 #: Rank of a tenant among those that wait; the lowest is next.
 Rank = tuple[bool, float]
 
@@ -107,10 +104,7 @@
                 heapq.heappush(waiting, (self._rank(step), place, tenant))
 
     def _rank(self, step: StepRun) -> Rank:
-        stored = step.job.spec.tenant
-        weight = NO_TENANT_WEIGHT
-        if stored is not None:
-            weight = self._gate.find_terms(stored).weight
+        weight = self._gate.find_weight(step.job.spec.tenant)
         share = measure_share(
             self._usage.read(step.job.tenant_name), self._capacity
         )
--- a/verbenapost/coordination/scheduling/quotas.py
+++ b/verbenapost/coordination/scheduling/quotas.py
@@ -17,6 +17,9 @@
 #: Number of starts that no cap limits.
 UNLIMITED: Final = sys.maxsize
 
+#: Weight of the jobs that belong to no tenant, as one group.
+NO_TENANT_WEIGHT: Final = 1.0
+
 _NOTHING: Final = Resources()
 
 #: Returns the terms of a tenant in the version in force, if it has them.
@@ -123,6 +126,12 @@
             return stored
         return self._find_terms(stored.name) or stored
 
+    def find_weight(self, stored: TenantTerms | None) -> float:
+        """Return a tenant's weight, or that of the jobs of no tenant."""
+        if stored is None:
+            return NO_TENANT_WEIGHT
+        return self.find_terms(stored).weight
+
     def read_use(self, tenant: str) -> Resources:
         """Return what a tenant has or may have running over all pools."""
         inherited = self._inherited.get(tenant)
@@ -137,6 +146,10 @@
         cap = self.find_terms(stored).cap
         return _is_below(self.read_use(stored.name), cap)
 
+    def is_capped(self, stored: TenantTerms | None) -> bool:
+        """Return whether a job's tenant, if it has one, is at its cap."""
+        return stored is not None and not self.may_start(stored)
+
     def count_startable(
         self,
         stored: TenantTerms,
--- /dev/null
+++ b/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
@@ -0,0 +1,158 @@
+"""Admission of tenants' jobs: rates, waits at fair shares, and refusals."""
+
+import pytest
+
+from verbenapost.coordination.scheduling.admission import (
+    JobDemand,
+    estimate_wait,
+)
+from verbenapost.coordination.scheduling.moment import Moment
+from verbenapost.coordination.scheduling.ratebuckets import (
+    MAX_TOKEN_SECONDS,
+    RateBucket,
+)
+from verbenapost.coordination.scheduling.tenantadmission import (
+    PoolWait,
+    TenantAdmission,
+    TenantJob,
+)
+from verbenapost.coordination.scheduling.tests.sample import (
+    ROUTE,
+    SMALL,
+    add_job,
+    make_pool_state,
+    plan,
+    start_all,
+)
+from verbenapost.state.resources import Resources
+from verbenapost.state.tenants import TenantTerms
+from verbenapost.state.workloads import StepSpec
+
+FLOOD = TenantTerms('flood', 1)
+OTHER = TenantTerms('other', 1)
+
+
+class Desk:
+    """Admission to one pool, whose workers are full or not."""
+
+    def __init__(self, backlog=0, tenant=FLOOD):
+        self.pool_state = make_pool_state()
+        self.admission = TenantAdmission()
+        self.number = 0
+        if backlog:
+            add_job(self.pool_state, StepSpec(4, SMALL), tenant=tenant)
+            start_all(self.pool_state)
+            step = StepSpec(backlog, SMALL)
+            add_job(self.pool_state, step, job='b' * 16, tenant=tenant)
+            plan(self.pool_state)
+
+    def ask(self, terms, now=0.0, job=None, orders=0.0, cores=1.0):
+        self.number += 1
+        moment = Moment(now, now)
+        wait = PoolWait(estimate_wait(self.pool_state, 0, moment), orders)
+        return self.admission.decide(
+            self.pool_state,
+            TenantJob(
+                job or f'{self.number:016x}', terms, JobDemand(ROUTE), cores
+            ),
+            wait,
+            moment,
+        )
+
+    def ask_many(self, terms, count, now=0.0):
+        return [self.ask(terms, now).reason for _ in range(count)]
+
+
+class TestRate:
+    def test_jobs_beyond_the_rate_are_refused_while_others_wait(self):
+        desk = Desk(backlog=1, tenant=OTHER)
+        assert desk.ask_many(FLOOD, 7) == [None] * 5 + ['rate'] * 2
+        assert desk.admission.refused == {('flood', 'rate'): 2}
+
+    def test_they_are_accepted_as_far_as_the_pool_is_free(self):
+        """Accepted jobs that are on their way use capacity as well."""
+        desk = Desk()
+        for _ in range(5):
+            desk.ask(FLOOD, 0)
+        assert desk.ask_many(FLOOD, 6, now=1.0) == [None] * 4 + ['rate'] * 2
+
+    def test_the_bucket_fills_at_the_rate(self):
+        desk = Desk(backlog=1, tenant=OTHER)
+        desk.ask_many(FLOOD, 6)
+        assert desk.ask_many(FLOOD, 3, now=2.0) == [None, None, 'rate']
+
+    def test_a_job_that_comes_again_takes_no_second_token(self):
+        desk = Desk(backlog=1, tenant=OTHER)
+        for _ in range(20):
+            assert desk.ask(FLOOD, job='a' * 16).reason is None
+        assert desk.ask_many(FLOOD, 5) == [None] * 4 + ['rate']
+
+    def test_one_tenant_takes_no_tokens_of_another(self):
+        desk = Desk(backlog=1, tenant=OTHER)
+        desk.ask_many(FLOOD, 50)
+        assert desk.ask(TenantTerms('third', 1)).reason is None
+
+    def test_a_tenant_of_weight_0_gets_what_is_free(self):
+        nobody = TenantTerms('nobody', 0)
+        assert Desk().ask(nobody).reason is None
+        assert Desk(backlog=1, tenant=OTHER).ask(nobody).reason == 'rate'
+
+    def test_refused_callers_are_told_different_times(self):
+        desk = Desk(backlog=1, tenant=OTHER)
+        desk.ask_many(FLOOD, 5)
+        told = [desk.ask(FLOOD).outcome.retry_after for _ in range(3)]
+        assert told == [1, 2, 3]
+
+    def test_a_caller_that_returns_when_told_gets_a_token(self):
+        bucket = RateBucket(2, now=0)
+        for number in range(5):
+            bucket.take(f'{number}', 2, now=0)
+        told = {f'late {number}': bucket.promise(0) for number in range(6)}
+        assert max(told.values()) <= MAX_TOKEN_SECONDS
+        assert all(bucket.take(job, 2, now) for job, now in told.items())
+
+
+class TestFairShare:
+    def test_a_flood_does_not_refuse_others(self):
+        """Six seconds of one tenant's work wait; a job may wait 1.2 s."""
+        desk = Desk(backlog=24)
+        assert desk.ask(OTHER).reason is None
+        refusal = desk.ask(FLOOD)
+        assert refusal.reason == 'full'
+        assert refusal.outcome.retry_after > 1
+
+    @pytest.mark.parametrize(('weight', 'wait'), [(1, 2.0), (3, 4 / 3)])
+    def test_the_wait_is_that_of_the_own_backlog(self, weight, wait):
+        desk = Desk(backlog=40)
+        terms = TenantTerms('other', weight)
+        add_job(desk.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=terms)
+        assert desk.ask(terms).outcome.wait == pytest.approx(wait)
+
+    def test_it_is_never_more_than_the_whole_backlog(self):
+        desk = Desk(backlog=4, tenant=TenantTerms('heavy', 100))
+        light = TenantTerms('light', 1)
+        add_job(desk.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=light)
+        assert desk.ask(light).outcome.wait == 2
+
+    def test_unsent_orders_delay_everyone(self):
+        assert Desk().ask(OTHER, orders=9.0).reason == 'full'
+
+
+class TestCap:
+    CAPPED = TenantTerms('flood', 1, Resources(2000))
+
+    def make_desk(self):
+        """Return a desk whose tenant runs 2 of 4 cores, its cap."""
+        return Desk(backlog=20, tenant=self.CAPPED)
+
+    def test_what_waits_for_the_cap_refuses_further_jobs(self):
+        refusal = self.make_desk().ask(self.CAPPED)
+        assert refusal.reason == 'quota'
+        assert refusal.outcome.wait == 11
+
+    def test_it_refuses_nobody_else(self):
+        desk = self.make_desk()
+        assert desk.ask(OTHER).outcome.wait == 0
+        assert estimate_wait(desk.pool_state, 0, Moment(0, 0)) == 0
+        beyond = TenantTerms('nobody', 0)
+        assert desk.ask(beyond).reason is None
