Tenants: log line and metrics of use, waiting work and refusals

Cause: operators can't see why the work of a tenant waits or is refused. Change: the leader logs 'tenants: usage' once a second for each tenant that is at its cap, has work waiting or had jobs refused, and shows gauges and counters by tenant. The demand of added jobs is not recorded while their tenant is at its cap. Without tenants there is neither line nor metric.

--- a/verbenapost/scheduler/admission.py
+++ b/verbenapost/scheduler/admission.py
@@ -9,6 +9,7 @@
     count_waiting_tasks,
     decide_admission,
 )
+from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -18,11 +19,14 @@
     TenantAdmission,
     TenantJob,
 )
+from verbenapost.daemon.logs import make_logger
 from verbenapost.scheduler.clock import read_moment
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.messages import AdmissionRequest, AdmissionResponse
+from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.poolstates import PoolStateSet
+from verbenapost.scheduler.tenantstatus import TenantStatus
 from verbenapost.state.tenants import TenantTerms
 from verbenapost.state.workloads import Route
 
@@ -79,6 +83,25 @@
             )
         return self._answer(request, decision)
 
+    def note_job(self, pool_state: PoolState, job: Job) -> None:
+        """Record the demand of an added job, unless a cap holds it back."""
+        capped = pool_state.gate.is_capped(job.spec.tenant)
+        if self._controller is not None and not capped:
+            self._controller.demands.note_job(pool_state, job)
+
+    def make_status(self, metrics: SchedulerMetrics) -> TenantStatus:
+        """Return the reports on the tenants.
+
+        :param metrics: metrics of the daemon.
+        """
+        return TenantStatus(
+            self._pool_states,
+            self._configuration,
+            self.tenants.refused,
+            metrics,
+            make_logger('tenants'),
+        )
+
     def _check_tenant(
         self,
         request: AdmissionRequest,
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -161,7 +161,7 @@
         await asyncio.gather(self._fleet.record.load(), self._read_progress())
         self.jobs.inheriting = token > 1
         if self._controller is not None:
-            self.jobs.notify = self._controller.demands.note_job
+            self.jobs.notify = self._admission.note_job
         self._add_essential(self._recorder.run())
         self._add_essential(self._fleet.record.run())
         self._tasks.add(
@@ -175,6 +175,8 @@
             self._tasks.add(self._controller.run())
         self._start_advisor()
         self._start_cleanup()
+        status = self._admission.make_status(self._ports.metrics)
+        self._tasks.add(status.run())
         self._log.info(
             'takeover read',
             jobs=len(self.jobs),
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -1,7 +1,9 @@
 """Metrics of a daemon on the platform, in the text format of Prometheus."""
 
+import dataclasses
+import functools
 from collections.abc import Callable
-from typing import Final
+from typing import Final, final
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
@@ -12,6 +14,23 @@
 Labels = dict[str, str]
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class TenantMetrics:
+    """Gauges and counters by tenant.
+
+    :param running_cores: cores of what may be running.
+    :param cap_cores: cap in cores; 0 is no limit.
+    :param waiting_tasks: tasks that wait to start.
+    :param refused: refused jobs, also by reason.
+    """
+
+    running_cores: Gauge
+    cap_cores: Gauge
+    waiting_tasks: Gauge
+    refused: Counter
+
+
 class SchedulerMetrics:
     """Counters, gauges and histograms of one daemon.
 
@@ -49,6 +68,16 @@
             'log_lines_dropped', 'Log lines dropped.'
         )
 
+    @functools.cached_property
+    def tenants(self) -> TenantMetrics:
+        """Metrics by tenant, which are shown once they have been used."""
+        return TenantMetrics(
+            self._gauge('tenant_running_cores', 'Cores of running tasks.'),
+            self._gauge('tenant_cap_cores', 'Cap in cores; 0 is no limit.'),
+            self._gauge('tenant_waiting_tasks', 'Tasks that wait to start.'),
+            self._count('tenant_refused_total', 'Refused jobs by reason.'),
+        )
+
     def add_source(self, read: Callable[[], None]) -> None:
         """Register a function that updates metrics before each scrape."""
         self._sources.append(read)
