--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -44,7 +44,8 @@
         self._pool_state = pool_state
         self._moment = moment
         self._gate = pool_state.gate
-        self._gate.begin_round(moment)
+        if pool_state.has_tenants:
+            self._gate.begin_round(moment)
         # Tasks for which capacity is reserved in this round, by tenant.
         self._pledged = TenantUsage()
         self._ready = [
@@ -81,7 +82,11 @@
         """
         found = self._pool_state.find_waiting_steps(self._moment.wall)
         if self._pool_state.has_tenants:
-            found = [step for step in found if self._find_room(step)]
+            found = [
+                step
+                for step in found
+                if not self._gate.is_capped(step.job.spec.tenant)
+            ]
         found.sort(key=self._rank)
         return found
 
--- a/verbenapost/coordination/scheduling/quotas.py
+++ b/verbenapost/coordination/scheduling/quotas.py
@@ -13,6 +13,7 @@
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.resources import Resources
 from verbenapost.state.tenants import TenantTerms
+from verbenapost.state.workloads import JobSpec
 
 #: Number of starts that no cap limits.
 UNLIMITED: Final = sys.maxsize
@@ -184,6 +185,19 @@
     return _count_startable(_NOTHING, size, cap) >= count
 
 
+def may_job_start(spec: JobSpec, cap: Resources) -> bool:
+    """Return whether a cap lets each gang of a job start at some time.
+
+    :param spec: the job.
+    :param cap: cap of the job's tenant.
+    """
+    return all(
+        may_ever_start(step.size, step.count, cap)
+        for step in spec.steps
+        if step.gang
+    )
+
+
 class _Count:
     """Tasks of a tenant, and the sum of their sizes."""
 
--- a/verbenapost/coordination/scheduling/tests/test_quotas.py
+++ b/verbenapost/coordination/scheduling/tests/test_quotas.py
@@ -12,7 +12,7 @@
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.quotas import (
     QuotaGate,
-    may_ever_start,
+    may_job_start,
 )
 from verbenapost.coordination.scheduling.tests.sample import (
     ROUTE,
@@ -29,7 +29,7 @@
 from verbenapost.protocol.orders import CallFaultKind
 from verbenapost.state.resources import Resources
 from verbenapost.state.tenants import TenantTerms
-from verbenapost.state.workloads import AdviceTerms, Route, StepSpec
+from verbenapost.state.workloads import AdviceTerms, JobSpec, Route, StepSpec
 
 LIMITED = TenantTerms('limited', 1, Resources(3000))
 OTHER = TenantTerms('other', 1, Resources())
@@ -217,8 +217,11 @@
         assert pool_state.gate.read_use('other') == Resources()
 
     def test_one_that_can_never_start_is_known(self):
-        assert may_ever_start(SMALL, 3, LIMITED.cap)
-        assert not may_ever_start(SMALL, 4, LIMITED.cap)
+        gangs = [StepSpec(row, SMALL, gang=True) for row in (3, 4)]
+        tasks = StepSpec(9, Resources(9000))
+        for steps, possible in (((tasks, gangs[0]), True), (gangs, False)):
+            spec = JobSpec('a' * 16, 'plan', 'x', tuple(steps))
+            assert may_job_start(spec, LIMITED.cap) is possible
 
 
 class TestTenantAtItsCap:
--- a/verbenapost/scheduler/tests/test_tenants.py
+++ b/verbenapost/scheduler/tests/test_tenants.py
@@ -11,6 +11,7 @@
 from verbenapost.coordination.scheduling.tests.sample import (
     ROUTE,
     SMALL,
+    add_job,
     make_entry,
     start_all,
 )
@@ -21,6 +22,7 @@
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.tenantstatus import TenantStatus
+from verbenapost.scheduler.tests.links import Clock, make_link
 from verbenapost.state.resources import Resources
 from verbenapost.state.tenants import Tenant, TenantTerms
 from verbenapost.state.workloads import (
@@ -119,6 +121,16 @@
         assert Bench(()).ask().accepted
 
 
+class TestRestartedWorker:
+    def test_its_unbooked_runs_no_longer_count(self, monkeypatch):
+        pool_state, _, link = make_link(Clock(), monkeypatch)
+        task = next(add_job(pool_state, tenant=TERMS).tasks())
+        link.worker.add_unbooked(task)
+        assert pool_state.gate.read_use('flood') == SMALL
+        link.restart(5)
+        assert pool_state.gate.read_use('flood') == Resources()
+
+
 class TestStatus:
     def test_a_tenant_at_its_cap_has_a_line(self):
         bench = Bench()
