Tenants: test that pools share what inherited jobs may run

Cause: the wiring of the count over all pools of a leader had no test. Change: a test of two pools, of which one has inherited jobs.

--- a/verbenapost/scheduler/tests/test_tenants.py
+++ b/verbenapost/scheduler/tests/test_tenants.py
@@ -4,6 +4,7 @@
 
 from structlog.testing import capture_logs
 
+from verbenapost.coordination.scheduling.inheritedusage import REFRESH_SECONDS
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
@@ -121,6 +122,18 @@
         assert Bench(()).ask().accepted
 
 
+class TestPoolStateSet:
+    def test_inherited_jobs_of_one_pool_count_in_all(self):
+        pool_states = PoolStateSet(2)
+        first, second = map(pool_states.find, ('first', 'second'))
+        add_job(first, StepSpec(2, SMALL), tenant=TERMS, inherited=True)
+        second.gate.begin_round(Moment(0, 0))
+        assert second.gate.is_capped(TERMS)
+        first.recovering = False
+        second.gate.begin_round(Moment(REFRESH_SECONDS, 0))
+        assert not second.gate.is_capped(TERMS)
+
+
 class TestRestartedWorker:
     def test_its_unbooked_runs_no_longer_count(self, monkeypatch):
         pool_state, _, link = make_link(Clock(), monkeypatch)
