Tenants: a reservation of a removed job ends

Cause: pruning reservations looked up the job of each task and would have ended the round for a job that is gone. Change: such a reservation is released.

--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -113,8 +113,8 @@
         return self._isolation.is_isolated(step.job), urgency
 
     def _may_start(self, task: Task) -> bool:
-        stored = self._pool_state.jobs[task.key.job].spec.tenant
-        return stored is None or self._gate.may_start(stored)
+        job = self._pool_state.jobs.get(task.key.job)
+        return job is not None and not self._gate.is_capped(job.spec.tenant)
 
     def _find_room(self, step: StepRun) -> int:
         """Return how many tasks of a step its tenant's cap lets start."""
