--- a/verbenapost/coordination/scheduling/demand.py
+++ b/verbenapost/coordination/scheduling/demand.py
@@ -131,6 +131,9 @@
         states = collections.Counter(task.state for task in step.tasks)
         waiting_tasks = states[TaskState.WAITING]
         placed_tasks = len(step.tasks) - waiting_tasks - states[TaskState.DONE]
+        if pool_state.gate.is_capped(step.job.spec.tenant):
+            # Further VMs would not let these tasks start.
+            waiting_tasks = 0
         if step.spec.long_running:
             long_running += step.spec.size.cpu * (waiting_tasks + placed_tasks)
         else:
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
+from verbenapost.coordination.scheduling.quotas import may_job_start
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.authorization import AuthenticationFault
 from verbenapost.platform.fields import FieldError
@@ -153,6 +154,10 @@
         name = spec.job
         if self._outage_detector.is_unavailable(read_clock()):
             return self._refuse_unavailable(name)
+        if spec.tenant is not None and not may_job_start(spec, spec.tenant.cap):
+            return await self._refuse_unstored(
+                name, caller, 'a gang exceeds the cap of its tenant; not run'
+            )
         admission = await self._leader.ask(make_admission_request(spec))
         # A leader that does not answer may have lost its lease with the store.
         suspect = True
@@ -163,8 +168,11 @@
         elif admission.ok_value.accepted:
             suspect = admission.ok_value.store_suspect
         else:
-            return await self._refuse_full(
-                name, caller, admission.ok_value.retry_after
+            return await self._refuse_unstored(
+                name,
+                caller,
+                'the pool is full; not run',
+                admission.ok_value.retry_after,
             )
         if not await self._reaches_store(suspect=suspect):
             return self._refuse_unavailable(name)
@@ -205,8 +213,12 @@
         self._log.info('submission refused', job=name, retry_after=retry)
         return refuse(Status.UNAVAILABLE, 'the store is away; not run', retry)
 
-    async def _refuse_full(
-        self, name: str, caller: Caller, retry: float
+    async def _refuse_unstored(
+        self,
+        name: str,
+        caller: Caller,
+        reason: str,
+        retry: float | None = None,
     ) -> EntryAnswer:
         """Refuse a job unless an earlier attempt may have stored it."""
         found = await self._store.read_key(make_spec_key(name))
@@ -217,7 +229,7 @@
                 return refuse_other_tenant(name, caller, self._log)
             return EntryAnswer(Status.OK)
         self._log.info('submission refused', job=name, retry_after=retry)
-        return refuse(Status.REFUSED, 'the pool is full; not run', retry)
+        return refuse(Status.REFUSED, reason, retry)
 
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(PendingRequest(route.name))
--- a/verbenapost/scheduler/tests/test_authentication.py
+++ b/verbenapost/scheduler/tests/test_authentication.py
@@ -285,3 +285,17 @@
         assert 'is the same key as tenants.0.api_keys.0' in found
         assert KEY not in found
         assert OTHER_KEY not in found
+
+
+class TestGangBeyondTheCap:
+    def test_it_is_refused_at_once(self, play):
+        """It would be accepted and wait for ever."""
+        gang = [{'count': 3, 'cpu': 60000, 'mem_mb': 10, 'gang': True}]
+
+        async def scenario(world):
+            await start(world)
+            answer = await world.submit(JOB, gang, key=KEY)
+            stored = make_spec_key(JOB) in world.store.items
+            return answer.status, answer.retry_after, stored
+
+        assert play(scenario) == (429, None, False)
