Interference: place apart what a finding names, feed it from reports

Cause: findings were neither fed nor read. Change: a worker's report is observed before it is applied; a worker with a partner of a finding ranks behind the others, but before one off the rack of the data. One detection per leader, on only where the settings hold bounds.harm_ms and unless separate_images is false. Log lines interference: found and ended, and three metrics. Without findings the same tasks get the same workers.

--- a/verbenapost/coordination/scheduling/interference.py
+++ b/verbenapost/coordination/scheduling/interference.py
@@ -22,6 +22,7 @@
     PairSamples,
     is_slower,
 )
+from verbenapost.coordination.scheduling.partners import NO_PARTNERS, Partners
 from verbenapost.coordination.scheduling.slowdowns import (
     FIGURE_SECONDS,
     Slowdown,
@@ -76,9 +77,10 @@
         """Return the number of workers that are remembered."""
         return len(self._histories)
 
-    def note_avoided(self) -> None:
-        """Count a task that was placed apart from a partner of a finding."""
-        self.avoided += 1
+    def find_partners(self, service: str, image: str) -> Partners:
+        """Return the images of a pool beside which an image is not placed."""
+        images = self.findings.find_partners(service, image)
+        return Partners(images, self._note_avoided) if images else NO_PARTNERS
 
     def observe(
         self,
@@ -116,6 +118,10 @@
             changes.extend(self._add(slowdown, entry.worker, history, now))
         return changes
 
+    def _note_avoided(self) -> None:
+        """Count a task that was placed apart from a partner of a finding."""
+        self.avoided += 1
+
     def _compare(
         self, slowdown: Slowdown, history: WorkerHistory, now: float
     ) -> None:
--- a/verbenapost/coordination/scheduling/placement.py
+++ b/verbenapost/coordination/scheduling/placement.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.jobs import StepRun, Task
+from verbenapost.coordination.scheduling.partners import NO_PARTNERS, Partners
 from verbenapost.coordination.scheduling.workers import (
     Worker,
     compute_booking,
@@ -20,7 +21,8 @@
 
 _ANY_NUMBER: Final = 0
 # Each penalty exceeds the sum of those below it.
-_OFF_RACK: Final = 8
+_OFF_RACK: Final = 16
+_BESIDE_PARTNER: Final = 8
 _BESIDE_SERVING: Final = 4
 _CROWDED: Final = 2
 _NO_LONG_RUNNING: Final = 1
@@ -39,7 +41,8 @@
     Long-running tasks are placed on workers that have such tasks already, but
     at most two of a step on each while others have capacity, so that the loss
     of a worker affects few of them. Workers in the rack of the data rank
-    first, since the task is slow on any other rack.
+    first, since the task is slow on any other rack. Among workers alike in
+    this, those without an image that interferes with the step's rank first.
 
     Booking a task changes the rank of its worker only, so each worker is
     ranked once for a step and once more for each task.
@@ -49,6 +52,7 @@
     :param tickets: tickets by worker, where a policy restricts the choice.
     :param isolated: whether the tasks may crash their worker; they are then
         placed together, and where the fewest others run.
+    :param partners: images that interfere with the step's image.
     """
 
     def __init__(
@@ -58,8 +62,10 @@
         tickets: Tickets | None,
         *,
         isolated: bool = False,
+        partners: Partners = NO_PARTNERS,
     ) -> None:
         self._step = step
+        self._partners = partners
         self._isolated = isolated
         self._size = compute_booking(step.spec)
         self._tickets = tickets
@@ -69,10 +75,19 @@
             if self._is_allowed(worker)
         ]
         heapq.heapify(self._ranked)
+        # Whether the choice of a worker without a partner avoids one.
+        self._avoidable = bool(partners.images) and any(
+            partners.is_beside(worker) for _rank, worker in self._ranked
+        )
 
     def pop_best(self) -> Worker | None:
         """Remove and return the best worker; the caller books the task."""
-        return heapq.heappop(self._ranked)[1] if self._ranked else None
+        if not self._ranked:
+            return None
+        worker = heapq.heappop(self._ranked)[1]
+        if self._avoidable and not self._partners.is_beside(worker):
+            self._partners.note_avoided()
+        return worker
 
     def reinsert(self, worker: Worker) -> None:
         """Reinsert a worker after booking, unless its capacity is used up."""
@@ -81,9 +96,11 @@
             heapq.heappush(self._ranked, row)
 
     def _rank(self, worker: Worker) -> Rank:
-        if self._isolated:
-            return _rank_isolated(self._step, worker)
-        return _rank(self._step, worker)
+        rank = _rank_isolated if self._isolated else _rank
+        penalty, order, name = rank(self._step, worker)
+        if self._partners.is_beside(worker):
+            penalty += _BESIDE_PARTNER
+        return penalty, order, name
 
     def _is_allowed(self, worker: Worker) -> bool:
         name = worker.entry.worker
@@ -125,14 +142,15 @@
     tasks: Sequence[Task],
     workers: Sequence[Worker],
     tickets: Tickets | None,
+    partners: Partners = NO_PARTNERS,
 ) -> list[Worker] | None:
     """Return a worker for each gang member, or ``None`` unless all fit."""
     if step.spec.same_rack:
         for rack_workers in group_by_rack(list(workers)).values():
-            found = _place_all(step, tasks, rack_workers, tickets)
+            found = _place_all(step, tasks, rack_workers, tickets, partners)
             if found is not None:
                 return found
-    return _place_all(step, tasks, workers, tickets)
+    return _place_all(step, tasks, workers, tickets, partners)
 
 
 def _place_all(
@@ -140,9 +158,12 @@
     tasks: Sequence[Task],
     workers: Sequence[Worker],
     tickets: Tickets | None,
+    partners: Partners,
 ) -> list[Worker] | None:
     chosen: list[Worker] = []
-    ranking = WorkerRanking(step, workers, tickets)
+    # A trial may place nothing, so what it avoids is not counted.
+    uncounted = Partners(partners.images)
+    ranking = WorkerRanking(step, workers, tickets, partners=uncounted)
     for task in tasks:
         worker = ranking.pop_best()
         if worker is None:
--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -13,6 +13,7 @@
     TaskState,
 )
 from verbenapost.coordination.scheduling.moment import Moment
+from verbenapost.coordination.scheduling.partners import NO_PARTNERS, Partners
 from verbenapost.coordination.scheduling.placement import (
     WorkerRanking,
     choose_gang_workers,
@@ -85,6 +86,13 @@
             step.tasks[0].key, self._moment.now
         )
 
+    def _avoid(self, step: StepRun) -> Partners:
+        interference = self._pool_state.interference
+        if interference is None:
+            return NO_PARTNERS
+        service = self._pool_state.service
+        return interference.find_partners(service, step.spec.image)
+
     def _rank(self, step: StepRun) -> tuple[bool, int, bool, float]:
         job = step.job
         objective = self._pool_state.estimate_objective(job)
@@ -128,7 +136,9 @@
         tickets: Tickets | None,
     ) -> Iterator[StartTask]:
         workers = self._isolation.find_workers(step.job)
-        ranking = WorkerRanking(step, workers, tickets, isolated=True)
+        ranking = WorkerRanking(
+            step, workers, tickets, isolated=True, partners=self._avoid(step)
+        )
         for task in waiting:
             worker = ranking.pop_best()
             if worker is None:
@@ -146,7 +156,9 @@
         if any(found.fits(size) for found in self._unplaceable):
             return
         workers = self._isolation.find_workers(step.job)
-        ranking = WorkerRanking(step, workers, tickets)
+        ranking = WorkerRanking(
+            step, workers, tickets, partners=self._avoid(step)
+        )
         for task in waiting:
             worker = ranking.pop_best()
             if worker is None:
@@ -166,7 +178,9 @@
         reservations = self._pool_state.reservations
         previous = {task.key: reservations.release(task) for task in waiting}
         workers = self._isolation.find_workers(step.job)
-        ranking = WorkerRanking(step, workers, tickets)
+        ranking = WorkerRanking(
+            step, workers, tickets, partners=self._avoid(step)
+        )
         permitted = filter_by_ticket(workers, tickets)
         for placed, task in enumerate(waiting):
             worker = ranking.pop_best()
@@ -188,7 +202,9 @@
             # Members of the previous run have not ended yet.
             return
         workers = self._isolation.find_workers(step.job)
-        chosen = choose_gang_workers(step, waiting, workers, tickets)
+        chosen = choose_gang_workers(
+            step, waiting, workers, tickets, self._avoid(step)
+        )
         if chosen is None:
             return
         run = max(task.run for task in waiting)
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
+from verbenapost.coordination.scheduling.interference import Interference
 from verbenapost.coordination.scheduling.jobs import (
     Job,
     StepRun,
@@ -48,14 +49,22 @@
 
     :param service: name of the pool's service.
     :param token: fencing token of this leader.
+    :param interference: the leader's findings of interference, if it detects
+        any.
     :ivar unplaced: long-running tasks for which no worker has capacity.
     :ivar suspects: open jobs under whose tasks workers have crashed.
     :ivar kept_workers: names of the workers that are kept free for a suspect
         job, with the job.
     """
 
-    def __init__(self, service: str, token: int) -> None:
+    def __init__(
+        self,
+        service: str,
+        token: int,
+        interference: Interference | None = None,
+    ) -> None:
         self.service = service
+        self.interference = interference
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.routes: dict[str, Route] = {}
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -61,7 +61,11 @@
         self.ready = False
         self._ports = ports
         self._log = make_logger('leader')
-        self._pool_states = PoolStateSet(ports.election.token)
+        self._watch = ports.watch_interference()
+        interference = None
+        if self._watch is not None:
+            interference = self._watch.interference
+        self._pool_states = PoolStateSet(ports.election.token, interference)
         self._started_at = read_clock()
         self._longest_lease = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
@@ -98,6 +102,7 @@
                 self._window,
                 send,
                 make_logger('worker'),
+                self._watch,
             ),
             ports.store,
             self._give_up,
@@ -136,6 +141,8 @@
         self.ready = False
         await self._fleet.tasks.close()
         await self._tasks.close()
+        if self._watch is not None:
+            self._watch.close()
 
     async def hand_over(self) -> None:
         """Write all pending records before the leadership is given up."""
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -23,6 +23,11 @@
     :ivar takeovers: number of times that this daemon began to lead.
     :ivar wave_vms: VMs of completed waves, by reason.
     :ivar vms: VMs by pool and state, as the leader knows them.
+    :ivar interference_findings: pairs of images that slow each other down, as
+        the leader knows them.
+    :ivar interference_observations: observations of how slow a task is.
+    :ivar interference_avoided: tasks that were placed apart from an image that
+        interferes with theirs.
     :ivar log_lines_dropped: log lines dropped because nobody read them.
     """
 
@@ -45,6 +50,16 @@
             'wave_vms_total', 'VMs of completed waves by reason.'
         )
         self.vms = self._gauge('vms', 'VMs by pool and state.')
+        self.interference_findings = self._gauge(
+            'interference_findings', 'Pairs of images that interfere now.'
+        )
+        self.interference_observations = self._count(
+            'interference_observations_total', 'Observations of slowdowns.'
+        )
+        self.interference_avoided = self._count(
+            'interference_avoided_total',
+            'Tasks placed apart from an image that interferes.',
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped.'
         )
--- a/verbenapost/scheduler/poolstates.py
+++ b/verbenapost/scheduler/poolstates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from verbenapost.coordination.scheduling.interference import Interference
 from verbenapost.coordination.scheduling.poolstate import PoolState
 
 
@@ -9,10 +10,15 @@
     """Creates the state of each pool on first use.
 
     :param token: fencing token of the leader that owns the pool states.
+    :param interference: the leader's findings of interference, if it detects
+        any.
     """
 
-    def __init__(self, token: int) -> None:
+    def __init__(
+        self, token: int, interference: Interference | None = None
+    ) -> None:
         self._token = token
+        self._interference = interference
         self._pool_states: dict[str, PoolState] = {}
 
     def __iter__(self) -> Iterator[PoolState]:
@@ -26,7 +32,7 @@
         """Return the state of a service's pool."""
         pool_state = self._pool_states.get(service)
         if pool_state is None:
-            pool_state = PoolState(service, self._token)
+            pool_state = PoolState(service, self._token, self._interference)
             # The first leader inherits no runs to wait for.
             pool_state.recovering = self._token > 1
             self._pool_states[service] = pool_state
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -5,15 +5,18 @@
 from typing import Any, final
 
 from verbenapost.coordination.scheduling.commands import Command
+from verbenapost.coordination.scheduling.interference import Interference
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.daemon.logs import make_logger
 from verbenapost.platform.advice import AdviceClient
 from verbenapost.platform.cloud import CloudClient
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.workers import WorkerClient
 from verbenapost.scheduler.configuration import ConfigurationFollower
 from verbenapost.scheduler.election import Election
+from verbenapost.scheduler.interference import InterferenceWatch
 from verbenapost.scheduler.metrics import SchedulerMetrics
 from verbenapost.scheduler.recorder import Recorder
 from verbenapost.scheduler.relays import RelayTransport
@@ -51,6 +54,14 @@
     )
     relays: RelayTransport | None = None
 
+    def watch_interference(self) -> InterferenceWatch | None:
+        """Return the detection of a new leader, or ``None`` if it is off."""
+        if not self.settings.detects_interference:
+            return None
+        return InterferenceWatch(
+            Interference(), self.metrics, make_logger('interference')
+        )
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +77,7 @@
     :param window: limit of unanswered starts.
     :param send: sends commands to workers.
     :param log: logger.
+    :param interference: detects images that slow each other down, if any does.
     """
 
     client: WorkerClient
@@ -77,3 +89,4 @@
     window: OrderWindow
     send: Callable[[PoolState, Sequence[Command]], None]
     log: Any
+    interference: InterferenceWatch | None = None
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -122,6 +122,8 @@
     :param data_centre: where it runs.
     :param address: IP number of the VM.
     :param advice_address: ``IP:port`` of the policy's service, if any.
+    :param separate_images: whether images that slow each other down are placed
+        apart where the platform gives ``bounds.harm_ms``.
     """
 
     model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
@@ -135,6 +137,13 @@
     advice_address: str | None = None
     bounds: Bounds = Bounds()
     processor: Processor = Processor()
+    separate_images: bool = True
+
+    @property
+    def detects_interference(self) -> bool:
+        """Whether images that slow each other down are detected."""
+        given = 'harm_ms' in self.bounds.model_fields_set
+        return self.separate_images and given
 
     @property
     def internal_port(self) -> int:
--- a/verbenapost/scheduler/workerreports.py
+++ b/verbenapost/scheduler/workerreports.py
@@ -76,6 +76,10 @@
         worker.lapsed_runs = ()
         ends = incarnation.ends.filter_new(report.ends)
         self._log_ends(ends)
+        if link.ports.interference is not None:
+            link.ports.interference.observe(
+                link.pool_state, worker, report, ends, now
+            )
         reconciler = ReportReconciler(link.pool_state, worker, now)
         commands = reconciler.apply(report, ends, sent_at)
         worker.reconciled = worker.reconciled or report.complete
