Command line: verbenapost check validates a configuration before it is sent

Cause: a fault of a configuration shows only in the daemons' logs, the first one alone, and some faults not at all.

--- a/verbenapost/cli/commands.py
+++ b/verbenapost/cli/commands.py
@@ -13,6 +13,7 @@
 from fire.decorators import SetParseFn
 
 from verbenapost.cli.client import AdminRequest
+from verbenapost.cli.configurationcheck import CheckCommand
 from verbenapost.cli.files import parse_number, read_document
 from verbenapost.cli.formatters import (
     Formatter,
@@ -41,7 +42,8 @@
     show: Formatter
 
 
-SelectCommand = Callable[[Command | ExplainCommand], None]
+AnyCommand = Command | ExplainCommand | CheckCommand
+SelectCommand = Callable[[AnyCommand], None]
 
 
 def parse_as_text(function: _Function) -> _Function:
@@ -295,6 +297,15 @@
         """
         self._select(ExplainCommand(job, logs))
 
+    @parse_as_text
+    def check(self, source: str, against: str = '') -> None:
+        """Validate a file with the platform's configuration; sends nothing.
+
+        :param source: file with the configuration.
+        :param against: file with the version in force, to show differences.
+        """
+        self._select(CheckCommand(source, against))
+
 
 def _quote(name: str) -> str:
     return quote(name, safe='')
--- a/verbenapost/cli/main.py
+++ b/verbenapost/cli/main.py
@@ -12,7 +12,8 @@
 import fire
 
 from verbenapost.cli.client import send_request
-from verbenapost.cli.commands import Command, Commands
+from verbenapost.cli.commands import AnyCommand, Command, Commands
+from verbenapost.cli.configurationcheck import CheckCommand
 from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
 from verbenapost.cli.joblog import ExplainCommand
 from verbenapost.cli.options import Options, parse_options
@@ -49,6 +50,8 @@
     if isinstance(command, ExplainCommand):
         _write_events(command_line.options, command)
         return int(ExitCode.SUCCESS)
+    if isinstance(command, CheckCommand):
+        return int(_check_configuration(command_line.options, command))
     command_line.options.check()
     answer = asyncio.run(send_request(command_line.options, command.request))
     _write_answer(command_line.options, command, answer.content)
@@ -61,9 +64,9 @@
     return int(ExitCode.SUCCESS)
 
 
-def _parse_command(words: Sequence[str]) -> Command | ExplainCommand | None:
+def _parse_command(words: Sequence[str]) -> AnyCommand | None:
     """Return the command, or ``None`` when the help was shown."""
-    selected: list[Command | ExplainCommand] = []
+    selected: list[AnyCommand] = []
     try:
         fire.Fire(
             Commands(selected.append),
@@ -89,6 +92,15 @@
     sys.stdout.write(f'{text}\n')
 
 
+def _check_configuration(options: Options, command: CheckCommand) -> ExitCode:
+    found = command.run()
+    text = found.show()
+    if options.as_json:
+        text = json.dumps(dataclasses.asdict(found), indent=2)
+    sys.stdout.write(f'{text}\n')
+    return ExitCode.REFUSED if found.findings else ExitCode.SUCCESS
+
+
 def _write_answer(options: Options, command: Command, content: Any) -> None:
     if options.as_json:
         text = json.dumps(content, indent=2, sort_keys=True)
