--- a/verbenapost/platform/configurationcheck.py
+++ b/verbenapost/platform/configurationcheck.py
@@ -91,8 +91,8 @@
             findings.append(_make_error('', None, decoded.err_value))
         return CheckedConfiguration(None, tuple(findings))
     configuration = decoded.ok_value
-    findings.extend(_check_duplicates(fields))
-    findings.extend(_check_routes(configuration))
+    duplicates = list(_check_duplicates(fields))
+    findings.extend(duplicates or _check_routes(configuration))
     return CheckedConfiguration(configuration, tuple(findings))
 
 
@@ -202,19 +202,20 @@
 def _check_routes(
     configuration: FleetConfiguration,
 ) -> Iterator[ConfigurationFinding]:
-    first: dict[tuple[str, str], str] = {}
-    for route in configuration.routes.values():
-        path = f'routes.{route.name}'
+    """Yield the faults of routes; called when no two have the same name."""
+    first: dict[tuple[str, str], int] = {}
+    for number, route in enumerate(configuration.routes.values()):
+        path = f'routes.{number}'
         if route.service not in configuration.services:
             yield _make_error(
                 f'{path}.service', route.service, 'must be one of services'
             )
-        owner = first.setdefault((route.host, route.prefix), route.name)
-        if owner != route.name:
+        owner = first.setdefault((route.host, route.prefix), number)
+        if owner != number:
             rule = f'is hidden by routes.{owner}, which has the same address'
-            yield _make_unreachable(route, rule)
+            yield _make_unreachable(path, route, rule)
         elif route.prefix and not route.prefix.startswith('/'):
-            yield _make_unreachable(route, 'must begin with /, as each path')
+            yield _make_unreachable(path, route, 'must begin with /')
         yield from _check_advice(path, route)
 
 
@@ -229,12 +230,11 @@
         )
 
 
-def _make_unreachable(route: Route, rule: str) -> ConfigurationFinding:
+def _make_unreachable(
+    path: str, route: Route, rule: str
+) -> ConfigurationFinding:
     return ConfigurationFinding(
-        FindingKind.UNREACHABLE,
-        f'routes.{route.name}.prefix',
-        _show(route.prefix),
-        rule,
+        FindingKind.UNREACHABLE, f'{path}.prefix', _show(route.prefix), rule
     )
 
 
