--- a/verbenapost/cli/main.py
+++ b/verbenapost/cli/main.py
@@ -1,6 +1,7 @@
 """Entry point of the command-line tool."""
 
 import asyncio
+import dataclasses
 import json
 import os
 import sys
@@ -11,7 +12,13 @@
 import fire
 
 from verbenapost.cli.client import send_request
-from verbenapost.cli.commands import Command, Commands, LogCommand
+from verbenapost.cli.commands import (
+    AnyCommand,
+    Command,
+    Commands,
+    LogCommand,
+)
+from verbenapost.cli.configurationcheck import CheckCommand
 from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
 from verbenapost.cli.options import Options, parse_options
 
@@ -48,6 +55,8 @@
         text = command.run(as_json=command_line.options.as_json)
         sys.stdout.write(f'{text}\n')
         return int(ExitCode.SUCCESS)
+    if isinstance(command, CheckCommand):
+        return int(_check_configuration(command_line.options, command))
     command_line.options.check()
     answer = asyncio.run(send_request(command_line.options, command.request))
     _write_answer(command_line.options, command, answer.content)
@@ -60,9 +69,9 @@
     return int(ExitCode.SUCCESS)
 
 
-def _parse_command(words: Sequence[str]) -> Command | LogCommand | None:
+def _parse_command(words: Sequence[str]) -> AnyCommand | None:
     """Return the command, or ``None`` when the help was shown."""
-    selected: list[Command | LogCommand] = []
+    selected: list[AnyCommand] = []
     try:
         fire.Fire(
             Commands(selected.append),
@@ -78,6 +87,15 @@
     return selected[0] if selected else None
 
 
+def _check_configuration(options: Options, command: CheckCommand) -> ExitCode:
+    found = command.run()
+    text = found.show()
+    if options.as_json:
+        text = json.dumps(dataclasses.asdict(found), indent=2)
+    sys.stdout.write(f'{text}\n')
+    return ExitCode.REFUSED if found.findings else ExitCode.SUCCESS
+
+
 def _write_answer(options: Options, command: Command, content: Any) -> None:
     if options.as_json:
         text = json.dumps(content, indent=2, sort_keys=True)
--- a/verbenapost/coordination/scheduling/poolstate.py
+++ b/verbenapost/coordination/scheduling/poolstate.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from verbenapost.coordination.scheduling.commands import Command, StopTask
+from verbenapost.coordination.scheduling.interference import Interference
 from verbenapost.coordination.scheduling.jobs import (
     Job,
     StepRun,
@@ -52,6 +53,8 @@
     :param gate: caps of the tenants, shared by the pools of a leader.
     :ivar usage: use of this pool by tenant.
     :ivar has_tenants: whether there has been a job of a tenant.
+    :param interference: the leader's findings of interference, if it detects
+        any.
     :ivar unplaced: long-running tasks for which no worker has capacity.
     :ivar suspects: open jobs under whose tasks workers have crashed.
     :ivar kept_workers: names of the workers that are kept free for a suspect
@@ -59,12 +62,17 @@
     """
 
     def __init__(
-        self, service: str, token: int, gate: QuotaGate | None = None
+        self,
+        service: str,
+        token: int,
+        gate: QuotaGate | None = None,
+        interference: Interference | None = None,
     ) -> None:
         self.service = service
         self.gate = QuotaGate() if gate is None else gate
         self.usage = TenantUsage(self.gate.usage)
         self.has_tenants = False
+        self.interference = interference
         self.workers: dict[str, Worker] = {}
         self.jobs: dict[str, Job] = {}
         self.routes: dict[str, Route] = {}
--- a/verbenapost/scheduler/poolstates.py
+++ b/verbenapost/scheduler/poolstates.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from verbenapost.coordination.scheduling.inheritedusage import InheritedUsage
+from verbenapost.coordination.scheduling.interference import Interference
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.quotas import FindTerms, QuotaGate
 
@@ -12,11 +13,19 @@
 
     :param token: fencing token of the leader that owns the pool states.
     :param find_terms: finds a tenant's terms in the version in force.
+    :param interference: the leader's findings of interference, if it detects
+        any.
     :ivar gate: caps of the tenants over all pools.
     """
 
-    def __init__(self, token: int, find_terms: FindTerms | None = None) -> None:
+    def __init__(
+        self,
+        token: int,
+        find_terms: FindTerms | None = None,
+        interference: Interference | None = None,
+    ) -> None:
         self._token = token
+        self._interference = interference
         self._pool_states: dict[str, PoolState] = {}
         inherited = InheritedUsage(self._pool_states.values)
         self.gate = QuotaGate(find_terms, inherited.count)
@@ -32,7 +41,9 @@
         """Return the state of a service's pool."""
         pool_state = self._pool_states.get(service)
         if pool_state is None:
-            pool_state = PoolState(service, self._token, self.gate)
+            pool_state = PoolState(
+                service, self._token, self.gate, self._interference
+            )
             # The first leader inherits no runs to wait for.
             pool_state.recovering = self._token > 1
             self._pool_states[service] = pool_state
