Capacity: forecast a rise in demand up to the time when VMs have joined

Cause: a pool is sized for the measured rate, and a VM needs some 2.5 s to join, so that jobs of the first seconds of a turn start late. Change: a rise that is unlikely to be chance is extrapolated to the time at which a VM that is ordered now has joined, within bounds.

--- a/verbenapost/coordination/scheduling/demand.py
+++ b/verbenapost/coordination/scheduling/demand.py
@@ -8,6 +8,10 @@
 import dataclasses
 from typing import Final, final
 
+from verbenapost.coordination.scheduling.demandforecast import (
+    Arrival,
+    DemandForecast,
+)
 from verbenapost.coordination.scheduling.jobs import TaskState
 from verbenapost.coordination.scheduling.poolstate import PoolState
 
@@ -31,13 +35,6 @@
 _MILLI: Final = 1000
 
 
-@final
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Arrival:
-    at: float
-    core_seconds: float
-
-
 class DemandMeter:
     """Measures the work that callers request, including refused jobs.
 
@@ -54,7 +51,8 @@
 
     def __init__(self) -> None:
         self.has_demand = False
-        self._arrivals: collections.deque[_Arrival] = collections.deque()
+        self._forecast = DemandForecast()
+        self._arrivals: collections.deque[Arrival] = collections.deque()
         self._recorded_jobs: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -72,7 +70,7 @@
         self._recorded_jobs[job] = None
         if len(self._recorded_jobs) > MAX_REMEMBERED:
             self._recorded_jobs.popitem(last=False)
-        self._arrivals.append(_Arrival(now, core_seconds))
+        self._arrivals.append(Arrival(now, core_seconds))
 
     def read_rate(self, now: float) -> float:
         """Return the rate of incoming work in core-seconds per second."""
@@ -90,6 +88,15 @@
             onset / ONSET_SECONDS * ONSET_WEIGHT,
         )
 
+    def predict_rate(self, now: float, lead: float) -> float:
+        """Return the rate to expect, which is the present one or a higher one.
+
+        :param now: local seconds.
+        :param lead: seconds until a VM that is ordered now has joined.
+        """
+        present = self.read_rate(now)
+        return max(present, self._forecast.predict(self._arrivals, now, lead))
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/verbenapost/scheduler/demands.py
+++ b/verbenapost/scheduler/demands.py
@@ -95,7 +95,7 @@
         now = moment.now
         self._record_due(pool_state, moment)
         load = measure_load(pool_state, moment.wall + self._lead_seconds)
-        rate = self._find_meter(service).read_rate(now)
+        rate = self._find_meter(service).predict_rate(now, self._lead_seconds)
         lasting = _convert_long_running(load, vm_capacity)
         unplaced = [*pool_state.unplaced, *self.blocked.get(service, ())]
         self._log_demand(service, load, rate, unplaced, now)
