--- a/standins/fleet/served.py
+++ b/standins/fleet/served.py
@@ -46,6 +46,9 @@
 #: Worker at whose port a call arrived, if any.
 WORKER = web.RequestKey('worker', FleetWorker)
 
+#: Seconds at which a call arrived, before faults hold it back.
+ARRIVED_AT = web.RequestKey('arrived_at', float)
+
 #: Whether a call takes effect late.
 LATE = web.RequestKey('late', bool)
 
@@ -95,7 +98,6 @@
         self._workers_by_port = {}
         self._transports = weakref.WeakSet()
         self._silenced = weakref.WeakSet()
-        self._leaders = {}
         super().__init__(
             time.monotonic, seed, workers, daemons=0, standby_vms=standby_vms
         )
@@ -131,9 +133,7 @@
         item = self.store.items.get(LEADER_KEY)
         if item is None:
             return None
-        leader = unpack_leadership(item.value)
-        self._leaders[leader.token] = leader.daemon
-        return leader.daemon
+        return unpack_leadership(item.value).daemon
 
     async def wait_list(self, daemon):
         """Wait until a daemon has been sent its next list of VMs."""
@@ -162,6 +162,7 @@
         self._transports.add(transport)
         fields = await request.json() if request.can_read_body else {}
         request[FIELDS] = fields
+        request[ARRIVED_AT] = self.now()
         port = _find_port(transport)
         request[WORKER] = self._workers_by_port.get(port)
         sender = self._daemons.get(port) or self._find_sender(fields)
@@ -185,8 +186,7 @@
 
     def _find_sender(self, fields):
         """Return the daemon that sent a call to a worker, by its token."""
-        self.find_leading()
-        return self._leaders.get(fields.get('fencing_token'))
+        return self.leaders.by_token.get(fields.get('fencing_token'))
 
     async def _list_vms(self, request):
         vms, token = self.cloud.list_page(request.query.get('page_token', ''))
@@ -272,7 +272,7 @@
             fields['deadline_ms'],
             fields['fencing_token'],
         )
-        return self._answer(worker, worker.start(order))
+        return self._answer(worker, worker.start(order, request[ARRIVED_AT]))
 
     async def _stop_run(self, request):
         worker, fields = await self._find_worker(request), request[FIELDS]
--- a/standins/fleet/workers.py
+++ b/standins/fleet/workers.py
@@ -51,12 +51,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunStarted:
-    """A run started."""
+    """A run started.
+
+    :param ordered_at: seconds at which the order was sent.
+    :param token: fencing token of the leader that sent the order.
+    """
 
     at: float
     worker: str
     task: object
     run: int
+    ordered_at: float = 0
+    token: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -193,8 +199,12 @@
             if task_run.ends_at <= now:
                 self._end(task, task_run.kind)
 
-    def start(self, order):
-        """Start a run, or return why it is refused."""
+    def start(self, order, ordered_at):
+        """Start a run, or return why it is refused.
+
+        :param order: the order.
+        :param ordered_at: seconds at which the order was sent.
+        """
         self.advance()
         if order.token < self.token:
             return self._refuse(CallFaultKind.FENCED)
@@ -211,7 +221,14 @@
         ends_at = self.world.now() + seconds
         self.runs[order.task] = _Run(order.run, ends_at, kind, self.world.now())
         self.world.history.append(
-            RunStarted(self.world.now(), self.name, order.task, order.run),
+            RunStarted(
+                self.world.now(),
+                self.name,
+                order.task,
+                order.run,
+                ordered_at,
+                order.token,
+            ),
         )
         if self.world.is_crashing(order.task):
             asyncio.get_running_loop().call_later(
@@ -315,8 +332,9 @@
 
     async def start(self, worker, order):
         """Start a run."""
+        ordered_at = self.world.now()
         return await self._send_order(
-            worker, lambda fleet_worker: fleet_worker.start(order)
+            worker, lambda fleet_worker: fleet_worker.start(order, ordered_at)
         )
 
     async def stop(self, worker, task, run, token):
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -7,6 +7,15 @@
 from result import Err, Ok
 
 from standins.fleet.cloud import FleetCloud, FleetCloudCore
+from standins.fleet.configurations import (
+    HOST,
+    PREFIX,
+    SERVICE,
+    STANDBY,
+    ConfirmedVersion,
+    encode_configuration,
+)
+from standins.fleet.leaders import LeaderRecord
 from standins.fleet.store import FleetStore, FleetStoreCore
 from standins.fleet.waves import read_wave_change
 from standins.fleet.workers import FleetWorker, FleetWorkers
@@ -24,10 +33,6 @@
 from verbenapost.scheduler.storecalls import StoreCallObserver
 from verbenapost.state.resources import Resources
 
-HOST = 'host'
-PREFIX = '/plan/'
-SERVICE = 'routing'
-STANDBY = 'spare'
 WORKER_CAPACITY = Resources(8000, 8000)
 
 
@@ -101,6 +106,8 @@
 
     :param standby_vms: VMs that are off, or ``None`` without a cloud.
     :ivar accepted: steps of the accepted jobs, by job.
+    :ivar versions: versions of the configuration, as the store confirmed them.
+    :ivar leaders: daemons that led.
     :ivar wave_history: VMs and maintenance waves, as events in order.
     :ivar cloud: the simulated cloud, if any.
     """
@@ -110,11 +117,14 @@
         self.rng = random.Random(seed)
         self.history = []
         self.accepted = {}
+        self.versions = []
+        self.leaders = LeaderRecord()
         self.cancelled = set()
         self.replaced = set()
         self.wave_history = []
         self.store = FleetStoreCore(now, seed)
         self.store.observers.append(self._record_wave)
+        self.store.observers.append(self.leaders.observe)
         self.workers = {
             f'w{index}': FleetWorker(
                 self, f'w{index}', SERVICE, WORKER_CAPACITY
@@ -164,33 +174,25 @@
         self.store.write(f'op/wave/{number}', json.dumps(fields).encode())
 
     def configure(
-        self, version=1, max_attempts=3, *, removed=False, standby=True
+        self,
+        version=1,
+        max_attempts=3,
+        *,
+        removed=False,
+        standby=True,
+        tenants=None,
     ):
         """Write the operators' configuration.
 
         :param removed: whether the configuration is without the queue.
         :param standby: whether there is a pool of VMs that are off.
+        :param tenants: the tenants, or ``None`` if no keys are needed.
         """
-        route = {
-            'name': 'plan',
-            'hostname': HOST,
-            'prefix': PREFIX,
-            'service': SERVICE,
-            'priority': 0,
-            'max_attempts': max_attempts,
-            'slack_factor': 1.6,
-            'target_latency_ms': 600,
-        }
-        services = [{'name': SERVICE}]
-        if standby:
-            services.append({'name': STANDBY, 'standby': True})
-        fields = {
-            'version': version,
-            'routes': [] if removed else [route],
-            'services': services,
-            'limits': {},
-        }
-        self.store.write('op/config', json.dumps(fields).encode())
+        packed = encode_configuration(
+            version, max_attempts, removed, standby, tenants
+        )
+        self.store.write('op/config', packed)
+        self.versions.append(ConfirmedVersion(self.now(), version, tenants))
 
     def draw_run(self, worker, task):
         """Draw the duration of a run in seconds, and how the run ends.
