Soak: tenants, changes of keys and caps, and floods

Cause: no soak run had callers with keys, so that a daemon that admits a removed key, or a leader that exceeds a cap, was not seen. Faults of such runs replace a key, halve a cap, remove a tenant and let one tenant send five times its load; they are drawn three times as often as the others. Some requests have no key, a malformed header, or a key that was removed or never existed. Violations are printed for each rule. In virtual time a caller may send a key; it reaches the entry once its requests have the field.

--- a/examples/histories/fleetnemesis.py
+++ b/examples/histories/fleetnemesis.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from examples.histories.fleetsite import FleetSoak
+from standins.fleet.tenanthistory import Disturbance
 from standins.fleet.world import SERVICE
 
 #: VMs of a wave, and those that may be down at the same time.
@@ -51,10 +52,19 @@
 def _disturb(soak: FleetSoak, name: str) -> Iterator[None]:
     """Let no other fault meet a daemon meanwhile."""
     soak.disturbed.add(name)
-    yield
+    with _record_disturbance(soak, name):
+        yield
     soak.disturbed.discard(name)
 
 
+@contextlib.contextmanager
+def _record_disturbance(soak: FleetSoak, name: str = '') -> Iterator[None]:
+    """Record the span of a fault of one daemon, or of all."""
+    start = soak.world.now()
+    yield
+    soak.disturbances.append(Disturbance(start, soak.world.now(), name))
+
+
 async def _end_daemon(soak: FleetSoak, number: int) -> None:
     name = soak.choose_daemon()
     if name is None:
@@ -100,8 +110,9 @@
     kind = soak.rng.choice(('down', 'lose', 'late', 'latency'))
     before = getattr(faults, kind)
     setattr(faults, kind, {'down': True, 'latency': 0.2}.get(kind, 0.3))
-    await asyncio.sleep(soak.rng.uniform(0.5, 3))
-    setattr(faults, kind, before)
+    with _record_disturbance(soak):
+        await asyncio.sleep(soak.rng.uniform(0.5, 3))
+        setattr(faults, kind, before)
 
 
 @register_fault
@@ -124,7 +135,8 @@
 @register_fault
 async def silence(soak: FleetSoak) -> None:
     """Let all open connections go silent."""
-    soak.world.silence_connections()
+    with _record_disturbance(soak):
+        soak.world.silence_connections()
 
 
 @register_fault
--- a/examples/histories/fleetsoak.py
+++ b/examples/histories/fleetsoak.py
@@ -20,6 +20,8 @@
 from examples.histories import workerfaults  # noqa: F401, registers faults
 from examples.histories.fleetnemesis import FAULTS, WAVE_CAP
 from examples.histories.fleetsite import DAEMONS, FleetSoak
+from examples.histories.fleettenants import SoakTenants
+from examples.histories.tenantfaults import weigh_kinds
 from examples.processes import ProcessGroup
 from standins.fleet.rules import Violation, find_violations
 from standins.fleet.served import ServedWorld
@@ -43,16 +45,23 @@
 JOB_SECONDS = 0.13
 FAULT_PAUSE_SECONDS = 2.0
 
+#: Mean seconds between two requests with a key that may not be valid.
+ODD_SECONDS = 0.3
+
+#: Runs of every third seed have no tenants.
+TENANT_SEEDS = 3
+
 #: Seconds after the faults within which all jobs are completed.
 SETTLE_SECONDS = 40.0
 
-#: Violations that are printed.
-MAX_PRINTED = 8
+#: Violations of each rule that are printed.
+MAX_PRINTED = 3
 
 SHORT_STEPS = [
     {'count': 4, 'cpu': 2000, 'mem_mb': 100},
     {'count': 2, 'cpu': 1000, 'mem_mb': 100, 'after': [0]},
 ]
+ODD_STEPS = [{'count': 1, 'cpu': 1000, 'mem_mb': 100}]
 LONG_STEPS = [
     {
         'count': 5,
@@ -77,22 +86,53 @@
     while time.monotonic() < until:
         burst_end = time.monotonic() + BURST_SECONDS
         while time.monotonic() < burst_end:
-            job = f'{soak.rng.getrandbits(60):016x}'
-            calls.append(
-                asyncio.ensure_future(soak.submit(session, job, SHORT_STEPS))
+            calls.extend(
+                asyncio.ensure_future(_submit_short(soak, session, sender))
+                for sender in _draw_senders(soak)
             )
             await asyncio.sleep(JOB_SECONDS * 2 * soak.rng.random())
         await asyncio.sleep(QUIET_SECONDS)
     await asyncio.gather(*calls)
 
 
+def _draw_senders(soak: FleetSoak) -> list[str]:
+    return [''] if soak.tenants is None else soak.tenants.draw_senders()
+
+
+async def _submit_short(
+    soak: FleetSoak, session: aiohttp.ClientSession, tenant: str
+) -> None:
+    job = f'{soak.rng.getrandbits(60):016x}'
+    await soak.submit(session, job, SHORT_STEPS, tenant)
+
+
+async def _send_odd_requests(
+    soak: FleetSoak, session: aiohttp.ClientSession, until: float
+) -> None:
+    """Send requests without a key, or with one that may not be valid."""
+    tenants = soak.tenants
+    while tenants is not None and time.monotonic() < until:
+        header, owner = tenants.draw_odd_header()
+        job = f'{tenants.rng.getrandbits(60):016x}'
+        method = tenants.rng.choice(('GET', 'POST'))
+        if method == 'POST':
+            soak.world.accepted[job] = ODD_STEPS
+        if method == 'POST' and owner:
+            tenants.owners[job] = owner
+        body = {'spec': 'text', 'steps': ODD_STEPS}
+        status, _ = await soak.call(session, method, PREFIX + job, body, header)
+        soak.counts[f'odd request {status}'] += 1
+        await asyncio.sleep(ODD_SECONDS * 2 * tenants.rng.random())
+
+
 async def _disturb(
     soak: FleetSoak, kinds: tuple[str, ...], until: float
 ) -> None:
     """Start faults, which overlap, and wait until all are over."""
     running = []
+    drawn = weigh_kinds(kinds, tenants=soak.tenants is not None)
     while time.monotonic() < until:
-        kind = soak.rng.choice(kinds)
+        kind = soak.rng.choice(drawn)
         soak.counts[kind] += 1
         running.append(asyncio.ensure_future(FAULTS[kind](soak)))
         await asyncio.sleep(FAULT_PAUSE_SECONDS * 2 * soak.rng.random())
@@ -110,7 +150,7 @@
             if steps is LONG_STEPS:
                 done = _count_runs(soak.world, job) == steps[0]['count']
             else:
-                answer = await soak.call(session, 'GET', PREFIX + job, None)
+                answer = await soak.call_for_job(session, 'GET', job, None)
                 done = answer == (200, '{"state":"completed"}')
             if done:
                 left.pop(job)
@@ -147,7 +187,13 @@
 
 
 async def run_soak(
-    seed: int, seconds: float, kinds: tuple[str, ...], code: Path, logs: Path
+    seed: int,
+    seconds: float,
+    kinds: tuple[str, ...],
+    code: Path,
+    logs: Path,
+    *,
+    tenants: bool,
 ) -> tuple[list[Violation], collections.Counter[str]]:
     """Run daemons under faults.
 
@@ -156,12 +202,15 @@
     :param kinds: names of the faults.
     :param code: folder of the project whose daemons run.
     :param logs: folder for logs and settings.
+    :param tenants: whether callers belong to tenants and need keys.
     :returns: the violations of rules, and what happened.
     """
     world = ServedWorld(seed, DAEMONS, VMS, STANDBY_VMS)
     await world.start()
     processes = ProcessGroup(logs)
     soak = FleetSoak(world, processes, random.Random(seed), code, logs)
+    if tenants:
+        soak.tenants = SoakTenants(world, random.Random(f'tenants {seed}'))
     timeout = aiohttp.ClientTimeout(total=4)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -170,7 +219,9 @@
                 await asyncio.sleep(0.1)
             until = time.monotonic() + seconds
             await asyncio.gather(
-                _load(soak, session, until), _disturb(soak, kinds, until)
+                _load(soak, session, until),
+                _send_odd_requests(soak, session, until),
+                _disturb(soak, kinds, until),
             )
             lost = await _find_lost(soak, session)
     finally:
@@ -183,6 +234,8 @@
         *find_wave_violations(world.wave_history),
         *lost,
     ]
+    if soak.tenants is not None:
+        found += soak.tenants.find_violations(soak.disturbances)
     soak.counts['accepted'] = len(soak.accepted)
     soak.counts['events'] = len(world.history)
     soak.counts['maintained'] = len(world.cloud.maintained)
@@ -196,6 +249,7 @@
     faults: str = '',
     code: str = '.',
     logs: str = '',
+    tenants: bool | None = None,  # noqa: FBT001, an option of the command
 ) -> None:
     """Run the platform's daemons under faults and check the history.
 
@@ -204,25 +258,36 @@
     :param faults: names of faults, joined by commas; all when empty.
     :param code: folder of the project whose daemons run.
     :param logs: folder that keeps the logs of the processes.
+    :param tenants: whether callers belong to tenants; by the seed when not
+        given.
     """
     if seed is None:
         seed = random.SystemRandom().randrange(1_000_000)
     names = faults if isinstance(faults, str) else ','.join(faults)
     kinds = tuple(names.split(',')) if names else tuple(FAULTS)
-    sys.stdout.write(f'seed {seed}, {minutes} minutes\n')
+    if tenants is None:
+        tenants = seed % TENANT_SEEDS != 0
+    sys.stdout.write(f'seed {seed}, {minutes} minutes, tenants {tenants}\n')
     sys.stdout.flush()
     with tempfile.TemporaryDirectory(prefix='verbenapost-') as folder:
         log_folder = Path(logs or folder).resolve()
         log_folder.mkdir(parents=True, exist_ok=True)
         found, counts = asyncio.run(
             run_soak(
-                seed, minutes * 60, kinds, Path(code).resolve(), log_folder
+                seed,
+                minutes * 60,
+                kinds,
+                Path(code).resolve(),
+                log_folder,
+                tenants=tenants,
             )
         )
     lines = [f'{name}: {count}' for name, count in sorted(counts.items())]
     rules = collections.Counter(row.rule for row in found)
-    lines += [f'violations of {rule}: {count}' for rule, count in rules.items()]
-    lines += [f'    {row.rule}: {row.detail}' for row in found[:MAX_PRINTED]]
+    for rule, count in rules.items():
+        lines.append(f'violations of {rule}: {count}')
+        details = [row.detail for row in found if row.rule == rule]
+        lines += [f'    {detail}' for detail in details[:MAX_PRINTED]]
     lines.append('violated' if found else 'held')
     sys.stdout.write('\n'.join([*lines, '']))
     sys.exit(1 if found else 0)
--- a/examples/histories/tests/test_fleetsoak.py
+++ b/examples/histories/tests/test_fleetsoak.py
@@ -15,7 +15,7 @@
 
     async def test_rules_hold(self, tmp_path):
         found, counts = await run_soak(
-            4, SECONDS, tuple(FAULTS), ROOT, tmp_path
+            4, SECONDS, tuple(FAULTS), ROOT, tmp_path, tenants=False
         )
         assert counts['accepted'] > 10
         assert sum(counts[kind] for kind in FAULTS) > 5
--- a/standins/fleet/tenanthistory.py
+++ b/standins/fleet/tenanthistory.py
@@ -66,6 +66,7 @@
     leaders: dict = dataclasses.field(default_factory=dict)
     disturbances: list = dataclasses.field(default_factory=list)
     overage: float = 0
+    _last_moments: dict = dataclasses.field(default_factory=dict, init=False)
 
     def find_possible(self, daemon, start, end):
         """Return the versions that may be in force at a daemon.
@@ -74,11 +75,16 @@
         :param start: start of the span in which the daemon answers.
         :param end: end of that span.
         """
+        if daemon not in self._last_moments:
+            self._last_moments[daemon] = [
+                self._find_last_moment(index, daemon)
+                for index in range(len(self.versions))
+            ]
+        rows = zip(self.versions, self._last_moments[daemon], strict=True)
         return [
             version
-            for index, version in enumerate(self.versions)
-            if version.at <= end
-            and self._find_last_moment(index, daemon) >= start
+            for version, last_moment in rows
+            if version.at <= end and last_moment >= start
         ]
 
     def find_cap(self, tenant, versions):
--- a/standins/fleet/world.py
+++ b/standins/fleet/world.py
@@ -1,6 +1,7 @@
 """Simulated deployment in virtual time: store, workers and daemons."""
 
 import asyncio
+import dataclasses
 import json
 import random
 
@@ -231,19 +232,24 @@
                 return daemon
         return None
 
-    async def submit(self, job, steps, daemon='d0'):
+    async def submit(self, job, steps, daemon='d0', authorization=''):
         """Submit a job and record the job when it is accepted."""
         body = json.dumps({'spec': f'text {job}', 'steps': steps}).encode()
-        answer = await self.call('POST', job, body, daemon)
+        answer = await self.call('POST', job, body, daemon, authorization)
         if answer.status == 200:
             self.accepted[job] = steps
         return answer
 
-    async def call(self, method, job='', body=b'', daemon='d0'):
+    async def call(
+        self, method, job='', body=b'', daemon='d0', authorization=''
+    ):
         """Send a request to a daemon and return its answer."""
         request = EntryRequest(
             method, HOST, f'{PREFIX}{job}', body, self.now() + 3
         )
+        # An entry of a version without API keys has no such field.
+        if hasattr(request, 'authorization'):
+            request = dataclasses.replace(request, authorization=authorization)
         return await self.daemons[daemon].entry.serve(request)
 
     async def close(self):
