--- a/examples/histories/fleettenants.py
+++ b/examples/histories/fleettenants.py
@@ -25,6 +25,9 @@
 #: Keys of each tenant.
 KEYS = 2
 
+#: Newest removed keys that callers go on to use.
+REMOVED_KEYS = 4
+
 FLOODING = 'tenant-0'
 
 TENANTS = (
@@ -101,8 +104,10 @@
     def draw_odd_header(self) -> tuple[str, str]:
         """Return a header that may not be valid, and its tenant if any."""
         never = self._draw_key()
-        key = self.rng.choice([never, *list(self._removed_keys)[-KEYS:]])
-        header = self.rng.choice(('', f'Bearer {key}', _SCHEME + key))
+        removed = list(self._removed_keys)[-REMOVED_KEYS:]
+        key = self.rng.choice([never, *removed])
+        token = _SCHEME + key
+        header = self.rng.choice(('', f'Bearer {key}', token, token))
         owner = self._removed_keys.get(key, '')
         return header, owner if header.startswith(_SCHEME) else ''
 
