Soak: 90 s until all jobs are completed in runs with tenants

Change: runs with tenants wait 90 s at most; those without keep 40 s. The module of tenants draws the requests with odd keys.

--- a/examples/histories/fleettenants.py
+++ b/examples/histories/fleettenants.py
@@ -28,6 +28,10 @@
 #: Newest removed keys that callers go on to use.
 REMOVED_KEYS = 4
 
+#: Seconds after the faults within which all jobs are completed. A flood leaves
+#: accepted jobs that run one after another under the tenant's cap.
+SETTLE_SECONDS = 90.0
+
 FLOODING = 'tenant-0'
 
 TENANTS = (
@@ -36,9 +40,21 @@
     ConfiguredTenant('tenant-2', (), 2, Resources(0, 900, 0)),
 )
 
+ODD_STEPS = [{'count': 1, 'cpu': 1000, 'mem_mb': 100}]
+
 _SCHEME = 'Token '
 
 
+@dataclasses.dataclass(frozen=True)
+class OddRequest:
+    """A request about a new job, with a header that may not be valid."""
+
+    method: str
+    job: str
+    header: str
+    body: dict[str, Any]
+
+
 class SoakTenants:
     """Configured tenants of one run and what their callers did.
 
@@ -101,15 +117,17 @@
         """Return the header with a key of a tenant."""
         return _SCHEME + self.rng.choice(self._keys[name])
 
-    def draw_odd_header(self) -> tuple[str, str]:
-        """Return a header that may not be valid, and its tenant if any."""
-        never = self._draw_key()
-        removed = list(self._removed_keys)[-REMOVED_KEYS:]
-        key = self.rng.choice([never, *removed])
-        token = _SCHEME + key
-        header = self.rng.choice(('', f'Bearer {key}', token, token))
-        owner = self._removed_keys.get(key, '')
-        return header, owner if header.startswith(_SCHEME) else ''
+    def draw_odd_request(self) -> OddRequest:
+        """Return a request without a key or with one that may not be valid."""
+        header, owner = self._draw_odd_header()
+        job = f'{self.rng.getrandbits(60):016x}'
+        method = self.rng.choice(('GET', 'POST'))
+        if method == 'POST':
+            self._world.accepted[job] = ODD_STEPS
+        if method == 'POST' and owner:
+            self.owners[job] = owner
+        body = {'spec': 'text', 'steps': ODD_STEPS}
+        return OddRequest(method, job, header, body)
 
     def record(
         self, path: str, header: str, daemon: str, sent_at: float, status: int
@@ -140,6 +158,16 @@
         )
         return find_tenant_violations(history)
 
+    def _draw_odd_header(self) -> tuple[str, str]:
+        """Return a header that may not be valid, and its tenant if any."""
+        never = self._draw_key()
+        removed = list(self._removed_keys)[-REMOVED_KEYS:]
+        key = self.rng.choice([never, *removed])
+        token = _SCHEME + key
+        header = self.rng.choice(('', f'Bearer {key}', token, token))
+        owner = self._removed_keys.get(key, '')
+        return header, owner if header.startswith(_SCHEME) else ''
+
     def _make_entry(self, row: ConfiguredTenant) -> ConfiguredTenant:
         part = 2 if row.name in self.lowered else 1
         cap = Resources(row.cap.cpu // part, row.cap.memory // part, 0)
