--- a/verbenapost/scheduler/tests/test_authentication.py
+++ b/verbenapost/scheduler/tests/test_authentication.py
@@ -6,6 +6,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from standins.fleet.configurations import ConfiguredTenant
 from verbenapost.protocol.orders import KeyChange, KeyValue
 from verbenapost.scheduler.answers import EntryRequest
 from verbenapost.scheduler.keys import make_cancel_key, make_spec_key
@@ -16,6 +17,7 @@
     name_long_running,
     wait_for_leader,
 )
+from verbenapost.state.resources import Resources
 from verbenapost.state.submissions import unpack_job
 
 JOB = name_job(1)
@@ -28,11 +30,11 @@
 
 
 def make_tenants(**keys_by_name):
-    cap = {'cpu': 90000, 'mem_mb': 90000, 'gpu': 0}
-    return [
-        {'name': name, 'api_keys': keys, 'weight': 3, 'cap': cap}
+    cap = Resources(90000, 90000)
+    return tuple(
+        ConfiguredTenant(name, tuple(keys), 3, cap)
         for name, keys in keys_by_name.items()
-    ]
+    )
 
 
 TENANTS = make_tenants(one=[KEY, SECOND_KEY], two=[OTHER_KEY])
