--- a/verbenapost/coordination/scheduling/tests/test_flood.py
+++ b/verbenapost/coordination/scheduling/tests/test_flood.py
@@ -1,8 +1,7 @@
 """Replay of a flood: one tenant sends five times its usual load.
 
-The pool has a fixed number of VMs and is full without the flood: its usual load
-is 4% above what 400 tasks of one second can do. What the others see must be
-nearly the same with the flood.
+The pool has a fixed number of VMs that can run 400 tasks of one second at a
+time. What the other tenants see must be nearly the same with the flood.
 """
 
 import heapq
@@ -39,8 +38,10 @@
 WIDTH = 4
 TENANTS = 8
 
-#: Jobs in a second of each tenant; the run time of a task is 1 s on average.
-RATE = 13.0
+#: Jobs in a second of each tenant, four tasks each, at which the pool is full
+#: without the flood, and nearly full.
+FULL_RATE = 13.0
+NEARLY_FULL_RATE = 12.0
 FLOOD = 5.0
 SECONDS = 40.0
 WARM_UP = 5.0
@@ -50,15 +51,15 @@
 RETRIES = 4
 
 
-def make_arrivals(seed, flood):
+def make_arrivals(seed, rate, flood):
     """Return the times of all jobs; those of the other tenants never change."""
     arrivals = []
     for tenant in range(TENANTS):
         rng = random.Random(f'{seed} {tenant}')
-        rate = RATE * (flood if tenant == 0 else 1)
+        own_rate = rate * (flood if tenant == 0 else 1)
         at = 0.0
         for number in itertools.count():
-            at += rng.expovariate(rate)
+            at += rng.expovariate(own_rate)
             if at > SECONDS:
                 break
             job = f'{tenant:04x}{number:012x}'
@@ -69,8 +70,9 @@
 class Replay:
     """One pool under a load, in virtual time."""
 
-    def __init__(self, seed, flood):
-        self.events = make_arrivals(seed, flood)
+    def __init__(self, seed, rate, flood=1.0):
+        self.rate = rate
+        self.events = make_arrivals(seed, rate, flood)
         heapq.heapify(self.events)
         self.pool_state = make_pool_state(
             *(
@@ -97,7 +99,7 @@
 
     def submit(self, now, job, tenant, retries):
         self.submitted_at.setdefault(job, now)
-        terms = TenantTerms(f't{tenant}', RATE)
+        terms = TenantTerms(f't{tenant}', self.rate)
         moment = Moment(now, now)
         decision = self.admission.decide(
             self.pool_state,
@@ -134,9 +136,16 @@
         return waits[len(waits) * 99 // 100], lost, len(waits)
 
 
-@pytest.mark.parametrize('seed', [0, 1])
-def test_the_waits_of_others_change_by_a_tenth_at_most(seed):
-    usual = Replay(seed, 1).run().measure()
-    flooded = Replay(seed, FLOOD).run().measure()
-    assert flooded[0] <= usual[0] * 1.1
-    assert flooded[1] <= usual[1] + flooded[2] // 100
+@pytest.mark.parametrize(
+    ('seed', 'rate'),
+    [(0, FULL_RATE), (1, FULL_RATE), (0, NEARLY_FULL_RATE)],
+)
+class TestFlood:
+    """Guards against a tenant whose flood delays the jobs of the others."""
+
+    def test_the_others_hardly_notice(self, seed, rate):
+        usual = Replay(seed, rate).run().measure()
+        flooded = Replay(seed, rate, FLOOD).run().measure()
+        assert flooded[0] <= usual[0] * 1.1
+        # Whether a retry finds capacity is a matter of chance.
+        assert flooded[1] <= usual[1] + flooded[2] // 100
