Limits: crowds of clients that a daemon does not withstand

Cause: clients that exceed the limits have ended a process by its memory, and no test shows it.

Change: examples/limits starts the platform's daemon or verbenapostd on loopback, lets a crowd of connections send to one listener and checks that the process lives, that the peak of its memory and its descriptors stay under a bound while the connections are open, and that an ordinary request is answered afterwards.

--- /dev/null
+++ b/examples/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Real daemons under clients that exceed the limits."""
--- /dev/null
+++ b/examples/limits/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daemons under clients that exceed the limits."""
--- /dev/null
+++ b/examples/limits/tests/test_limits.py
@@ -0,0 +1,179 @@
+"""Guards against clients whose requests end a daemon by its memory.
+
+Each test starts a daemon, lets one crowd send to one listener, and checks what
+the daemon holds while the connections of the crowd are open.
+"""
+
+import asyncio
+import sys
+
+import aiohttp
+import pytest
+
+from examples.limits.crowd import CROWDS, open_crowd
+from examples.limits.daemons import (
+    FLEET_DAEMON,
+    OTHER_DAEMON,
+    count_descriptors,
+    lower_descriptors,
+    read_peak_bytes,
+    start_fleet_daemon,
+    start_other_daemon,
+)
+from examples.ports import LOOPBACK
+from examples.processes import ProcessGroup
+from standins.fleet.served import ServedWorld
+from standins.fleet.world import HOST, PREFIX
+
+#: Bytes by which a crowd may raise the peak of the resident memory.
+GROWTH_BYTES = 24_000_000
+
+#: Descriptors beside those of the crowd's connections.
+OWN_DESCRIPTORS = 64
+
+#: Descriptors that the daemon may open in the test of many connections, and
+#: those that callers must leave to the rest of it.
+DESCRIPTORS = 128
+FREE_DESCRIPTORS = 16
+
+#: Seconds between the last bytes of a crowd and the measurement.
+SETTLE_SECONDS = 2.0
+
+#: Pairs of a crowd and a listener of the platform's daemon.
+FLEET_CASES = [
+    ('head', 'callers'),
+    ('header_lines', 'callers'),
+    ('empty_lines', 'callers'),
+    ('trailers', 'callers'),
+    ('requests', 'callers'),
+    ('body', 'callers'),
+    ('slow_heads', 'callers'),
+    ('parts_of_heads', 'callers'),
+    ('header_lines', 'probes'),
+    ('header_lines', 'metrics'),
+    ('peer_message', 'peers'),
+]
+
+#: Likewise of ``verbenapostd``.
+OTHER_CASES = [
+    ('header_lines', 'callers'),
+    ('trailers', 'callers'),
+    ('requests', 'callers'),
+    ('peer_message', 'peers'),
+]
+
+
+@pytest.fixture
+def processes(tmp_path):
+    group = ProcessGroup(tmp_path)
+    yield group
+    group.stop_all()
+
+
+@pytest.fixture
+async def world():
+    served = ServedWorld(1, [FLEET_DAEMON], 2, 2)
+    await served.start()
+    yield served
+    await served.close()
+
+
+async def ask(method, url, **options):
+    """Return the status of a request over a new connection, 0 without one."""
+    timeout = aiohttp.ClientTimeout(total=4)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(method, url, **options) as response,
+        ):
+            return response.status
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return 0
+
+
+async def submit(port, job):
+    """Return whether a daemon accepts a job, which it is asked repeatedly."""
+    url = f'http://{LOOPBACK}:{port}{PREFIX}{job}'
+    steps = [{'count': 1, 'cpu': 1000, 'mem_mb': 100}]
+    for _ in range(60):
+        status = await ask(
+            'POST',
+            url,
+            json={'spec': 'text', 'steps': steps},
+            headers={'Host': HOST},
+        )
+        if status == 200:
+            return True
+        await asyncio.sleep(0.25)
+    return False
+
+
+async def check_live(port):
+    """Return whether ``verbenapostd`` answers, which is asked repeatedly."""
+    for _ in range(60):
+        if await ask('GET', f'http://{LOOPBACK}:{port}/-/live') == 200:
+            return True
+        await asyncio.sleep(0.25)
+    return False
+
+
+async def press(kind, port, pid):
+    """Return growth and descriptors while the crowd's connections are open."""
+    before = read_peak_bytes(pid)
+    crowd = CROWDS[kind]
+    clients = await open_crowd(crowd, LOOPBACK, port)
+    # The last bytes may still be in the buffers of the sockets.
+    await asyncio.sleep(SETTLE_SECONDS)
+    growth = read_peak_bytes(pid) - before
+    descriptors = count_descriptors(pid)
+    for client in clients:
+        client.close()
+    shown = f'{kind}: {growth} bytes more, {descriptors} descriptors'
+    sys.stdout.write(f'{shown}\n')
+    return growth, descriptors
+
+
+class TestFleetDaemon:
+    """The platform's daemon keeps its memory under each crowd."""
+
+    @pytest.mark.parametrize(('kind', 'listener'), FLEET_CASES)
+    async def test_it_stays_within_its_memory(
+        self, kind, listener, world, processes, tmp_path
+    ):
+        ports = start_fleet_daemon(world, processes, tmp_path)
+        assert await submit(ports['callers'], '00000000000000a1')
+        pid = processes.find_pid(FLEET_DAEMON)
+        growth, descriptors = await press(kind, ports[listener], pid)
+        assert processes.is_running(FLEET_DAEMON)
+        assert growth < GROWTH_BYTES
+        assert descriptors < CROWDS[kind].clients + OWN_DESCRIPTORS
+        assert await submit(ports['callers'], '00000000000000a2')
+
+    async def test_connections_leave_descriptors_for_other_uses(
+        self, world, processes, tmp_path
+    ):
+        with lower_descriptors(DESCRIPTORS):
+            ports = start_fleet_daemon(world, processes, tmp_path)
+        assert await submit(ports['callers'], '00000000000000a1')
+        pid = processes.find_pid(FLEET_DAEMON)
+        _, descriptors = await press('connections', ports['callers'], pid)
+        assert processes.is_running(FLEET_DAEMON)
+        assert descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
+        assert await submit(ports['callers'], '00000000000000a2')
+
+
+class TestOtherDaemon:
+    """``verbenapostd`` keeps its memory under each crowd."""
+
+    @pytest.mark.parametrize(('kind', 'listener'), OTHER_CASES)
+    async def test_it_stays_within_its_memory(
+        self, kind, listener, processes, tmp_path
+    ):
+        ports = start_other_daemon(processes, tmp_path)
+        assert await check_live(ports['callers'])
+        pid = processes.find_pid(OTHER_DAEMON)
+        growth, descriptors = await press(kind, ports[listener], pid)
+        assert processes.is_running(OTHER_DAEMON)
+        assert growth < GROWTH_BYTES
+        assert descriptors < CROWDS[kind].clients + OWN_DESCRIPTORS
+        assert await check_live(ports['callers'])
