Limits: a guard for clients, streams and answers that exceed them

Cause: the parser keeps a head until it ends, and the server library queues each request that is sent ahead. So a few connections fill the memory of a daemon, and enough connections take all of its descriptors. Peers before their handshake and answers of servers have no limit either.

Change: both daemons serve HTTP through GuardedProtocol, a subclass of uvicorn's protocol that feeds the parser in slices, checks limits between them and stops reading while requests wait. A guard for each listener limits the connections, the bytes of all unfinished heads and waiting requests, unread responses and the time for a head and for progress. Refused connections get the status of their cause, are counted (verbenapost_refused_connections_total) and logged at most once a second by reason. Streams of peers are limited before their handshake, and answers of servers to connection_limits.answer_bytes. A listener accepts few connections at a time, since asyncio otherwise accepts as many as its backlog before one of them can be refused.

--- a/verbenapost/daemon/assembly.py
+++ b/verbenapost/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Factory functions for the parts of a daemon."""
 
+import dataclasses
 import random
 import time
 
@@ -17,8 +18,11 @@
     CallerLimits,
     RequestServer,
 )
+from verbenapost.transport.guard import Guard, count_connections
+from verbenapost.transport.handshakes import Handshakes
 from verbenapost.transport.network import PeerNetwork
 from verbenapost.transport.peers import Deliver, Identity
+from verbenapost.transport.refusals import Refusals
 from verbenapost.transport.store import HttpStoreClient, StoreSettings
 from verbenapost.transport.targets import TargetClient, TargetLimits
 
@@ -30,11 +34,13 @@
     settings: Settings,
     incarnation: str,
     deliver: Deliver,
+    refusals: Refusals,
 ) -> PeerNetwork:
     """Return the network of peer streams.
 
     :param incarnation: random identifier chosen at each process start.
     :param deliver: called with the sender and the message.
+    :param refusals: counts the refused connections.
     """
     key = settings.peer_key
     secret = '' if key is None else key.get_secret_value()
@@ -42,12 +48,18 @@
     addresses = {
         peer.name: (str(peer.address), peer.port) for peer in settings.peers
     }
-    return PeerNetwork(identity, addresses, deliver)
+    handshakes = Handshakes(settings.connection_limits.handshakes, refusals)
+    return PeerNetwork(identity, addresses, deliver, handshakes)
 
 
 def make_store(settings: Settings) -> HttpStoreClient:
     """Return the client for the platform's store."""
-    return HttpStoreClient(StoreSettings(url=settings.store.url))
+    return HttpStoreClient(
+        StoreSettings(
+            url=settings.store.url,
+            answer_bytes=settings.connection_limits.answer_bytes,
+        )
+    )
 
 
 def make_targets(settings: Settings) -> TargetClient:
@@ -74,6 +86,26 @@
     )
 
 
+def make_guard(settings: Settings, refusals: Refusals) -> Guard:
+    """Return the guard of the listener for callers and operators.
+
+    The limits on one request and on the callers' connections, which the
+    settings had before the guard, are kept.
+
+    :param refusals: counts the refused connections.
+    """
+    limits = settings.connection_limits
+    derived = count_connections(limits.descriptors)
+    fitted = dataclasses.replace(
+        limits,
+        head_bytes=max(limits.head_bytes, settings.limits.header_bytes),
+        connections=(
+            limits.connections or min(derived, settings.limits.connections)
+        ),
+    )
+    return Guard('callers', fitted, refusals)
+
+
 def make_configuration(
     store: StorePort,
     incarnation: str,
--- a/verbenapost/daemon/baseparts.py
+++ b/verbenapost/daemon/baseparts.py
@@ -14,11 +14,14 @@
     make_network,
     make_store,
 )
+from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.membership import MemberHost
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.daemon.routing import MessageRouter
 from verbenapost.daemon.settings import Settings
+from verbenapost.daemon.timers import read_clock
 from verbenapost.daemon.vmrelay import VmRelay
+from verbenapost.transport.refusals import Refusals
 
 #: Random bytes in an incarnation, the identifier of one process start.
 INCARNATION_BYTES = 6
@@ -40,11 +43,13 @@
         self.timers = TimerService()
         self.roster = Roster(settings.name)
         self.applied = AppliedTable()
+        self.refusals = Refusals(make_logger('clients'), read_clock)
         self.session = aiohttp.ClientSession()
         self.network = make_network(
             settings,
             self.incarnation,
             self.router.deliver,
+            self.refusals,
         )
         self._make_views()
         self._make_members()
--- a/verbenapost/daemon/gauges.py
+++ b/verbenapost/daemon/gauges.py
@@ -5,6 +5,7 @@
 
 from verbenapost.daemon.metrics import Metrics
 from verbenapost.transport.network import PeerNetwork
+from verbenapost.transport.refusals import Refusals
 from verbenapost.transport.store import HttpStoreClient
 
 #: Value of the label ``outcome``: the store client counts calls by kind only.
@@ -17,6 +18,7 @@
     metrics: Metrics
     network: PeerNetwork
     store: HttpStoreClient
+    refusals: Refusals
 
 
 def register_gauges(
@@ -36,8 +38,12 @@
     def read_peers() -> None:
         metrics.peer_bytes.put(parts.network.bytes_out, 'out')
 
+    def read_refusals() -> None:
+        for labels, count in parts.refusals.counts.items():
+            metrics.refused_connections.put(count, *labels)
+
     def read_age() -> None:
         metrics.freshness_age.put(measure_view_age())
 
-    for source in (read_store, read_peers, read_age):
+    for source in (read_store, read_peers, read_refusals, read_age):
         metrics.add_source(source)
--- a/verbenapost/daemon/metrics.py
+++ b/verbenapost/daemon/metrics.py
@@ -101,6 +101,7 @@
     :ivar peer_bytes: bytes on peer streams, by direction.
     :ivar soft_refusals: requests that a soft quota would have refused, by
         service and team.
+    :ivar refused_connections: refused connections, by listener and reason.
     :ivar queue_length: waiting requests, by service.
     :ivar freshness_age: seconds since the view was confirmed.
     :ivar duties: queues, shards or pools that the daemon owns, by role.
@@ -130,6 +131,12 @@
             'service',
             'team',
         )
+        self.refused_connections = count(
+            'refused_connections_total',
+            'Connections of clients that exceeded a limit.',
+            'listener',
+            'reason',
+        )
         self.queue_length = gauge(
             'queue_length', 'Waiting requests.', 'service'
         )
--- a/verbenapost/daemon/node.py
+++ b/verbenapost/daemon/node.py
@@ -7,7 +7,7 @@
 
 from verbenapost.daemon.admin import AdminApp, make_registry
 from verbenapost.daemon.adminparts import make_admin_ports
-from verbenapost.daemon.assembly import make_app
+from verbenapost.daemon.assembly import make_app, make_guard
 from verbenapost.daemon.duties import Duties
 from verbenapost.daemon.gauges import register_gauges
 from verbenapost.daemon.logs import make_logger
@@ -55,6 +55,7 @@
                 settings.listen.port,
                 settings.limits.connections,
             ),
+            make_guard(settings, self.parts.refusals),
         )
 
     @property
--- a/verbenapost/daemon/parts.py
+++ b/verbenapost/daemon/parts.py
@@ -45,7 +45,11 @@
         await super().close()
 
     def _make_keeper(self) -> None:
-        platform = HttpPlatformClient(self.session, self.settings.vm_list.url)
+        platform = HttpPlatformClient(
+            self.session,
+            self.settings.vm_list.url,
+            answer_bytes=self.settings.connection_limits.answer_bytes,
+        )
         self.keeper = KeeperHost(
             self.reads,
             platform,
@@ -94,7 +98,9 @@
         record_store = make_record_store(self.reads, self.incarnation)
         ports = OwnerPorts(
             self.reads,
-            HttpTaskClient(self.session),
+            HttpTaskClient(
+                self.session, self.settings.connection_limits.answer_bytes
+            ),
             record_store,
             read_clock,
             time.time,
--- a/verbenapost/daemon/settings.py
+++ b/verbenapost/daemon/settings.py
@@ -10,6 +10,7 @@
 
 from verbenapost.protocol.codec import MAX_MESSAGE_BYTES
 from verbenapost.state.documents import Name, PositiveCount, Seconds
+from verbenapost.transport.connectionlimits import ConnectionLimits
 
 #: Highest TCP port.
 MAX_PORT = 65_535
@@ -234,6 +235,7 @@
     :param view_timeout: seconds for which a confirmed view is fresh.
     :param shutdown: times of a graceful shutdown.
     :param logs: form and level of the log.
+    :param connection_limits: limits of clients' connections.
     """
 
     name: Name
@@ -253,3 +255,4 @@
     view_timeout: Seconds = 3.0
     shutdown: ShutdownSettings = ShutdownSettings()
     logs: LogSettings = LogSettings()
+    connection_limits: ConnectionLimits = ConnectionLimits()
--- a/verbenapost/daemon/web.py
+++ b/verbenapost/daemon/web.py
@@ -3,15 +3,18 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
+import math
+import os
+import socket
 from collections.abc import Iterator
 from typing import final
 
 import uvicorn
 
 from verbenapost.transport.callers import AsgiApp
-
-#: Seconds after which an idle caller connection is closed.
-IDLE_SECONDS = 30
+from verbenapost.transport.guard import Guard
+from verbenapost.transport.guardedhttp import GuardedProtocol
 
 #: Seconds between checks whether the server has started.
 START_POLL = 0.01
@@ -43,26 +46,39 @@
 
 
 class WebServer:
-    """Serves one ASGI application on one address."""
+    """Serves one ASGI application on one address.
+
+    :param app: the application.
+    :param address: address to listen on.
+    :param guard: limits of the connections.
+    """
 
-    def __init__(self, app: AsgiApp, address: WebAddress) -> None:
+    def __init__(self, app: AsgiApp, address: WebAddress, guard: Guard) -> None:
         config = uvicorn.Config(
             app,
             host=address.host,
             port=address.port,
             loop='asyncio',
-            http='httptools',
+            # Any callable that makes a protocol will do; the type names
+            # classes only.
+            http=functools.partial(  # type: ignore[arg-type]
+                GuardedProtocol, guard=guard
+            ),
             ws='none',
             lifespan='off',
             access_log=False,
             log_config=None,
             server_header=False,
             date_header=False,
-            backlog=address.backlog,
-            timeout_keep_alive=IDLE_SECONDS,
+            # asyncio also accepts as many connections in one iteration.
+            backlog=min(address.backlog, guard.accepted_at_once),
+            timeout_keep_alive=math.ceil(guard.limits.idle_seconds),
         )
         self._server = _Server(config)
+        self._guard = guard
+        self._backlog = address.backlog
         self._task: asyncio.Task[None] | None = None
+        self._guarding: asyncio.Task[None] | None = None
 
     @property
     def connections(self) -> int:
@@ -75,17 +91,23 @@
         :raises OSError: when the server cannot listen on the address.
         """
         self._task = asyncio.create_task(self._serve())
+        self._guarding = asyncio.create_task(self._guard.run())
         while not self._server.started:
             if self._task.done():
                 self._task.result()
                 raise OSError('the HTTP server did not start')
             await asyncio.sleep(START_POLL)
+        for server in self._server.servers:
+            for listener in server.sockets:
+                _set_backlog(listener.fileno(), self._backlog)
 
     async def stop(self) -> None:
         """Stop listening and wait until the running requests have ended."""
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+        if self._guarding is not None:
+            self._guarding.cancel()
 
     async def _serve(self) -> None:
         # uvicorn exits the process when it cannot listen; here the daemon
@@ -94,3 +116,13 @@
             await self._server.serve()
         except SystemExit as ended:
             raise OSError('the HTTP server did not start') from ended
+
+
+def _set_backlog(descriptor: int, backlog: int) -> None:
+    """Change how many connections wait to be accepted by a listener.
+
+    :param descriptor: descriptor of the listening socket.
+    :param backlog: number of connections.
+    """
+    with socket.socket(fileno=os.dup(descriptor)) as listener:
+        listener.listen(backlog)
--- a/verbenapost/platform/connections.py
+++ b/verbenapost/platform/connections.py
@@ -5,6 +5,11 @@
 
 import aiohttp
 
+from verbenapost.transport.answerlimits import (
+    DEFAULT_ANSWER_BYTES,
+    read_limited,
+)
+
 #: Seconds for which an idle connection is kept, since a new one costs more.
 IDLE_SECONDS: Final = 60.0
 
@@ -16,12 +21,14 @@
 class ConnectionPool:
     """Connections that are kept for further calls.
 
+    :param answer_bytes: largest body of an answer.
     :ivar used_at: seconds of the event loop's clock at which the last call
         began or ended.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, answer_bytes: int) -> None:
         self.used_at = _read_clock()
+        self._answer_bytes = answer_bytes
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=IDLE_SECONDS, use_dns_cache=False
@@ -51,7 +58,8 @@
         :param url: URL of the request.
         :param payload: body of the request, or ``None``.
         :param headers: headers of the request.
-        :raises aiohttp.ClientError: when there is no complete answer.
+        :raises aiohttp.ClientError: when there is no complete answer within the
+            limit.
         """
         self._running += 1
         self.used_at = _read_clock()
@@ -59,7 +67,8 @@
             async with self._session.request(
                 method, url, data=payload, headers=headers
             ) as response:
-                return response.status, await response.read()
+                body = await read_limited(response, self._answer_bytes)
+                return response.status, body
         finally:
             self._running -= 1
             self.used_at = _read_clock()
@@ -89,9 +98,12 @@
     them, but the idle ones to that server may be as old. Such a server gets a
     pool of its own in place of the pool that it had, so that no further call
     uses an older connection. Calls that are still running go on.
+
+    :param answer_bytes: largest body of an answer.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, answer_bytes: int = DEFAULT_ANSWER_BYTES) -> None:
+        self._answer_bytes = answer_bytes
         self._shared: ConnectionPool | None = None
         self._own: dict[str, ConnectionPool] = {}
 
@@ -102,7 +114,7 @@
         """
         if self._shared is None:
             # A session can only be created while the event loop runs.
-            self._shared = ConnectionPool()
+            self._shared = ConnectionPool(self._answer_bytes)
         return self._own.get(address, self._shared)
 
     async def replace(self, address: str, pool: ConnectionPool) -> None:
@@ -115,7 +127,7 @@
         await self._drop_idle()
         if self.find(address) is not pool:
             return
-        self._own[address] = ConnectionPool()
+        self._own[address] = ConnectionPool(self._answer_bytes)
         if pool is not self._shared:
             await pool.retire()
 
--- a/verbenapost/platform/http.py
+++ b/verbenapost/platform/http.py
@@ -12,6 +12,7 @@
 from verbenapost.platform.connections import ConnectionPools
 from verbenapost.platform.fields import Fields
 from verbenapost.protocol.orders import CallFault, CallFaultKind
+from verbenapost.transport.answerlimits import DEFAULT_ANSWER_BYTES
 
 #: Errors that occur before any byte of the request is sent.
 _BEFORE_SENDING: Final = (
@@ -119,10 +120,13 @@
 
 
 class HttpTransport:
-    """Sends calls over pooled connections of this process."""
+    """Sends calls over pooled connections of this process.
 
-    def __init__(self) -> None:
-        self._pools = ConnectionPools()
+    :param answer_bytes: largest body of an answer.
+    """
+
+    def __init__(self, answer_bytes: int = DEFAULT_ANSWER_BYTES) -> None:
+        self._pools = ConnectionPools(answer_bytes)
 
     async def send(
         self,
--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -23,6 +23,7 @@
     :ivar takeovers: number of times that this daemon began to lead.
     :ivar wave_vms: VMs of completed waves, by reason.
     :ivar vms: VMs by pool and state, as the leader knows them.
+    :ivar refused_connections: refused connections, by listener and reason.
     :ivar log_lines_dropped: log lines dropped because nobody read them.
     """
 
@@ -45,6 +46,10 @@
             'wave_vms_total', 'VMs of completed waves by reason.'
         )
         self.vms = self._gauge('vms', 'VMs by pool and state.')
+        self.refused_connections = self._count(
+            'refused_connections_total',
+            'Connections of clients that exceeded a limit.',
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped.'
         )
--- a/verbenapost/scheduler/node.py
+++ b/verbenapost/scheduler/node.py
@@ -17,7 +17,10 @@
 from verbenapost.scheduler.relays import RelayHandler, RelayTransport
 from verbenapost.scheduler.settings import SchedulerSettings
 from verbenapost.scheduler.storetransport import StoreTransport
+from verbenapost.transport.guard import Guard, make_service_guard
+from verbenapost.transport.handshakes import Handshakes
 from verbenapost.transport.peers import Identity
+from verbenapost.transport.refusals import Refusals
 
 #: Connections that may wait to be accepted.
 BACKLOG: Final = 512
@@ -53,7 +56,9 @@
         self._count_dropped = count_dropped
         self._settings = settings
         self._log = make_logger('daemon')
-        self._http = HttpTransport()
+        self._limits = settings.connection_limits
+        self._refusals = Refusals(make_logger('clients'), read_clock)
+        self._http = HttpTransport(self._limits.answer_bytes)
         self._relays = RelayTransport(
             self._http, self._find_relays, settings.processor.cores
         )
@@ -73,6 +78,7 @@
             identity,
             self._core.answer_peer,
             self._ports.election.note_process,
+            Handshakes(self._limits.handshakes, self._refusals),
             make_logger('peers'),
         )
         self._peers = LeaderClient(
@@ -139,18 +145,30 @@
             kind, _, outcome = name.partition(' ')
             labels = {'kind': kind, 'outcome': outcome}
             self._ports.metrics.store_calls.set(labels, number)
+        for (listener, reason), count in self._refusals.counts.items():
+            labels = {'listener': listener, 'reason': reason}
+            self._ports.metrics.refused_connections.set(labels, count)
         self._ports.metrics.log_lines_dropped.set({}, self._count_dropped())
 
     def _make_servers(self) -> tuple[WebServer, ...]:
         listen = self._settings.listen
         internal = self._settings.internal_address
         return (
-            WebServer(ProbeApp(self.is_ready), _parse(listen.probes)),
+            WebServer(
+                ProbeApp(self.is_ready),
+                _parse(listen.probes),
+                make_service_guard('probes', self._limits, self._refusals),
+            ),
             WebServer(
                 MetricsApp(self._ports.metrics.render),
                 _parse(internal),
+                make_service_guard('metrics', self._limits, self._refusals),
+            ),
+            WebServer(
+                self._app,
+                _parse(listen.callers),
+                Guard('callers', self._limits, self._refusals),
             ),
-            WebServer(self._app, _parse(listen.callers)),
         )
 
 
--- a/verbenapost/scheduler/peers.py
+++ b/verbenapost/scheduler/peers.py
@@ -15,6 +15,7 @@
 )
 from verbenapost.scheduler.leadership import Leadership
 from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.transport.handshakes import Handshakes
 from verbenapost.transport.peers import (
     AcceptedStream,
     Identity,
@@ -48,6 +49,7 @@
     :param answer: handler of the other daemons' requests.
     :param note_process: called with the name and the incarnation of each
         daemon that connects.
+    :param handshakes: limit of the streams before their handshake.
     :param log: logger.
     """
 
@@ -56,8 +58,10 @@
         identity: Identity,
         answer: RequestHandler,
         note_process: Callable[[str, str], None],
+        handshakes: Handshakes,
         log: Any,
     ) -> None:
+        self._handshakes = handshakes
         self._identity = identity
         self._answer = answer
         self._note_process = note_process
@@ -97,6 +101,7 @@
         stream = AcceptedStream(self._identity, deliver)
         channel = Channel(stream.send, self._answer, self._tasks)
         self._channels[stream] = channel
+        self._handshakes.add(stream)
         stream.closed.add_done_callback(lambda _ended: self._drop(stream))
         stream.ready.add_done_callback(lambda _ready: self._note(stream))
         return stream
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -7,6 +7,8 @@
 import pydantic
 from result import Err, Ok, Result
 
+from verbenapost.transport.connectionlimits import ConnectionLimits
+
 _MS: Final = 1000
 
 
@@ -122,6 +124,7 @@
     :param data_centre: where it runs.
     :param address: IP number of the VM.
     :param advice_address: ``IP:port`` of the policy's service, if any.
+    :param connection_limits: limits of clients' connections.
     """
 
     model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
@@ -135,6 +138,7 @@
     advice_address: str | None = None
     bounds: Bounds = Bounds()
     processor: Processor = Processor()
+    connection_limits: ConnectionLimits = ConnectionLimits()
 
     @property
     def internal_port(self) -> int:
--- a/verbenapost/scheduler/tests/test_peers.py
+++ b/verbenapost/scheduler/tests/test_peers.py
@@ -28,10 +28,15 @@
     RelayTransport,
 )
 from verbenapost.scheduler.tasks import TaskSet
+from verbenapost.transport.handshakes import Handshakes
 from verbenapost.transport.peers import Identity
+from verbenapost.transport.refusals import Refusals
 
 CALL = EncodedCall('POST', '10.0.0.1:1', '/p', b'{}', {'A': 'b'}, 0.5)
 
+#: Streams before their handshake that a server keeps.
+HANDSHAKES = 4
+
 #: Seconds to wait for an expected state before the test fails.
 WAIT_TIMEOUT = 10
 
@@ -81,6 +86,7 @@
             Identity('d0', 'first', 'first'),
             self.answer_by_test,
             lambda *process: self.processes.append(process),
+            Handshakes(HANDSHAKES, Refusals(make_logger('clients'), int)),
             make_logger('peers'),
         )
         self.leader = None
@@ -177,6 +183,23 @@
             answer = await site.client.ask(PendingRequest('four'))
         assert answer == Ok(PendingResponse(4))
 
+    async def test_streams_without_a_handshake_make_room(self):
+        site = Site()
+        async with site.run():
+            port = site.server._server.sockets[0].getsockname()[1]
+            silent = [
+                await asyncio.open_connection('127.0.0.1', port)
+                for _ in range(HANDSHAKES * 3)
+            ]
+            await wait_until(self.is_connected(site))
+            await wait_until(
+                lambda: len(site.server._channels) <= HANDSHAKES + 1
+            )
+            answer = await site.client.ask(PendingRequest('four'))
+            for _, writer in silent:
+                writer.close()
+        assert answer == Ok(PendingResponse(4))
+
     def is_connected(self, site):
         return lambda: site.client._channel is not None
 
--- /dev/null
+++ b/verbenapost/transport/connectionlimits.py
@@ -0,0 +1,77 @@
+"""Settings of the limits on clients' connections."""
+
+from typing import Annotated, Any
+
+import pydantic
+from pydantic.dataclasses import dataclass
+
+from verbenapost.transport.answerlimits import DEFAULT_ANSWER_BYTES
+
+
+def _read_absent(number: Any) -> Any:
+    return 0 if number is None else number
+
+
+Count = pydantic.PositiveInt
+Duration = pydantic.PositiveFloat
+
+# The platform fills in this one, as a number of any kind or as null.
+Descriptors = Annotated[
+    int,
+    pydantic.Field(ge=0, strict=False),
+    pydantic.BeforeValidator(_read_absent),
+]
+
+_CONFIG = pydantic.ConfigDict(extra='forbid', strict=True)
+
+
+@dataclass(frozen=True, config=_CONFIG)
+class ConnectionLimits:
+    """Limits of one listener's connections.
+
+    :param head_bytes: bytes of a request line and its headers.
+    :param header_line_bytes: bytes of one header's name and value.
+    :param header_lines: headers of one request.
+    :param empty_bytes: bytes of empty lines before a request.
+    :param trailer_bytes: bytes of a chunked body, beside its chunks, in
+        sequence; that is, of its trailers.
+    :param pipelined_requests: requests of one connection that wait for the
+        response to an earlier one.
+    :param unread_bytes: bytes of responses that one client has not read, above
+        which its next response waits.
+    :param unread_total_bytes: such bytes of all connections together; above
+        them those with the most are closed.
+    :param held_bytes: bytes of unfinished heads and waiting requests of all
+        connections together.
+    :param head_seconds: seconds for a head.
+    :param stalled_seconds: seconds without progress of a body or of a
+        response that a client reads.
+    :param idle_seconds: seconds without a request.
+    :param service_connections: open connections at a listener for probes or
+        metrics.
+    :param handshakes: accepted streams of peers that have not proved yet who
+        they are.
+    :param answer_bytes: bytes of one answer of a server of the platform.
+    :param connections: open connections of callers; derived from the limit on
+        open descriptors when left out.
+    :param descriptors: open descriptors that the process may have, besides the
+        limit of the process itself; 0 when unknown.
+    """
+
+    head_bytes: Count = 32_768
+    header_line_bytes: Count = 16_640
+    header_lines: Count = 128
+    empty_bytes: Count = 1024
+    trailer_bytes: Count = 16_384
+    pipelined_requests: Count = 16
+    unread_bytes: Count = 16_384
+    unread_total_bytes: Count = 33_554_432
+    held_bytes: Count = 4_194_304
+    head_seconds: Duration = 10.0
+    stalled_seconds: Duration = 30.0
+    idle_seconds: Duration = 30.0
+    service_connections: Count = 64
+    handshakes: Count = 256
+    answer_bytes: Count = DEFAULT_ANSWER_BYTES
+    connections: Count | None = None
+    descriptors: Descriptors = 0
--- a/verbenapost/transport/network.py
+++ b/verbenapost/transport/network.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Any
 
+from verbenapost.transport.handshakes import Handshakes
 from verbenapost.transport.peers import (
     AcceptedStream,
     Deliver,
@@ -27,6 +28,7 @@
     :param addresses: IP address and port of each known peer, by name.
     :param deliver: handler of the messages; it gets the name of the sender
         and the message.
+    :param handshakes: limit of the accepted streams before their handshake.
     """
 
     def __init__(
@@ -34,7 +36,9 @@
         identity: Identity,
         addresses: dict[str, tuple[str, int]],
         deliver: Deliver,
+        handshakes: Handshakes,
     ) -> None:
+        self._handshakes = handshakes
         self._identity = identity
         self._deliver = deliver
         self._links: dict[str, PeerLink] = {}
@@ -105,6 +109,7 @@
     def _accept(self) -> AcceptedStream:
         stream = AcceptedStream(self._identity, self._deliver)
         self._accepted.add(stream)
+        self._handshakes.add(stream)
         stream.closed.add_done_callback(
             lambda _ended: self._accepted.discard(stream),
         )
--- a/verbenapost/transport/peers.py
+++ b/verbenapost/transport/peers.py
@@ -21,6 +21,10 @@
 #: Timeout of connecting and of the handshake, in seconds.
 HANDSHAKE_TIMEOUT = 3.0
 
+#: Bytes of a peer's messages before the end of the handshake; they are a few
+#: hundred.
+HANDSHAKE_BYTES = 4_096
+
 #: Shortest and longest delay between two connection attempts, in seconds,
 #: before jitter, which at most doubles the delay.
 MIN_RETRY_SECONDS = 0.1
@@ -65,6 +69,7 @@
         self._deliver = deliver
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self._handshake_timer: asyncio.TimerHandle | None = None
+        self._handshake_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timeout of the handshake."""
@@ -120,13 +125,31 @@
 
 
 class AcceptedStream(PeerStream):
-    """Accepted connection, on which this daemon sends the challenge."""
+    """Accepted connection, on which this daemon sends the challenge.
+
+    :ivar client: IP number of the other side.
+    """
+
+    def __init__(self, identity: Identity, deliver: Deliver) -> None:
+        super().__init__(identity, deliver)
+        self.client = ''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the challenge."""
         super().connection_made(transport)
+        address = transport.get_extra_info('peername')
+        self.client = address[0] if address else ''
         self.send(Challenge(self._nonce))
 
+    def data_received(self, chunk: bytes) -> None:
+        """Refuse a peer that sends much before it has proved its name."""
+        if not self.peer:
+            self._handshake_bytes += len(chunk)
+            if self._handshake_bytes > HANDSHAKE_BYTES:
+                self.abort()
+                return
+        super().data_received(chunk)
+
     def _handshake(self, message: Any) -> None:
         if not isinstance(message, Hello):
             raise codec.CodecError('expected hello')
--- a/verbenapost/transport/platformclient.py
+++ b/verbenapost/transport/platformclient.py
@@ -14,6 +14,7 @@
     VmOperation,
     VmStatus,
 )
+from verbenapost.transport.answerlimits import DEFAULT_ANSWER_BYTES
 from verbenapost.transport.jsonanswers import read_json_answer
 
 #: Timeout of a call to the platform, in seconds.
@@ -42,7 +43,9 @@
         session: aiohttp.ClientSession,
         base_url: str,
         timeout: float = CALL_TIMEOUT,
+        answer_bytes: int = DEFAULT_ANSWER_BYTES,
     ) -> None:
+        self._answer_bytes = answer_bytes
         self._session = session
         self._base_url = base_url.rstrip('/')
         self._timeout = aiohttp.ClientTimeout(total=timeout)
@@ -103,7 +106,7 @@
     ) -> Result[Sequence[ListedVm], Failure]:
         if response.status == HTTPStatus.NOT_MODIFIED:
             return Ok(self._cached_vms)
-        answer = await _read_answer(response)
+        answer = await self._read_answer(response)
         vms = answer.and_then(_parse_list)
         if isinstance(vms, Ok):
             self._cached_vms = vms.ok_value
@@ -123,19 +126,22 @@
                 json=body,
                 timeout=self._timeout,
             ) as response:
-                return await _read_answer(response)
+                return await self._read_answer(response)
         except aiohttp.ClientConnectorError as fault:
             return Err(Failure(ErrorKind.STORE_UNAVAILABLE, str(fault)))
         except (aiohttp.ClientError, TimeoutError, ValueError) as fault:
             return Err(Failure(ErrorKind.STORE_UNKNOWN, str(fault)))
 
-
-async def _read_answer(
-    response: aiohttp.ClientResponse,
-) -> Result[Any, Failure]:
-    return await read_json_answer(
-        response, _KIND_BY_STATUS, ErrorKind.STORE_UNKNOWN
-    )
+    async def _read_answer(
+        self,
+        response: aiohttp.ClientResponse,
+    ) -> Result[Any, Failure]:
+        return await read_json_answer(
+            response,
+            _KIND_BY_STATUS,
+            ErrorKind.STORE_UNKNOWN,
+            self._answer_bytes,
+        )
 
 
 def _parse_list(answer: Any) -> Result[Sequence[ListedVm], Failure]:
--- a/verbenapost/transport/store.py
+++ b/verbenapost/transport/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import dataclasses
+import json
 import random
 import time
 from collections import Counter
@@ -15,6 +16,10 @@
 from verbenapost.protocol.errors import ErrorKind, Failure
 from verbenapost.protocol.store import Entry, Listing, WatchBatch
 from verbenapost.transport import storeanswers
+from verbenapost.transport.answerlimits import (
+    DEFAULT_ANSWER_BYTES,
+    read_limited,
+)
 from verbenapost.transport.calllimits import (
     DEFAULT_RATES,
     CallClass,
@@ -82,6 +87,7 @@
     :param call_timeout: timeout of a call, in seconds.
     :param read_attempts: attempts at one read.
     :param rates: rates by class of call; other classes keep the default.
+    :param answer_bytes: largest body of an answer.
     """
 
     url: str
@@ -90,6 +96,7 @@
     rates: Mapping[CallClass, CallRate] = dataclasses.field(
         default_factory=dict
     )
+    answer_bytes: int = DEFAULT_ANSWER_BYTES
 
 
 class CallRateLimiter:
@@ -338,7 +345,8 @@
         limit = aiohttp.ClientTimeout(total=timeout + call.wait)
         url = f'{self._settings.url}/v1/{call.kind}'
         async with session.post(url, json=call.body, timeout=limit) as answer:
-            return answer.status, await answer.json()
+            body = await read_limited(answer, self._settings.answer_bytes)
+            return answer.status, json.loads(body)
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/verbenapost/transport/tasks.py
+++ b/verbenapost/transport/tasks.py
@@ -16,6 +16,7 @@
     TaskReports,
     TaskState,
 )
+from verbenapost.transport.answerlimits import DEFAULT_ANSWER_BYTES
 from verbenapost.transport.jsonanswers import read_json_answer
 
 #: Timeout of a call, in seconds.
@@ -36,7 +37,12 @@
     :param session: HTTP session of the daemon, closed by its owner.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        answer_bytes: int = DEFAULT_ANSWER_BYTES,
+    ) -> None:
+        self._answer_bytes = answer_bytes
         self._session = session
         self._timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
 
@@ -126,7 +132,10 @@
                 timeout=self._timeout,
             ) as response:
                 return await read_json_answer(
-                    response, _KIND_BY_STATUS, ErrorKind.TARGET_FAILED
+                    response,
+                    _KIND_BY_STATUS,
+                    ErrorKind.TARGET_FAILED,
+                    self._answer_bytes,
                 )
         except aiohttp.ClientConnectorError as connect_error:
             return Err(Failure(ErrorKind.TARGET_REFUSED, str(connect_error)))
