Limits: fewer calls for an ordinary request, and its cost measured again

Change: the read buffer feeds the parser directly, and the flow control asks first whether reading is paused.

--- a/verbenapost/transport/slicedhttp.py
+++ b/verbenapost/transport/slicedhttp.py
@@ -73,7 +73,7 @@
 
     def resume_reading(self) -> None:
         """Read again unless bytes wait; called for each received request."""
-        if not self.holds:
+        if self.read_paused and not self.holds:
             super().resume_reading()
 
 
@@ -116,13 +116,10 @@
         return _READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Handle the bytes that were read."""
-        self.data_received(bytes(_READ_BUFFER[:nbytes]))
-
-    def data_received(self, chunk: bytes) -> None:
         """Feed the parser while no request has to wait, and hold the rest."""
         if self._reason is None:
             self._unset_keepalive_if_required()
+            chunk = bytes(_READ_BUFFER[:nbytes])
             self._feed(self._held + chunk if self._held else chunk)
 
     def on_message_begin(self) -> None:
