Settings: the platform daemon accepts connection limits from its file

Cause: the class of the limits was strict as a whole, so that the platform daemon refused an object in its settings, as the template fills one in, and ended at its start. No test had loaded one.

Change: the numbers are strict, the class is not. A test loads the descriptors as the platform may fill them in: a whole number, a float, 0 and null.

--- a/verbenapost/scheduler/tests/test_settings.py
+++ b/verbenapost/scheduler/tests/test_settings.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from structlog.testing import capture_logs
 
 from verbenapost.scheduler.settings import load_settings
@@ -32,6 +33,18 @@
         assert loaded.ok_value.internal_address == '10.1.0.9:7060'
         assert loaded.ok_value.bounds.lease_seconds == 3
 
+    @pytest.mark.parametrize(
+        ('filled_in', 'descriptors'),
+        [(4100, 4100), (4100.0, 4100), (0, 0), (None, 0)],
+    )
+    def test_descriptors_as_the_platform_fills_them_in(
+        self, filled_in, descriptors, tmp_path
+    ):
+        limits = {'descriptors': filled_in}
+        path = write(tmp_path / 's.json', connection_limits=limits)
+        loaded = load_settings(path).ok_value
+        assert loaded.connection_limits.descriptors == descriptors
+
     def test_every_error_is_reported(self, tmp_path):
         path = write(tmp_path / 's.json', daemon=7, extra=1, store={})
         faults = load_settings(path).err_value.splitlines()
--- a/verbenapost/transport/connectionlimits.py
+++ b/verbenapost/transport/connectionlimits.py
@@ -12,17 +12,17 @@
     return 0 if number is None else number
 
 
-Count = pydantic.PositiveInt
-Duration = pydantic.PositiveFloat
+Count = Annotated[int, pydantic.Field(gt=0, strict=True)]
+Duration = Annotated[float, pydantic.Field(gt=0, strict=True)]
 
 # The platform fills in this one, as a number of any kind or as null.
 Descriptors = Annotated[
     int,
-    pydantic.Field(ge=0, strict=False),
+    pydantic.Field(ge=0),
     pydantic.BeforeValidator(_read_absent),
 ]
 
-_CONFIG = pydantic.ConfigDict(extra='forbid', strict=True)
+_CONFIG = pydantic.ConfigDict(extra='forbid')
 
 
 @dataclass(frozen=True, config=_CONFIG)
