--- a/verbenapost/scheduler/metrics.py
+++ b/verbenapost/scheduler/metrics.py
@@ -48,6 +48,7 @@
     :ivar interference_observations: observations of how slow a task is.
     :ivar interference_avoided: tasks that were placed apart from an image that
         interferes with theirs.
+    :ivar refused_connections: refused connections, by listener and reason.
     :ivar log_lines_dropped: log lines dropped because nobody read them.
     """
 
@@ -83,6 +84,10 @@
             'interference_avoided_total',
             'Tasks placed apart from an image that interferes.',
         )
+        self.refused_connections = self._count(
+            'refused_connections_total',
+            'Connections of clients that exceeded a limit.',
+        )
         self.log_lines_dropped = self._gauge(
             'log_lines_dropped', 'Log lines dropped.'
         )
--- a/verbenapost/scheduler/settings.py
+++ b/verbenapost/scheduler/settings.py
@@ -7,6 +7,8 @@
 import pydantic
 from result import Err, Ok, Result
 
+from verbenapost.transport.connectionlimits import ConnectionLimits
+
 _MS: Final = 1000
 
 
@@ -124,6 +126,7 @@
     :param advice_address: ``IP:port`` of the policy's service, if any.
     :param separate_images: whether images that slow each other down are placed
         apart where the platform gives ``bounds.harm_ms``.
+    :param connection_limits: limits of clients' connections.
     """
 
     model_config = pydantic.ConfigDict(frozen=True, extra='forbid')
@@ -138,6 +141,7 @@
     bounds: Bounds = Bounds()
     processor: Processor = Processor()
     separate_images: bool = True
+    connection_limits: ConnectionLimits = ConnectionLimits()
 
     @property
     def detects_interference(self) -> bool:
