Admission and limits: faults that a review has found

Cause and what callers would see: the leader remembered each accepted job of the last backlog for good; a tenant at its cap counted with its whole backlog whenever one of its tasks ended, so that others got 429 for some milliseconds; steps that are not open yet counted as waiting work; 600 clients that send heads of 15 kB at a time got 503; a running request was cut when the next one of its connection waited for its body at the limit of connections.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -10,9 +10,14 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from verbenapost.coordination.scheduling.jobs import StepRun, TaskState
+from verbenapost.coordination.scheduling.jobs import (
+    StepRun,
+    TaskState,
+    count_waiting,
+)
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.quotas import StartableTasks
 from verbenapost.coordination.scheduling.workers import compute_booking
 from verbenapost.state.workloads import Route
 
@@ -151,23 +156,27 @@
     An occurrence of a scheduled job belongs to the backlog if it becomes due
     before the rest has started. A step that fits on no worker of the pool, even
     on an empty one, takes no time of the others; while VMs are moving into the
-    pool, it may fit on one of them. A step of a tenant at its cap takes no time
-    of the others either.
+    pool, it may fit on one of them. What a tenant's cap keeps from starting
+    takes no time of the others either.
 
     :param incoming: cores of the VMs that are moving into the pool.
     :param moment: time of the estimate.
     """
     cores = _count_cores(pool_state, incoming, moment)
     wait: float = 0
-    for step in sorted(_find_competing(pool_state), key=_get_due_time):
+    startable = StartableTasks(pool_state.gate)
+    for step in sorted(_find_waiting(pool_state), key=_get_due_time):
         if step.due_at > moment.wall + wait:
             break
         if cores and not incoming and _is_unschedulable(pool_state, step):
             continue
+        tasks = startable.count(step)
+        if not tasks:
+            continue
         if not cores:
             return math.inf
-        work = estimate_work(pool_state, step) * step.spec.size.cpu
-        wait += work / cores
+        seconds = pool_state.run_times.estimate(step.job.spec.route)
+        wait += tasks * seconds * step.spec.size.cpu / cores
     return wait
 
 
@@ -210,13 +219,6 @@
                 yield step
 
 
-def _find_competing(pool_state: PoolState) -> Iterator[StepRun]:
-    """Yield the waiting steps of tenants that are not at their caps."""
-    for step in _find_waiting(pool_state):
-        if not pool_state.gate.is_capped(step.job.spec.tenant):
-            yield step
-
-
 def _is_unschedulable(pool_state: PoolState, step: StepRun) -> bool:
     """Return whether no worker of the pool could run a task of a step."""
     size = compute_booking(step.spec)
@@ -234,6 +236,6 @@
 
 def estimate_work(pool_state: PoolState, step: StepRun) -> float:
     """Return the seconds that a step's waiting tasks run in total."""
-    waiting = sum(task.state is TaskState.WAITING for task in step.tasks)
+    waiting = count_waiting(step)
     seconds = pool_state.run_times.estimate(step.job.spec.route)
     return waiting * seconds
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -324,6 +324,11 @@
         return StepRun(self, occurrence, number, step, tasks)
 
 
+def count_waiting(step: StepRun) -> int:
+    """Return the number of a step's tasks that wait to start."""
+    return sum(task.state is TaskState.WAITING for task in step.tasks)
+
+
 def read_packed_state(packed: bytes) -> CallerJobState:
     """Return the job state in a stored progress.
 
--- a/verbenapost/coordination/scheduling/quotas.py
+++ b/verbenapost/coordination/scheduling/quotas.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
+from verbenapost.coordination.scheduling.jobs import StepRun, count_waiting
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.resources import Resources
 from verbenapost.state.tenants import TenantTerms
@@ -170,6 +171,41 @@
         )
 
 
+class StartableTasks:
+    """Counts the waiting tasks that the caps of their tenants let start.
+
+    A tenant at its cap is below it for a moment whenever a task ends. What its
+    cap lets start then is little, whatever the tenant has waiting.
+
+    :param gate: caps of the tenants.
+    """
+
+    def __init__(self, gate: QuotaGate) -> None:
+        self._gate = gate
+        self._counted: dict[str, Resources] = {}
+
+    def count(self, step: StepRun) -> int:
+        """Return how many of a step's waiting tasks may start.
+
+        :param step: the step, after those that start before it.
+        """
+        waiting = count_waiting(step)
+        tenant = step.job.spec.tenant
+        if tenant is None or not waiting:
+            return waiting
+        size = step.spec.size
+        counted = self._counted.get(tenant.name, _NOTHING)
+        startable = min(
+            waiting, self._gate.count_startable(tenant, size, counted)
+        )
+        self._counted[tenant.name] = Resources(
+            counted.cpu + startable * size.cpu,
+            counted.memory + startable * size.memory,
+            counted.gpus + startable * size.gpus,
+        )
+        return startable
+
+
 def may_ever_start(size: Resources, count: int, cap: Resources) -> bool:
     """Return whether a gang can start while its tenant runs nothing else.
 
--- a/verbenapost/coordination/scheduling/tenantadmission.py
+++ b/verbenapost/coordination/scheduling/tenantadmission.py
@@ -206,7 +206,7 @@
     At its cap, the tenant's work in a pool goes on with what it uses there.
     """
     work = backlog.work.get(terms.name)
-    if work is None or pool_state.gate.may_start(terms):
+    if work is None or terms.name not in backlog.capped:
         return 0
     used = pool_state.usage.read(terms.name)
     cap = terms.cap
--- a/verbenapost/coordination/scheduling/tenantbacklog.py
+++ b/verbenapost/coordination/scheduling/tenantbacklog.py
@@ -7,15 +7,17 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.admission import (
     estimate_work,
     find_backlog,
 )
+from verbenapost.coordination.scheduling.jobs import StepRun, count_waiting
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
+from verbenapost.coordination.scheduling.quotas import StartableTasks
 from verbenapost.state.resources import Resources
 
 #: Seconds until an accepted job shows in the state of its pool: its entry has
@@ -31,13 +33,16 @@
     :param cores: capacity in thousandths of a core.
     :param free: free capacity of the workers that accept tasks.
     :param work: waiting work of each tenant that has some.
-    :param weights: weights of those that are below their caps.
+    :param weights: weights of the tenants with tasks that could start, each in
+        proportion to the tasks that the tenant's cap lets start.
+    :param capped: tenants whose caps keep some of these tasks from starting.
     """
 
     cores: float
     free: float
     work: Mapping[str, Resources]
     weights: Mapping[str, float]
+    capped: Collection[str] = ()
 
     def estimate_fair_wait(self, tenant: str, weight: float) -> float:
         """Return the seconds that a tenant's work takes at its fair share.
@@ -63,22 +68,58 @@
     :param incoming: cores of the VMs that are moving into the pool.
     :param moment: time of the measurement.
     """
-    gate = pool_state.gate
     backlog = find_backlog(pool_state, incoming, moment)
     work: dict[str, Resources] = collections.defaultdict(Resources)
-    weights: dict[str, float] = {}
     for step in backlog.steps:
         name = step.job.tenant_name
         seconds = estimate_work(pool_state, step)
         work[name] = work[name].plus(_multiply(step.spec.size, seconds))
-        if not gate.is_capped(step.job.spec.tenant):
-            weights[name] = gate.find_weight(step.job.spec.tenant)
     free = sum(
         max(0, worker.entry.capacity.cpu - worker.get_committed().cpu)
         for worker in pool_state.workers.values()
         if worker.accepts_tasks(moment.now)
     )
-    return TenantBacklog(backlog.cores, free, work, weights)
+    shares = _measure_startable(pool_state, backlog.steps)
+    weights = {
+        name: share.weight * share.startable / share.waiting
+        for name, share in shares.items()
+        if share.startable
+    }
+    capped = {
+        name
+        for name, share in shares.items()
+        if share.startable < share.waiting
+    }
+    return TenantBacklog(backlog.cores, free, work, weights, capped)
+
+
+@dataclasses.dataclass(slots=True)
+class _Share:
+    """Waiting tasks of a tenant in steps that are open.
+
+    :param weight: weight of the tenant.
+    :param waiting: number of these tasks.
+    :param startable: those of them that the tenant's cap lets start.
+    """
+
+    weight: float
+    waiting: int = 0
+    startable: int = 0
+
+
+def _measure_startable(
+    pool_state: PoolState, steps: Iterable[StepRun]
+) -> Mapping[str, _Share]:
+    startable = StartableTasks(pool_state.gate)
+    shares: dict[str, _Share] = {}
+    for step in steps:
+        if not step.is_open():
+            continue
+        weight = pool_state.gate.find_weight(step.job.spec.tenant)
+        share = shares.setdefault(step.job.tenant_name, _Share(weight))
+        share.waiting += count_waiting(step)
+        share.startable += startable.count(step)
+    return shares
 
 
 class BacklogCache:
@@ -118,6 +159,7 @@
         :param now: local seconds.
         """
         self._accepted[service].append((now, cores))
+        self._forget_arrived(service, now)
 
     def count_arriving(self, service: str, now: float) -> float:
         """Return the capacity that jobs on their way will use.
@@ -125,10 +167,13 @@
         :param service: name of the pool's service.
         :param now: local seconds.
         """
+        self._forget_arrived(service, now)
+        return sum(cores for _, cores in self._accepted[service])
+
+    def _forget_arrived(self, service: str, now: float) -> None:
         arriving = self._accepted[service]
         while arriving and now - arriving[0][0] > ARRIVAL_SECONDS:
             arriving.popleft()
-        return sum(cores for _, cores in arriving)
 
 
 def _multiply(size: Resources, seconds: float) -> Resources:
--- a/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
+++ b/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
@@ -16,10 +16,12 @@
     TenantAdmission,
     TenantJob,
 )
+from verbenapost.coordination.scheduling.tenantbacklog import BacklogCache
 from verbenapost.coordination.scheduling.tests.sample import (
     ROUTE,
     SMALL,
     add_job,
+    end_run,
     make_pool_state,
     plan,
     start_all,
@@ -41,7 +43,7 @@
         self.number = 0
         if backlog:
             add_job(self.pool_state, StepSpec(4, SMALL), tenant=tenant)
-            start_all(self.pool_state)
+            self.running = start_all(self.pool_state)
             step = StepSpec(backlog, SMALL)
             add_job(self.pool_state, step, job='b' * 16, tenant=tenant)
             plan(self.pool_state)
@@ -111,6 +113,23 @@
         assert max(told.values()) <= MAX_TOKEN_SECONDS
         assert all(bucket.take(job, 2, now) for job, now in told.items())
 
+    def test_steps_that_are_not_open_yet_are_in_nobodys_way(self):
+        desk = Desk()
+        first = StepSpec(1, SMALL)
+        second = StepSpec(1, SMALL, after=(0,))
+        add_job(desk.pool_state, first, second, tenant=OTHER)
+        plan(desk.pool_state)
+        assert desk.ask(TenantTerms('nobody', 0)).reason is None
+
+
+class TestArrivingJobs:
+    def test_those_that_have_arrived_are_forgotten(self):
+        """The leader would remember each accepted job for good."""
+        cache = BacklogCache(1)
+        for number in range(1000):
+            cache.note_accepted('routing', 1, number)
+        assert len(cache._accepted['routing']) == 1
+
 
 class TestFairShare:
     def test_a_flood_does_not_refuse_others(self):
@@ -150,6 +169,13 @@
         assert refusal.reason == 'quota'
         assert refusal.outcome.wait == 11
 
+    def test_it_refuses_nobody_else_as_its_tasks_end(self):
+        """A tenant at its cap is below it for a moment after each end."""
+        desk = self.make_desk()
+        end_run(desk.pool_state, desk.running[0])
+        assert estimate_wait(desk.pool_state, 0, Moment(0, 0)) < 2
+        assert desk.ask(OTHER).reason is None
+
     def test_it_refuses_nobody_else(self):
         desk = self.make_desk()
         assert desk.ask(OTHER).outcome.wait == 0
--- a/verbenapost/daemon/tests/test_guardedhttp.py
+++ b/verbenapost/daemon/tests/test_guardedhttp.py
@@ -57,6 +57,8 @@
         return
     if scope['path'] == '/slow':
         await asyncio.sleep(0.2)
+    if scope['path'] == '/slower':
+        await asyncio.sleep(3)
     names = {name for name, _ in scope['headers']}
     body = scope['path'].encode() * (100_000 if b'x-large' in names else 1)
     length = (b'content-length', str(len(body)).encode())
@@ -169,6 +171,22 @@
             assert list_reasons(guard) == ['connections']
             writer.close()
 
+    async def test_a_running_request_is_not_cut_for_a_later_body(self):
+        """The answer of the earlier request would be lost."""
+        slower = SLOW.replace(b'/slow', b'/slower')
+        body = POST + b'Content-Length: 9\r\n\r\na'
+        async with serve(connections=1, stalled_seconds=30.0) as (port, _):
+            reader, writer = await connect(port, slower + body)
+            await asyncio.sleep(1.2)
+            assert b'503' in await exchange(port, b'')
+            assert b'200' in await reader.readuntil(b'/slower')
+            writer.close()
+
+    def test_each_connection_may_send_a_head_of_the_largest_size(self):
+        """Clients within the platform's limits would be refused otherwise."""
+        guard = Guard('callers', ConnectionLimits(connections=600), None)
+        assert guard.max_held_bytes >= 600 * 16_384
+
     async def test_largest_head_is_refused_when_memory_is_short(self):
         async with serve(held_bytes=30_000, head_seconds=30.0) as (port, guard):
             large = await connect(port, HEAD + b'A: a\r\n' + b'B: ' * 3000)
--- a/verbenapost/transport/connectionlimits.py
+++ b/verbenapost/transport/connectionlimits.py
@@ -42,7 +42,8 @@
     :param unread_total_bytes: such bytes of all connections together; above
         them those with the most are closed.
     :param held_bytes: bytes of unfinished heads and waiting requests of all
-        connections together.
+        connections together; when left out, one header of the largest size
+        for each connection that may be open.
     :param head_seconds: seconds for a head.
     :param stalled_seconds: seconds without progress of a body or of a
         response that a client reads.
@@ -66,7 +67,7 @@
     pipelined_requests: Count = 16
     unread_bytes: Count = 16_384
     unread_total_bytes: Count = 33_554_432
-    held_bytes: Count = 4_194_304
+    held_bytes: Count | None = None
     head_seconds: Duration = 10.0
     stalled_seconds: Duration = 30.0
     idle_seconds: Duration = 30.0
--- a/verbenapost/transport/guard.py
+++ b/verbenapost/transport/guard.py
@@ -69,6 +69,7 @@
     :ivar held_bytes: bytes of unfinished heads and waiting requests.
     :ivar connections: open connections.
     :ivar max_connections: limit of the open connections.
+    :ivar max_held_bytes: limit of the held bytes.
     """
 
     listener: str
@@ -77,11 +78,15 @@
     held_bytes: int = 0
     connections: set[GuardedConnection] = dataclasses.field(default_factory=set)
     max_connections: int = dataclasses.field(init=False)
+    max_held_bytes: int = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
-        """Derive the limit of connections when none is set."""
+        """Derive the limits that are not set."""
         derived = count_connections(self.limits.descriptors)
         self.max_connections = self.limits.connections or derived
+        # Each client within the platform's limits may be sending its head.
+        heads = self.max_connections * self.limits.header_line_bytes
+        self.max_held_bytes = self.limits.held_bytes or heads
 
     @property
     def accepted_at_once(self) -> int:
@@ -115,7 +120,7 @@
         :param change: bytes; negative when they are released.
         """
         self.held_bytes += change
-        if change > 0 and self.held_bytes > self.limits.held_bytes:
+        if change > 0 and self.held_bytes > self.max_held_bytes:
             largest = max(self.connections, key=_read_held)
             largest.release_memory()
 
--- a/verbenapost/transport/guardedhttp.py
+++ b/verbenapost/transport/guardedhttp.py
@@ -108,11 +108,15 @@
     def measure_idle(self, now: float) -> float | None:
         """Return the seconds without a request, ``None`` while one runs.
 
-        A request whose body is unfinished waits for its client.
+        A request whose body is unfinished waits for its client, unless an
+        earlier one of the connection still runs.
 
         :param now: monotonic seconds.
         """
-        if self._part is not Part.BODY and self._is_running():
+        waits_for_client = self._part is Part.BODY and (
+            self._running is self.cycle
+        )
+        if self._is_running() and not waits_for_client:
             return None
         return now - self._since
 
