Command line: commands on resources in a module of their own

Change: Command and the groups of commands on resources move to resourcecommands.py; commands.py keeps the top level.

--- a/verbenapost/cli/main.py
+++ b/verbenapost/cli/main.py
@@ -12,15 +12,11 @@
 import fire
 
 from verbenapost.cli.client import send_request
-from verbenapost.cli.commands import (
-    AnyCommand,
-    Command,
-    Commands,
-    LogCommand,
-)
+from verbenapost.cli.commands import AnyCommand, Commands, LogCommand
 from verbenapost.cli.configurationcheck import CheckCommand
 from verbenapost.cli.exits import CommandError, ExitCode, make_usage_error
 from verbenapost.cli.options import Options, parse_options
+from verbenapost.cli.resourcecommands import Command
 
 # Keeps the command-line library from starting a pager for the help.
 _NO_PAGER = '-'
