Planning: caps and fair shares of a round in a module of their own

Change: RoundQuota applies them; StartPlanner asks it. 'pledged' is called reserved, as the reservations that it counts; _avoid is called _find_partners.

--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -5,10 +5,6 @@
 from collections.abc import Hashable, Iterable, Iterator
 
 from verbenapost.coordination.scheduling.commands import StartTask
-from verbenapost.coordination.scheduling.fairness import (
-    FairOrder,
-    sum_capacity,
-)
 from verbenapost.coordination.scheduling.isolation import Isolation
 from verbenapost.coordination.scheduling.jobs import (
     FULL_PACE,
@@ -25,7 +21,7 @@
     has_constraints,
 )
 from verbenapost.coordination.scheduling.poolstate import PoolState
-from verbenapost.coordination.scheduling.quotas import UNLIMITED, TenantUsage
+from verbenapost.coordination.scheduling.roundquota import RoundQuota
 from verbenapost.coordination.scheduling.tickets import Tickets
 from verbenapost.coordination.scheduling.workers import (
     Worker,
@@ -44,11 +40,7 @@
     def __init__(self, pool_state: PoolState, moment: Moment) -> None:
         self._pool_state = pool_state
         self._moment = moment
-        self._gate = pool_state.gate
-        if pool_state.has_tenants:
-            self._gate.begin_round(moment)
-        # Tasks for which capacity is reserved in this round, by tenant.
-        self._pledged = TenantUsage()
+        self._quota = RoundQuota(pool_state, moment)
         self._ready = [
             worker
             for worker in pool_state.workers.values()
@@ -66,9 +58,7 @@
         """
         commands: list[StartTask] = []
         self._pool_state.unplaced = []
-        self._pool_state.reservations.prune(
-            self._may_start if self._pool_state.has_tenants else None
-        )
+        self._quota.prune_reservations()
         for step in self._arrange(self.find_waiting()):
             commands.extend(self._place_step(step, limit - len(commands)))
             if len(commands) >= limit:
@@ -81,13 +71,8 @@
 
         Steps of tenants at their caps are left out.
         """
-        found = self._pool_state.find_waiting_steps(self._moment.wall)
-        if self._pool_state.has_tenants:
-            found = [
-                step
-                for step in found
-                if not self._gate.is_capped(step.job.spec.tenant)
-            ]
+        waiting = self._pool_state.find_waiting_steps(self._moment.wall)
+        found = self._quota.exclude_capped(waiting)
         found.sort(key=self._rank)
         return found
 
@@ -102,36 +87,20 @@
 
     def _arrange(self, steps: list[StepRun]) -> Iterable[StepRun]:
         self._isolation.sort(steps)
-        if not self._pool_state.has_tenants:
-            return steps
-        capacity = sum_capacity(self._pool_state.workers.values())
-        order = FairOrder(self._pool_state.usage, capacity, self._gate)
-        return order.arrange(steps, self._classify)
+        return self._quota.arrange(steps, self._classify)
 
     def _classify(self, step: StepRun) -> Hashable:
         """Return the class of a step, within which tenants take turns."""
         urgency = self._rank(step)[:-1]
         return self._isolation.is_isolated(step.job), urgency
 
-    def _may_start(self, task: Task) -> bool:
-        job = self._pool_state.jobs.get(task.key.job)
-        return job is not None and not self._gate.is_capped(job.spec.tenant)
-
-    def _find_room(self, step: StepRun) -> int:
-        """Return how many tasks of a step its tenant's cap lets start."""
-        stored = step.job.spec.tenant
-        if stored is None:
-            return UNLIMITED
-        return self._gate.count_startable(
-            stored, step.spec.size, self._pledged.read(stored.name)
-        )
-
     def _find_tickets(self, step: StepRun) -> Tickets | None:
         return self._pool_state.tickets.find(
             step.tasks[0].key, self._moment.now
         )
 
-    def _avoid(self, step: StepRun) -> Partners:
+    def _find_partners(self, step: StepRun) -> Partners:
+        """Return the images beside which a step is not to be placed."""
         interference = self._pool_state.interference
         if interference is None:
             return NO_PARTNERS
@@ -177,19 +146,19 @@
     def _needs_kept_worker(self, step: StepRun) -> bool:
         if not self._isolation.is_isolated(step.job):
             return False
-        return step.has_waiting() and bool(self._find_room(step))
+        return step.has_waiting() and self._quota.count_startable(step) > 0
 
     def _find_startable(self, step: StepRun) -> list[Task]:
         """Return the waiting tasks that the tenant's cap lets start."""
         waiting = [
             task for task in step.tasks if task.state is TaskState.WAITING
         ]
-        room = self._find_room(step)
-        if room >= len(waiting):
+        startable = self._quota.count_startable(step)
+        if startable >= len(waiting):
             return waiting
-        for task in waiting[room:]:
+        for task in waiting[startable:]:
             self._pool_state.reservations.release(task)
-        return [] if step.spec.gang else waiting[:room]
+        return [] if step.spec.gang else waiting[:startable]
 
     def _place_isolated(
         self,
@@ -199,7 +168,11 @@
     ) -> Iterator[StartTask]:
         workers = self._isolation.find_workers(step.job)
         ranking = WorkerRanking(
-            step, workers, tickets, isolated=True, partners=self._avoid(step)
+            step,
+            workers,
+            tickets,
+            isolated=True,
+            partners=self._find_partners(step),
         )
         for task in waiting:
             worker = ranking.pop_best()
@@ -219,7 +192,7 @@
             return
         workers = self._isolation.find_workers(step.job)
         ranking = WorkerRanking(
-            step, workers, tickets, partners=self._avoid(step)
+            step, workers, tickets, partners=self._find_partners(step)
         )
         for task in waiting:
             worker = ranking.pop_best()
@@ -241,7 +214,7 @@
         previous = {task.key: reservations.release(task) for task in waiting}
         workers = self._isolation.find_workers(step.job)
         ranking = WorkerRanking(
-            step, workers, tickets, partners=self._avoid(step)
+            step, workers, tickets, partners=self._find_partners(step)
         )
         permitted = filter_by_ticket(workers, tickets)
         for placed, task in enumerate(waiting):
@@ -250,15 +223,11 @@
                 unplaced = waiting[placed:]
                 self._pool_state.unplaced.extend(unplaced)
                 reservations.reserve_next(step, unplaced, permitted, previous)
-                self._note_pledged(unplaced)
+                self._quota.note_reserved(unplaced)
                 return
             yield self._start(step, task, worker, tickets)
             ranking.reinsert(worker)
 
-    def _note_pledged(self, tasks: Iterable[Task]) -> None:
-        for task in filter(self._pool_state.reservations.is_reserved, tasks):
-            self._pledged.add(task.tenant, task.step.size)
-
     def _place_gang(
         self,
         step: StepRun,
@@ -270,7 +239,7 @@
             return
         workers = self._isolation.find_workers(step.job)
         chosen = choose_gang_workers(
-            step, waiting, workers, tickets, self._avoid(step)
+            step, waiting, workers, tickets, self._find_partners(step)
         )
         if chosen is None:
             return
--- a/verbenapost/coordination/scheduling/quotas.py
+++ b/verbenapost/coordination/scheduling/quotas.py
@@ -155,18 +155,18 @@
         self,
         stored: TenantTerms,
         size: Resources,
-        pledged: Resources = _NOTHING,
+        reserved: Resources = _NOTHING,
     ) -> int:
         """Return how many tasks of one size a tenant may start now.
 
         :param stored: terms that are stored with the tenant's job.
         :param size: declared size of each task.
-        :param pledged: size of the tenant's tasks for which capacity is
+        :param reserved: size of the tenant's tasks for which capacity is
             reserved.
         """
         cap = self.find_terms(stored).cap
         return _count_startable(
-            self.read_use(stored.name).plus(pledged), size, cap
+            self.read_use(stored.name).plus(reserved), size, cap
         )
 
 
