Leader: planning rounds in a module of their own

Leader takes over, keeps the tasks of the leadership and also planned each round, with the end of the pause of inherited jobs. Change: PlanningRounds plans the rounds; Leader keeps the takeover and the wait between rounds. LinkPorts.interference says when it is None.

--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -6,27 +6,19 @@
 from result import Err
 
 from verbenapost.coordination.scheduling.orderwindow import OrderWindow
-from verbenapost.coordination.scheduling.planning import StartPlanner
-from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.daemon.logs import make_logger
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.names import WORKER_PREFIX
 from verbenapost.scheduler.admission import Admission
 from verbenapost.scheduler.advisor import Advisor
 from verbenapost.scheduler.cleanup import Cleanup
-from verbenapost.scheduler.clock import read_moment
 from verbenapost.scheduler.controller import FleetController
 from verbenapost.scheduler.fleet import WorkerFleet
 from verbenapost.scheduler.follower import PrefixFollower
-from verbenapost.scheduler.inheritance import (
-    Takeover,
-    end_inherited_pause,
-    find_silent_workers,
-    find_unregistered_workers,
-)
 from verbenapost.scheduler.intake import JobIntake
 from verbenapost.scheduler.keys import PROGRESS_PREFIX, SUBMITTED_PREFIX
 from verbenapost.scheduler.messages import AdmissionRequest, AdmissionResponse
+from verbenapost.scheduler.planningrounds import PlanningRounds
 from verbenapost.scheduler.poolstates import PoolStateSet
 from verbenapost.scheduler.ports import LeaderPorts, LinkPorts
 from verbenapost.scheduler.recorder import Recorder
@@ -39,9 +31,6 @@
 #: ended runs.
 MIN_ROUND_GAP: Final = 0.01
 
-#: Names of VMs that one log line holds.
-MAX_LOGGED_VMS: Final = 5
-
 #: Fraction of the time that rounds may use; the rest is for sending the orders.
 MAX_ROUND_SHARE: Final = 0.2
 
@@ -72,11 +61,7 @@
         self._longest_lease = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
         self._tasks = TaskSet(self._give_up)
-        self._round_seconds: float = 0
         self._window = OrderWindow()
-        self._first_pool = 0
-        # Starts of this round, which are sent after it.
-        self._planned = 0
 
         def send(pool_state: Any, commands: Any) -> None:
             # The fleet is created after the objects that send through it.
@@ -126,6 +111,16 @@
             self._window,
             self._log,
         )
+        self._rounds = PlanningRounds(
+            ports,
+            self._pool_states,
+            self._fleet,
+            self._recorder,
+            self._controller,
+            self._window,
+            self._started_at,
+            self._log,
+        )
 
     async def run(self) -> None:
         """Take over and lead until the leadership is lost."""
@@ -272,72 +267,9 @@
         except TimeoutError:
             return
         await asyncio.sleep(
-            max(MIN_ROUND_GAP, self._round_seconds / MAX_ROUND_SHARE)
+            max(MIN_ROUND_GAP, self._rounds.round_seconds / MAX_ROUND_SHARE)
         )
 
     def _run_round(self) -> None:
-        started_at = read_clock()
         self._wake.clear()
-        self._planned = 0
-        if self._ports.relays is not None:
-            self._ports.relays.set_worker_count(self._fleet.count_live())
-        missing: frozenset[str] = frozenset()
-        if any(pool_state.recovering for pool_state in self._pool_states):
-            missing = self._find_missing_vms()
-        for pool_state in self._rotate_pools():
-            self._end_inherited_pause(pool_state, started_at, missing)
-            self._plan_starts(pool_state)
-            self._recorder.mark_dirty(pool_state.pop_dirty_jobs())
-        self._round_seconds = read_clock() - started_at
-
-    def _end_inherited_pause(
-        self, pool_state: PoolState, now: float, missing: frozenset[str]
-    ) -> None:
-        if not pool_state.recovering:
-            return
-        listed = None
-        if self._controller is not None:
-            listed = self._controller.find_listed_workers(pool_state.service)
-        takeover = Takeover(
-            now - self._started_at,
-            self._longest_lease,
-            listed,
-            missing,
-            lists_vms=self._controller is not None,
-        )
-        if end_inherited_pause(pool_state, takeover):
-            self._log.info(
-                'pool settled',
-                pool=pool_state.service,
-                seconds=round(takeover.passed, 2),
-                listed=takeover.listed is not None,
-                silent=find_silent_workers(pool_state),
-                unregistered=find_unregistered_workers(pool_state, takeover),
-                missing=len(takeover.missing),
-                missing_vms=sorted(takeover.missing)[:MAX_LOGGED_VMS],
-            )
-
-    def _find_missing_vms(self) -> frozenset[str]:
-        """Return the VMs of former leaders that may run unknown workers."""
-        known = self._fleet.find_vms()
-        if self._controller is not None:
-            known |= self._controller.find_settled_vms()
-        return self._fleet.record.inherited - known
-
-    def _rotate_pools(self) -> list[PoolState]:
-        """Return the pools, another one first in each round."""
-        pool_states = list(self._pool_states)
-        self._first_pool = (self._first_pool + 1) % max(len(pool_states), 1)
-        return [
-            *pool_states[self._first_pool :],
-            *pool_states[: self._first_pool],
-        ]
-
-    def _plan_starts(self, pool_state: PoolState) -> None:
-        moment = read_moment()
-        free = self._window.free - self._planned
-        starts = StartPlanner(pool_state, moment).plan(free)
-        self._planned += len(starts)
-        if len(starts) >= free:
-            self._window.note_exhausted(moment.now)
-        self._fleet.send(pool_state, starts)
+        self._rounds.run()
--- a/verbenapost/scheduler/ports.py
+++ b/verbenapost/scheduler/ports.py
@@ -77,7 +77,8 @@
     :param window: limit of unanswered starts.
     :param send: sends commands to workers.
     :param log: logger.
-    :param interference: detects images that slow each other down, if any does.
+    :param interference: detects images that slow each other down, or ``None``
+        if that is off.
     """
 
     client: WorkerClient
