Jobs: the stored form of progress in a module of its own

Change: pack_progress, restore_progress and read_packed_state in jobprogress.py take a job, in place of Job.pack and Job.restore. Stored fields are the same.

--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -4,9 +4,7 @@
 import enum
 import math
 from collections.abc import Iterator
-from typing import Any, Final
-
-import msgpack
+from typing import Final
 
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.workloads import (
@@ -152,13 +150,6 @@
         )
 
 
-_DONE: Final = 'done'
-_FAILED: Final = 'failed'
-_CRASHED: Final = 'crashed'
-_CHECKPOINTS: Final = 'saved'
-_STATE: Final = 'state'
-
-
 class Job:
     """A job with all its tasks.
 
@@ -253,65 +244,6 @@
         if complete and not self.state.ended:
             self.state = CallerJobState.COMPLETED
 
-    def pack(self) -> bytes:
-        """Return the job's progress in its stored form.
-
-        For a job that has ended, only its state is stored.
-        """
-        if self.state.ended:
-            ended: bytes = msgpack.packb({_STATE: self.state.value})
-            return ended
-        fields: dict[str, Any] = {
-            _STATE: self.state.value,
-            _DONE: [
-                [task.key.occurrence, task.key.step, task.key.index]
-                for task in self.tasks()
-                if task.state is TaskState.DONE
-            ],
-            _FAILED: [
-                [*_locate(task), list(task.failed_runs)]
-                for task in self.tasks()
-                if task.failed_runs
-            ],
-            _CRASHED: [
-                [*_locate(task), _list_crashed_runs(task)]
-                for task in self.tasks()
-                if task.crashed_runs
-            ],
-            _CHECKPOINTS: [
-                [*_locate(task), task.checkpoint]
-                for task in self.tasks()
-                if task.checkpoint and task.state is not TaskState.DONE
-            ],
-        }
-        packed: bytes = msgpack.packb(fields)
-        return packed
-
-    def restore(self, packed: bytes, revision: int) -> None:
-        """Restore the progress that a former leader has stored.
-
-        :raises ValueError: when the progress can't be decoded.
-        """
-        fields = msgpack.unpackb(packed)
-        for position in fields.get(_DONE, ()):
-            task = self._locate(position)
-            # Older versions took a long-running task for done.
-            if not task.step.long_running:
-                self.finish(task)
-        for *position, runs in fields.get(_FAILED, ()):
-            self._locate(position).failed_runs = tuple(runs)
-        for *position, runs in fields.get(_CRASHED, ()):
-            self._locate(position).crashed_runs = tuple(runs)
-        for *position, checkpoint in fields.get(_CHECKPOINTS, ()):
-            self._locate(position).checkpoint = checkpoint
-        self.state = CallerJobState(fields[_STATE])
-        self.stored_state = self.state
-        self.revision = revision
-
-    def _locate(self, position: list[int]) -> Task:
-        occurrence, step, index = position
-        return self.occurrences[occurrence][step].tasks[index]
-
     def _make_step(self, occurrence: int, number: int) -> StepRun:
         step = self.spec.steps[number]
         tenant = self.tenant_name
@@ -322,27 +254,3 @@
             for index in range(step.count)
         ]
         return StepRun(self, occurrence, number, step, tasks)
-
-
-def read_packed_state(packed: bytes) -> CallerJobState:
-    """Return the job state in a stored progress.
-
-    :raises ValueError: when the progress can't be decoded.
-    """
-    return CallerJobState(msgpack.unpackb(packed)[_STATE])
-
-
-def _locate(task: Task) -> list[int]:
-    return [task.key.occurrence, task.key.step, task.key.index]
-
-
-def _list_crashed_runs(task: Task) -> list[int]:
-    """Return the crashed runs, with a run that may be about to crash.
-
-    A leader may be lost before it knows of the crash. A successor that finds
-    the run listed by its worker clears the task.
-    """
-    runs = list(task.crashed_runs)
-    if task.state.placed and not task.proven and task.run not in runs:
-        runs.append(task.run)
-    return runs
--- a/verbenapost/coordination/scheduling/tests/test_crashes.py
+++ b/verbenapost/coordination/scheduling/tests/test_crashes.py
@@ -8,6 +8,10 @@
     PROOF_SECONDS,
     note_crash,
 )
+from verbenapost.coordination.scheduling.jobprogress import (
+    pack_progress,
+    restore_progress,
+)
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.tests.crashes import (
     BAD,
@@ -155,7 +159,7 @@
         successor = make_pool_state(make_entry('w5'), token=2)
         spec = JobSpec(BAD, ROUTE.name, 'text', (ONE,), 'routing')
         job = Job(spec, 0)
-        job.restore(packed, revision=7)
+        restore_progress(job, packed, revision=7)
         successor.add_job(job, ROUTE)
         return successor, job
 
@@ -166,7 +170,7 @@
             start_all(pool_state, now=now)
             crash_under(pool_state, next(job.tasks()))
         assert pool_state.pop_dirty_jobs() == {BAD}
-        return job.pack()
+        return pack_progress(job)
 
     def test_the_successor_gives_up_at_the_third(self):
         successor, job = self.take_over(self.make_progress())
@@ -184,13 +188,13 @@
         successor, job = self.take_over(self.make_progress())
         start_all(successor, now=9)
         assert successor.pop_dirty_jobs() == {BAD}
-        _, job = self.take_over(job.pack())
+        _, job = self.take_over(pack_progress(job))
         assert len(next(job.tasks()).crashed_runs) == MAX_CRASHES
 
     def test_a_run_that_went_on_over_the_change_does_not_count(self):
         leader, job = self.take_over(self.make_progress())
         (start,) = start_all(leader, now=9)
-        successor, job = self.take_over(job.pack())
+        successor, job = self.take_over(pack_progress(job))
         report(successor, 'w5', [make_row(start)], now=10)
         report(successor, 'w5', [make_row(start)], now=10 + PROOF_SECONDS)
         assert not next(job.tasks()).crashed_runs
@@ -206,4 +210,4 @@
         start_all(successor, now=9)
         prove(successor, 'w5', 9 + PROOF_SECONDS)
         assert successor.pop_dirty_jobs() == {BAD}
-        assert not msgpack.unpackb(job.pack())['crashed']
+        assert not msgpack.unpackb(pack_progress(job))['crashed']
--- a/verbenapost/coordination/scheduling/tests/test_longrunning.py
+++ b/verbenapost/coordination/scheduling/tests/test_longrunning.py
@@ -3,6 +3,7 @@
 import msgpack
 import pytest
 
+from verbenapost.coordination.scheduling.jobprogress import restore_progress
 from verbenapost.coordination.scheduling.tests.sample import (
     JOB,
     SMALL,
@@ -88,7 +89,8 @@
         pool_state = make_pool_state(make_entry())
         job = add_job(pool_state, StepSpec(1, SMALL), LASTING)
         done = [[0, 0, 0], [0, 1, 1]]
-        job.restore(msgpack.packb({'state': 'running', 'done': done}), 7)
+        packed = msgpack.packb({'state': 'running', 'done': done})
+        restore_progress(job, packed, 7)
         starts = {start.task.key.position for start in plan(pool_state)}
         assert starts == {(0, 1, 0), (0, 1, 1)}
         assert pool_state.jobs[JOB].state is CallerJobState.RUNNING
--- a/verbenapost/coordination/scheduling/tests/test_poolstate.py
+++ b/verbenapost/coordination/scheduling/tests/test_poolstate.py
@@ -5,6 +5,10 @@
 import pytest
 
 from verbenapost.coordination.scheduling.commands import StopTask
+from verbenapost.coordination.scheduling.jobprogress import (
+    pack_progress,
+    restore_progress,
+)
 from verbenapost.coordination.scheduling.jobs import Job, TaskState
 from verbenapost.coordination.scheduling.tests import sample
 from verbenapost.coordination.scheduling.tests.sample import (
@@ -321,7 +325,7 @@
         end_run(pool_state, failed, RunEndKind.FAILED)
         end_run(pool_state, stopped, RunEndKind.STOPPED, checkpoint='half')
         successor = Job(job.spec, 0)
-        successor.restore(job.pack(), revision=7)
+        restore_progress(successor, pack_progress(job), revision=7)
         states = [task.state for task in successor.tasks()]
         assert states == [TaskState.DONE, TaskState.WAITING, TaskState.WAITING]
         runs = [task.failed_runs for task in successor.tasks()]
--- a/verbenapost/coordination/scheduling/tests/test_quotahistories.py
+++ b/verbenapost/coordination/scheduling/tests/test_quotahistories.py
@@ -10,6 +10,10 @@
 
 from verbenapost.coordination.scheduling.commands import StartTask, StopTask
 from verbenapost.coordination.scheduling.inheritedusage import InheritedUsage
+from verbenapost.coordination.scheduling.jobprogress import (
+    pack_progress,
+    restore_progress,
+)
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.planning import StartPlanner
@@ -118,7 +122,7 @@
         for spec, pool, packed in self.jobs.values():
             job = Job(spec, self.now, inherited=True)
             if packed is not None:
-                job.restore(packed, 1)
+                restore_progress(job, packed, 1)
             pools[pool].add_job(job, ROUTE)
 
     def submit(self):
@@ -228,7 +232,7 @@
     def store(self, pool, name):
         spec, _, packed = self.jobs[name]
         if self.rng.random() < 0.5:
-            packed = self.pools[pool].jobs[name].pack()
+            packed = pack_progress(self.pools[pool].jobs[name])
         self.jobs[name] = (spec, pool, packed)
 
     def lapse(self):
--- a/verbenapost/scheduler/intake.py
+++ b/verbenapost/scheduler/intake.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, final
 
 from verbenapost.coordination.scheduling.commands import Command
+from verbenapost.coordination.scheduling.jobprogress import restore_progress
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.daemon.timers import read_clock
@@ -162,7 +163,7 @@
         job = Job(spec, read_clock() - age, inherited=self.inheriting)
         progress = self._progress.pop(make_progress_key(spec.job), None)
         if progress is not None:
-            job.restore(progress.value, progress.revision)
+            restore_progress(job, progress.value, progress.revision)
             if job.state.ended:
                 job.ended_at = read_clock()
         pool_state = self._pool_states.find(spec.service)
--- a/verbenapost/scheduler/jobstates.py
+++ b/verbenapost/scheduler/jobstates.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from verbenapost.coordination.scheduling.jobs import read_packed_state
+from verbenapost.coordination.scheduling.jobprogress import read_packed_state
 from verbenapost.platform.store import PlatformStore
 from verbenapost.platform.submissions import encode_state
 from verbenapost.protocol.orders import CallFault
--- a/verbenapost/scheduler/recorder.py
+++ b/verbenapost/scheduler/recorder.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from verbenapost.coordination.scheduling.jobprogress import pack_progress
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.daemon.timers import read_clock
 from verbenapost.platform.store import PlatformStore
@@ -108,7 +109,7 @@
                 self._wake.clear()
                 continue
             entries = [
-                _Entry(job, job.pack(), job.state)
+                _Entry(job, pack_progress(job), job.state)
                 for job in map(self._find_job, batch)
                 if job is not None
             ]
--- a/verbenapost/scheduler/tests/test_takeover.py
+++ b/verbenapost/scheduler/tests/test_takeover.py
@@ -6,6 +6,10 @@
 from result import Err, Ok
 
 from standins.fleet.world import make_settings
+from verbenapost.coordination.scheduling.jobprogress import (
+    pack_progress,
+    restore_progress,
+)
 from verbenapost.coordination.scheduling.jobs import Job
 from verbenapost.coordination.scheduling.outages import StoreOutageDetector
 from verbenapost.daemon.logs import make_logger
@@ -86,9 +90,9 @@
         job = Job(spec, 0)
         job.state = CallerJobState.COMPLETED
         stripped = pack_job(strip_spec(job))
-        assert len(stripped) + len(job.pack()) < 300
+        assert len(stripped) + len(pack_progress(job)) < 300
         known = Job(unpack_job(stripped), 0)
-        known.restore(job.pack(), revision=3)
+        restore_progress(known, pack_progress(job), revision=3)
         assert (known.state, known.revision) == (CallerJobState.COMPLETED, 3)
 
 
