Tests: each new class says which failure it guards against

Cause: 13 new test files had classes whose names alone did not say what breaks without them, and test_quotahistories.py had a plain function. Change: a sentence for each such class; the function becomes a method of a class. No check or bound changes.

--- a/verbenapost/cli/tests/test_configurationcheck.py
+++ b/verbenapost/cli/tests/test_configurationcheck.py
@@ -53,6 +53,8 @@
 
 
 class TestFindings:
+    """A fault must be found before daemons ignore the version."""
+
     def test_a_valid_configuration_has_none(self, check):
         assert check(VALID) == (0, {'findings': [], 'changes': []})
 
@@ -114,6 +116,8 @@
 
 
 class TestDifferences:
+    """A change must not go unnoticed, and no key may be shown."""
+
     def test_are_shown_with_both_values(self, check):
         newer = change('routes.1.priority', 2)
         newer['version'] = 4
--- a/verbenapost/cli/tests/test_tenantlog.py
+++ b/verbenapost/cli/tests/test_tenantlog.py
@@ -28,6 +28,8 @@
 
 
 class TestTenants:
+    """An older line must not be shown as the use of a tenant."""
+
     def test_the_newest_line_of_each_tenant_is_shown(self, tmp_path, capsys):
         """Logs of several leaders are not in order."""
         log = tmp_path / 'log'
--- a/verbenapost/coordination/scheduling/tests/test_demandforecast.py
+++ b/verbenapost/coordination/scheduling/tests/test_demandforecast.py
@@ -44,6 +44,8 @@
 
 
 class TestRisingRate:
+    """VMs that are ordered for the present rate join too late."""
+
     def test_vms_are_asked_for_earlier(self):
         """A pool sized for the present rate is short while the rate rises."""
         gains = []
@@ -66,6 +68,8 @@
 
 
 class TestSteadyRate:
+    """VMs must not move for chance."""
+
     def test_chance_asks_for_few_vms(self):
         """Noise would otherwise move VMs all the time."""
         present = predicted = 0
@@ -77,6 +81,8 @@
 
 
 class TestFallingRate:
+    """A pool must not lose VMs that its callers still need."""
+
     def test_it_is_not_extrapolated(self):
         rows = replay(DemandMeter(), [PEAK] * 12 + make_rise()[::-1])
         falling = rows[18:]
--- a/verbenapost/coordination/scheduling/tests/test_fairness.py
+++ b/verbenapost/coordination/scheduling/tests/test_fairness.py
@@ -53,6 +53,8 @@
 
 
 class TestShares:
+    """A tenant with many waiting steps must not take the share of another."""
+
     @pytest.mark.parametrize(
         ('weights', 'expected'),
         [
@@ -99,6 +101,8 @@
 
 
 class TestPrecedence:
+    """Fair shares must not put urgent work behind other work."""
+
     def test_priority_goes_before_shares(self):
         pool_state = make_pool(1)
         urgent = Route('now', 'host', '/now/', 'routing', priority=-1)
@@ -121,6 +125,8 @@
 
 
 class TestWithoutTenants:
+    """The order of pools without tenants must not change."""
+
     def test_the_order_is_by_class_and_age(self):
         pool_state = make_pool(2)
         late = Route('late', 'host', '/late/', 'routing', priority=1)
--- a/verbenapost/coordination/scheduling/tests/test_interference.py
+++ b/verbenapost/coordination/scheduling/tests/test_interference.py
@@ -35,6 +35,8 @@
 
 
 class TestHarmfulPair:
+    """A pair that does harm must be found, and no image beside it."""
+
     @pytest.mark.parametrize('aggressor', ['b1', 's2', 't2'])
     @pytest.mark.parametrize('victim', ['s1', 't1'])
     def test_is_found_within_seconds(self, victim, aggressor):
@@ -102,6 +104,8 @@
 
 
 class TestPairThatIsHarmlessAgain:
+    """A finding must not outlast the harm."""
+
     def test_is_refuted_by_what_its_victim_shows(self):
         replay = find_pair()
         replay.effects.clear()
@@ -131,6 +135,8 @@
 
 
 class TestOtherCauses:
+    """A slowdown with another cause must not become a finding."""
+
     @pytest.mark.parametrize(
         ('slowed', 'placements'),
         [
@@ -219,6 +225,8 @@
 
 
 class TestBounds:
+    """Observations must not use up the leader's memory or time."""
+
     def test_many_images_take_bounded_memory(self, monkeypatch):
         monkeypatch.setattr(interferenceevidence, 'MAX_VICTIMS', 50)
         monkeypatch.setattr(interferenceevidence, 'MAX_PAIRS', 80)
--- a/verbenapost/coordination/scheduling/tests/test_partners.py
+++ b/verbenapost/coordination/scheduling/tests/test_partners.py
@@ -42,6 +42,8 @@
 
 
 class TestPlacement:
+    """A finding must part images, and must never leave a task waiting."""
+
     @pytest.mark.parametrize(
         ('first', 'second'), [('maps', 'batch'), ('batch', 'maps')]
     )
--- a/verbenapost/coordination/scheduling/tests/test_quotahistories.py
+++ b/verbenapost/coordination/scheduling/tests/test_quotahistories.py
@@ -249,10 +249,13 @@
             self.keep(pool, self.pools[pool].cancel_job(name))
 
 
-@given(strategies.integers(0, 2**32))
-def test_the_cap_holds_through_any_history(seed):
-    world = World(random.Random(seed))
-    for _ in range(HISTORY_STEPS):
-        getattr(world, world.rng.choice(STEPS))()
-        world.check()
-        world.now += 0.6
+class TestRandomHistories:
+    """A cap must hold whatever answers, reports and leaders are lost."""
+
+    @given(strategies.integers(0, 2**32))
+    def test_the_cap_holds_through_any_history(self, seed):
+        world = World(random.Random(seed))
+        for _ in range(HISTORY_STEPS):
+            getattr(world, world.rng.choice(STEPS))()
+            world.check()
+            world.now += 0.6
--- a/verbenapost/coordination/scheduling/tests/test_quotas.py
+++ b/verbenapost/coordination/scheduling/tests/test_quotas.py
@@ -49,6 +49,8 @@
 
 
 class TestCap:
+    """A tenant must not start more than its cap allows."""
+
     @pytest.mark.parametrize(
         ('cap', 'starts'),
         [
@@ -192,6 +194,8 @@
 
 
 class TestGang:
+    """A part of a gang must not start, nor bring its tenant above the cap."""
+
     @pytest.mark.parametrize(('members', 'starts'), [(3, 3), (4, 0)])
     def test_all_members_start_or_none(self, members, starts):
         pool_state = make_pool()
--- a/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
+++ b/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
@@ -64,6 +64,8 @@
 
 
 class TestRate:
+    """A tenant beyond its rate must be refused before others wait for it."""
+
     def test_jobs_beyond_the_rate_are_refused_while_others_wait(self):
         desk = Desk(backlog=1, tenant=OTHER)
         assert desk.ask_many(FLOOD, 7) == [None] * 5 + ['rate'] * 2
@@ -113,6 +115,8 @@
 
 
 class TestFairShare:
+    """The backlog of one tenant must not refuse the jobs of others."""
+
     def test_a_flood_does_not_refuse_others(self):
         """Six seconds of one tenant's work wait; a job may wait 1.2 s."""
         desk = Desk(backlog=24)
@@ -139,6 +143,8 @@
 
 
 class TestCap:
+    """Work behind a cap must not be accepted and then start too late."""
+
     CAPPED = TenantTerms('flood', 1, Resources(2000))
 
     def make_desk(self):
--- a/verbenapost/platform/tests/test_tenants.py
+++ b/verbenapost/platform/tests/test_tenants.py
@@ -27,6 +27,8 @@
 
 
 class TestTenants:
+    """A faulty list must not turn off authentication or show a key."""
+
     def test_fields_are_decoded_and_may_be_missing(self):
         tenants = decode(tenants=[TENANT, {'name': 'b'}]).ok_value.tenants
         terms = TenantTerms('a', 0.5, Resources(2542997, 7438815))
@@ -84,6 +86,8 @@
 
 
 class TestExemptRoutes:
+    """A route must not lose its authentication by accident."""
+
     @pytest.mark.parametrize(
         ('field', 'exempt'), [({}, False), ({'auth_exempt': True}, True)]
     )
@@ -95,6 +99,8 @@
 
 
 class TestAuthorization:
+    """A header in another form must not be taken for a key."""
+
     @pytest.mark.parametrize('header', [b'Token KEY', b'token  KEY '])
     def test_key_is_read_as_its_digest(self, header):
         assert read_authorization(header) == Ok(digest_key(b'KEY'))
--- a/verbenapost/scheduler/tests/test_authentication.py
+++ b/verbenapost/scheduler/tests/test_authentication.py
@@ -67,6 +67,8 @@
 
 
 class TestKeys:
+    """A request without a valid key must not be served."""
+
     @pytest.mark.parametrize('key', ['', 'KEY KEY', 'unknown'])
     def test_a_request_without_a_key_reaches_nothing(self, play, key):
         """Nothing may be stored, or requested from the leader, before."""
@@ -123,6 +125,8 @@
 
 
 class TestVersions:
+    """A removed key must not go on working, nor a job lose its owner."""
+
     def test_keys_are_removed_and_added_by_valid_versions(self, play):
         async def scenario(world):
             found = []
@@ -230,6 +234,8 @@
 
 
 class TestExemptRoutes:
+    """An exempt route must not open jobs that belong to a tenant."""
+
     @pytest.mark.parametrize('key', ['', KEY, 'unknown'])
     def test_jobs_need_no_key_and_belong_to_no_tenant(self, play, key):
         async def scenario(world):
@@ -261,6 +267,8 @@
 
 
 class TestSecrecy:
+    """A key must not leave the process."""
+
     def test_no_key_is_logged_stored_or_kept(self, play, capsys):
         async def scenario(world):
             with capture_logs() as logs:
@@ -290,6 +298,8 @@
 
 
 class TestGangBeyondTheCap:
+    """A gang that can never start must not be accepted."""
+
     def test_it_is_refused_at_once(self, play):
         """It would be accepted and wait for ever."""
         gang = [{'count': 3, 'cpu': 60000, 'mem_mb': 10, 'gang': True}]
--- a/verbenapost/scheduler/tests/test_interference.py
+++ b/verbenapost/scheduler/tests/test_interference.py
@@ -34,6 +34,8 @@
 
 
 class TestSwitch:
+    """The detection must not run where the operators have not enabled it."""
+
     @pytest.mark.parametrize(
         ('changes', 'active'),
         [
@@ -50,6 +52,8 @@
 
 
 class TestFeed:
+    """Without reports the detection would find nothing."""
+
     def test_a_report_is_observed(self, monkeypatch):
         async def renew():
             clock = Clock()
@@ -70,6 +74,8 @@
 
 
 class TestOutput:
+    """Operators must see why images are placed apart."""
+
     def test_shows_a_finding_and_its_end_with_the_evidence(self):
         replay = Replay('s1 b1', 's1 b1', 's1', 's1')
         replay.effects['s1', 'b1'] = 3
--- a/verbenapost/scheduler/tests/test_tenants.py
+++ b/verbenapost/scheduler/tests/test_tenants.py
@@ -109,6 +109,8 @@
 
 
 class TestAdmission:
+    """Work that a cap holds back must not be accepted or move VMs."""
+
     def test_work_behind_a_cap_is_refused_and_is_no_demand(self):
         bench = Bench()
         bench.add('a', 20)
@@ -131,6 +133,8 @@
 
 
 class TestPoolStateSet:
+    """A cap must not be exceeded by the inherited jobs of another pool."""
+
     def test_inherited_jobs_of_one_pool_count_in_all(self):
         pool_states = PoolStateSet(2)
         first, second = map(pool_states.find, ('first', 'second'))
@@ -143,6 +147,8 @@
 
 
 class TestRestartedWorker:
+    """Runs of a former life must not count for ever."""
+
     def test_its_unbooked_runs_no_longer_count(self, monkeypatch):
         pool_state, _, link = make_link(Clock(), monkeypatch)
         task = next(add_job(pool_state, tenant=TERMS).tasks())
@@ -153,6 +159,8 @@
 
 
 class TestStatus:
+    """Operators must see which tenants wait, and for what."""
+
     def test_a_tenant_at_its_cap_has_a_line(self):
         bench = Bench()
         bench.add('a', 20)
