--- a/verbenapost/scheduler/tenantstatus.py
+++ b/verbenapost/scheduler/tenantstatus.py
@@ -108,7 +108,7 @@
         gauges.waiting_tasks.set(labels, waiting)
 
     def _clear_gauges(self) -> None:
-        """Show nothing that the next leader counts from now on."""
+        """Reset the gauges that the next leader sets from now on."""
         for name in self._known:
             labels = {'tenant': name}
             self._metrics.tenants.running_cores.set(labels, 0)
