--- a/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
+++ b/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
@@ -32,7 +32,7 @@
 OTHER = TenantTerms('other', 1)
 
 
-class Desk:
+class PoolAdmission:
     """Admission to one pool, whose workers are full or not."""
 
     def __init__(self, backlog=0, tenant=FLOOD):
@@ -67,42 +67,44 @@
     """A tenant beyond its rate must be refused before others wait for it."""
 
     def test_jobs_beyond_the_rate_are_refused_while_others_wait(self):
-        desk = Desk(backlog=1, tenant=OTHER)
-        assert desk.ask_many(FLOOD, 7) == [None] * 5 + ['rate'] * 2
-        assert desk.admission.refused == {('flood', 'rate'): 2}
+        pool = PoolAdmission(backlog=1, tenant=OTHER)
+        assert pool.ask_many(FLOOD, 7) == [None] * 5 + ['rate'] * 2
+        assert pool.admission.refused == {('flood', 'rate'): 2}
 
     def test_they_are_accepted_as_far_as_the_pool_is_free(self):
         """Accepted jobs that are on their way use capacity as well."""
-        desk = Desk()
+        pool = PoolAdmission()
         for _ in range(5):
-            desk.ask(FLOOD, 0)
-        assert desk.ask_many(FLOOD, 6, now=1.0) == [None] * 4 + ['rate'] * 2
+            pool.ask(FLOOD, 0)
+        assert pool.ask_many(FLOOD, 6, now=1.0) == [None] * 4 + ['rate'] * 2
 
     def test_the_bucket_fills_at_the_rate(self):
-        desk = Desk(backlog=1, tenant=OTHER)
-        desk.ask_many(FLOOD, 6)
-        assert desk.ask_many(FLOOD, 3, now=2.0) == [None, None, 'rate']
+        pool = PoolAdmission(backlog=1, tenant=OTHER)
+        pool.ask_many(FLOOD, 6)
+        assert pool.ask_many(FLOOD, 3, now=2.0) == [None, None, 'rate']
 
     def test_a_job_that_comes_again_takes_no_second_token(self):
-        desk = Desk(backlog=1, tenant=OTHER)
+        pool = PoolAdmission(backlog=1, tenant=OTHER)
         for _ in range(20):
-            assert desk.ask(FLOOD, job='a' * 16).reason is None
-        assert desk.ask_many(FLOOD, 5) == [None] * 4 + ['rate']
+            assert pool.ask(FLOOD, job='a' * 16).reason is None
+        assert pool.ask_many(FLOOD, 5) == [None] * 4 + ['rate']
 
     def test_one_tenant_takes_no_tokens_of_another(self):
-        desk = Desk(backlog=1, tenant=OTHER)
-        desk.ask_many(FLOOD, 50)
-        assert desk.ask(TenantTerms('third', 1)).reason is None
+        pool = PoolAdmission(backlog=1, tenant=OTHER)
+        pool.ask_many(FLOOD, 50)
+        assert pool.ask(TenantTerms('third', 1)).reason is None
 
     def test_a_tenant_of_weight_0_gets_what_is_free(self):
         nobody = TenantTerms('nobody', 0)
-        assert Desk().ask(nobody).reason is None
-        assert Desk(backlog=1, tenant=OTHER).ask(nobody).reason == 'rate'
+        assert PoolAdmission().ask(nobody).reason is None
+        assert (
+            PoolAdmission(backlog=1, tenant=OTHER).ask(nobody).reason == 'rate'
+        )
 
     def test_refused_callers_are_told_different_times(self):
-        desk = Desk(backlog=1, tenant=OTHER)
-        desk.ask_many(FLOOD, 5)
-        told = [desk.ask(FLOOD).outcome.retry_after for _ in range(3)]
+        pool = PoolAdmission(backlog=1, tenant=OTHER)
+        pool.ask_many(FLOOD, 5)
+        told = [pool.ask(FLOOD).outcome.retry_after for _ in range(3)]
         assert told == [1, 2, 3]
 
     def test_a_caller_that_returns_when_told_gets_a_token(self):
@@ -119,27 +121,27 @@
 
     def test_a_flood_does_not_refuse_others(self):
         """Six seconds of one tenant's work wait; a job may wait 1.2 s."""
-        desk = Desk(backlog=24)
-        assert desk.ask(OTHER).reason is None
-        refusal = desk.ask(FLOOD)
+        pool = PoolAdmission(backlog=24)
+        assert pool.ask(OTHER).reason is None
+        refusal = pool.ask(FLOOD)
         assert refusal.reason == 'full'
         assert refusal.outcome.retry_after > 1
 
     @pytest.mark.parametrize(('weight', 'wait'), [(1, 2.0), (3, 4 / 3)])
     def test_the_wait_is_that_of_the_own_backlog(self, weight, wait):
-        desk = Desk(backlog=40)
+        pool = PoolAdmission(backlog=40)
         terms = TenantTerms('other', weight)
-        add_job(desk.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=terms)
-        assert desk.ask(terms).outcome.wait == pytest.approx(wait)
+        add_job(pool.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=terms)
+        assert pool.ask(terms).outcome.wait == pytest.approx(wait)
 
     def test_it_is_never_more_than_the_whole_backlog(self):
-        desk = Desk(backlog=4, tenant=TenantTerms('heavy', 100))
+        pool = PoolAdmission(backlog=4, tenant=TenantTerms('heavy', 100))
         light = TenantTerms('light', 1)
-        add_job(desk.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=light)
-        assert desk.ask(light).outcome.wait == 2
+        add_job(pool.pool_state, StepSpec(4, SMALL), job='c' * 16, tenant=light)
+        assert pool.ask(light).outcome.wait == 2
 
     def test_unsent_orders_delay_everyone(self):
-        assert Desk().ask(OTHER, orders=9.0).reason == 'full'
+        assert PoolAdmission().ask(OTHER, orders=9.0).reason == 'full'
 
 
 class TestCap:
@@ -147,18 +149,18 @@
 
     CAPPED = TenantTerms('flood', 1, Resources(2000))
 
-    def make_desk(self):
-        """Return a desk whose tenant runs 2 of 4 cores, its cap."""
-        return Desk(backlog=20, tenant=self.CAPPED)
+    def make_capped_pool(self):
+        """Return a pool whose tenant runs 2 of 4 cores, its cap."""
+        return PoolAdmission(backlog=20, tenant=self.CAPPED)
 
     def test_what_waits_for_the_cap_refuses_further_jobs(self):
-        refusal = self.make_desk().ask(self.CAPPED)
+        refusal = self.make_capped_pool().ask(self.CAPPED)
         assert refusal.reason == 'quota'
         assert refusal.outcome.wait == 11
 
     def test_it_refuses_nobody_else(self):
-        desk = self.make_desk()
-        assert desk.ask(OTHER).outcome.wait == 0
-        assert estimate_wait(desk.pool_state, 0, Moment(0, 0)) == 0
+        pool = self.make_capped_pool()
+        assert pool.ask(OTHER).outcome.wait == 0
+        assert estimate_wait(pool.pool_state, 0, Moment(0, 0)) == 0
         beyond = TenantTerms('nobody', 0)
-        assert desk.ask(beyond).reason is None
+        assert pool.ask(beyond).reason is None
--- a/verbenapost/scheduler/tests/test_tenants.py
+++ b/verbenapost/scheduler/tests/test_tenants.py
@@ -37,8 +37,8 @@
 TERMS = TenantTerms('flood', 1, Resources(2000, 900))
 
 
-class Demands:
-    """Records the demand of jobs."""
+class RecordedDemands:
+    """Stands in for the controller and records the demand of jobs."""
 
     def __init__(self):
         self.demands = self
@@ -51,7 +51,7 @@
         self.recorded.append(job)
 
 
-class Bench:
+class LeaderAdmission:
     """A leader's admission to one pool of four cores."""
 
     def __init__(self, tenants=(TERMS,)):
@@ -68,7 +68,7 @@
         worker = self.pool_state.set_worker(make_entry())
         worker.reconciled = True
         worker.reachable = True
-        self.controller = Demands()
+        self.controller = RecordedDemands()
         self.admission = Admission(
             self.configuration,
             self.pool_states,
@@ -112,24 +112,24 @@
     """Work that a cap holds back must not be accepted or move VMs."""
 
     def test_work_behind_a_cap_is_refused_and_is_no_demand(self):
-        bench = Bench()
-        bench.add('a', 20)
-        answer = bench.ask()
+        leader = LeaderAdmission()
+        leader.add('a', 20)
+        answer = leader.ask()
         assert not answer.accepted
         assert answer.retry_after > 0
-        assert bench.controller.recorded == []
-        assert bench.ask(tenant='other').accepted
-        assert bench.controller.recorded == ['c' * 16]
+        assert leader.controller.recorded == []
+        assert leader.ask(tenant='other').accepted
+        assert leader.controller.recorded == ['c' * 16]
 
     def test_work_behind_a_cap_asks_for_no_vms(self):
         """VMs would move for tasks that may not start there either."""
-        bench = Bench()
-        bench.add('a', 20)
-        load = measure_load(bench.pool_states.find('routing'), 0)
+        leader = LeaderAdmission()
+        leader.add('a', 20)
+        load = measure_load(leader.pool_states.find('routing'), 0)
         assert (load.running, load.waiting) == (2, 0)
 
     def test_an_unknown_tenant_is_one_of_another_version(self):
-        assert Bench(()).ask().accepted
+        assert LeaderAdmission(()).ask().accepted
 
 
 class TestPoolStateSet:
@@ -162,10 +162,10 @@
     """Operators must see which tenants wait, and for what."""
 
     def test_a_tenant_at_its_cap_has_a_line(self):
-        bench = Bench()
-        bench.add('a', 20)
-        bench.ask()
-        (line,) = bench.report()
+        leader = LeaderAdmission()
+        leader.add('a', 20)
+        leader.ask()
+        (line,) = leader.report()
         line.pop('log_level')
         assert line == {
             'part': 'tenants',
@@ -184,17 +184,17 @@
         }
 
     def test_one_below_its_cap_without_waiting_work_has_none(self):
-        bench = Bench()
-        bench.add('a', 1)
-        assert bench.report() == []
+        leader = LeaderAdmission()
+        leader.add('a', 1)
+        assert leader.report() == []
 
     def test_the_metrics_show_use_cap_waiting_work_and_refusals(self):
-        bench = Bench()
-        bench.add('a', 20)
-        bench.ask()
+        leader = LeaderAdmission()
+        leader.add('a', 20)
+        leader.ask()
         for _ in range(2):
-            bench.report()
-        shown = bench.metrics.render().decode()
+            leader.report()
+        shown = leader.metrics.render().decode()
         for line in (
             'verbenapost_tenant_running_cores{tenant="flood"} 2',
             'verbenapost_tenant_cap_cores{tenant="flood"} 2',
@@ -204,14 +204,14 @@
             assert line in shown
 
     def test_nothing_is_shown_without_tenants(self):
-        bench = Bench()
-        bench.add('a', 20, tenant=None)
-        assert bench.report() == []
-        assert 'tenant' not in bench.metrics.render().decode()
+        leader = LeaderAdmission()
+        leader.add('a', 20, tenant=None)
+        assert leader.report() == []
+        assert 'tenant' not in leader.metrics.render().decode()
 
     def test_refusals_without_waiting_work_have_a_line(self):
-        bench = Bench()
+        leader = LeaderAdmission()
         refused = collections.Counter({('flood', Refusal.RATE): 3})
-        bench.status._refused = refused
-        assert [row['refused_rate'] for row in bench.report()] == [3]
-        assert bench.report() == []
+        leader.status._refused = refused
+        assert [row['refused_rate'] for row in leader.report()] == [3]
+        assert leader.report() == []
