Limits: groups of clients in place of crowds

Cause: 'crowd' and press() are no terms of the field. Change: ClientGroup, CLIENT_GROUPS, open_clients in examples/limits/clients.py, and measure_growth. What clients send and all bounds are the same.

--- a/examples/limits/crowd.py
+++ b/examples/limits/clients.py
@@ -19,8 +19,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Crowd:
-    """Clients that send the same bytes at one time.
+class ClientGroup:
+    """Clients that send the same bytes at the same time.
 
     :param make_bytes: returns what one client sends, without end.
     :param clients: number of connections.
@@ -78,32 +78,34 @@
     yield from itertools.repeat(b'a' * CHUNK_BYTES)
 
 
-#: Crowds by what they send. A crowd sends 40 MB or less.
-CROWDS = {
-    'head': Crowd(_send_head, 8, 5_000_000),
-    'header_lines': Crowd(_send_header_lines, 8, 5_000_000),
-    'empty_lines': Crowd(_send_empty_lines, 8, 5_000_000),
-    'trailers': Crowd(_send_trailers, 8, 5_000_000),
-    'requests': Crowd(_send_requests, 8, 1_000_000),
-    'body': Crowd(_send_body, 8, 5_000_000),
-    'slow_heads': Crowd(_send_slow_head, 100, 1000),
-    'parts_of_heads': Crowd(_send_part_of_head, 1000, 40_000),
-    'connections': Crowd(_send_slow_head, 300, 1000),
-    'peer_message': Crowd(_send_peer_message, 12, 3_300_000),
+#: Groups of clients by what they send. A group sends 40 MB or less.
+CLIENT_GROUPS = {
+    'head': ClientGroup(_send_head, 8, 5_000_000),
+    'header_lines': ClientGroup(_send_header_lines, 8, 5_000_000),
+    'empty_lines': ClientGroup(_send_empty_lines, 8, 5_000_000),
+    'trailers': ClientGroup(_send_trailers, 8, 5_000_000),
+    'requests': ClientGroup(_send_requests, 8, 1_000_000),
+    'body': ClientGroup(_send_body, 8, 5_000_000),
+    'slow_heads': ClientGroup(_send_slow_head, 100, 1000),
+    'parts_of_heads': ClientGroup(_send_part_of_head, 1000, 40_000),
+    'connections': ClientGroup(_send_slow_head, 300, 1000),
+    'peer_message': ClientGroup(_send_peer_message, 12, 3_300_000),
 }
 
 
-async def open_crowd(crowd: Crowd, host: str, port: int) -> list['Client']:
-    """Let the clients of a crowd send, and keep their connections open.
+async def open_clients(
+    group: ClientGroup, host: str, port: int
+) -> list['Client']:
+    """Let the clients of a group send, and keep their connections open.
 
-    :param crowd: the crowd.
+    :param group: the clients to open.
     :param host: IP number of the listener.
     :param port: port of the listener.
     :returns: the clients, which the caller has to close.
     """
-    clients = [Client() for _ in range(crowd.clients)]
+    clients = [Client() for _ in range(group.clients)]
     await asyncio.gather(
-        *(client.send(crowd, host, port) for client in clients)
+        *(client.send(group, host, port) for client in clients)
     )
     return clients
 
@@ -114,14 +116,14 @@
     def __init__(self) -> None:
         self._writer: asyncio.StreamWriter | None = None
 
-    async def send(self, crowd: Crowd, host: str, port: int) -> None:
+    async def send(self, group: ClientGroup, host: str, port: int) -> None:
         """Send until the end of the bytes, a refusal or a stop of progress."""
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(QUIET_SECONDS):
                 # The limit keeps the answers unread.
                 opened = await asyncio.open_connection(host, port, limit=1)
                 self._writer = opened[1]
-            await self._send_chunks(self._writer, crowd)
+            await self._send_chunks(self._writer, group)
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -129,11 +131,11 @@
             self._writer.transport.abort()
 
     async def _send_chunks(
-        self, writer: asyncio.StreamWriter, crowd: Crowd
+        self, writer: asyncio.StreamWriter, group: ClientGroup
     ) -> None:
         sent = 0
-        for chunk in crowd.make_bytes():
-            if sent >= crowd.client_bytes or writer.is_closing():
+        for chunk in group.make_bytes():
+            if sent >= group.client_bytes or writer.is_closing():
                 return
             writer.write(chunk)
             sent += len(chunk)
--- a/examples/limits/daemons.py
+++ b/examples/limits/daemons.py
@@ -1,4 +1,4 @@
-"""Daemons that are started for a crowd of clients."""
+"""Daemons that are started for a group of clients."""
 
 import contextlib
 import json
--- a/examples/limits/tests/test_limits.py
+++ b/examples/limits/tests/test_limits.py
@@ -1,7 +1,7 @@
 """Guards against clients whose requests end a daemon by its memory.
 
-Each test starts a daemon, lets one crowd send to one listener, and checks what
-the daemon holds while the connections of the crowd are open.
+Each test starts a daemon, lets one group of clients send to one listener, and
+checks what the daemon holds while the connections of the group are open.
 """
 
 import asyncio
@@ -10,7 +10,7 @@
 import aiohttp
 import pytest
 
-from examples.limits.crowd import CROWDS, open_crowd
+from examples.limits.clients import CLIENT_GROUPS, open_clients
 from examples.limits.daemons import (
     FLEET_DAEMON,
     OTHER_DAEMON,
@@ -25,10 +25,10 @@
 from standins.fleet.served import ServedWorld
 from standins.fleet.world import HOST, PREFIX
 
-#: Bytes by which a crowd may raise the peak of the resident memory.
+#: Bytes by which a group of clients may raise the peak of the resident memory.
 GROWTH_BYTES = 24_000_000
 
-#: Descriptors beside those of the crowd's connections.
+#: Descriptors beside those of the connections of the group.
 OWN_DESCRIPTORS = 64
 
 #: Descriptors that the daemon may open in the test of many connections, and
@@ -36,10 +36,10 @@
 DESCRIPTORS = 128
 FREE_DESCRIPTORS = 16
 
-#: Seconds between the last bytes of a crowd and the measurement.
+#: Seconds between the last bytes of a group and the measurement.
 SETTLE_SECONDS = 2.0
 
-#: Pairs of a crowd and a listener of the platform's daemon.
+#: Pairs of a group of clients and a listener of the platform's daemon.
 FLEET_CASES = [
     ('head', 'callers'),
     ('header_lines', 'callers'),
@@ -117,11 +117,11 @@
     return False
 
 
-async def press(kind, port, pid):
-    """Return growth and descriptors while the crowd's connections are open."""
+async def measure_growth(kind, port, pid):
+    """Return growth and descriptors while a group is connected."""
     before = read_peak_bytes(pid)
-    crowd = CROWDS[kind]
-    clients = await open_crowd(crowd, LOOPBACK, port)
+    group = CLIENT_GROUPS[kind]
+    clients = await open_clients(group, LOOPBACK, port)
     # The last bytes may still be in the buffers of the sockets.
     await asyncio.sleep(SETTLE_SECONDS)
     growth = read_peak_bytes(pid) - before
@@ -134,7 +134,7 @@
 
 
 class TestFleetDaemon:
-    """The platform's daemon keeps its memory under each crowd."""
+    """The platform's daemon keeps its memory under each group of clients."""
 
     @pytest.mark.parametrize(('kind', 'listener'), FLEET_CASES)
     async def test_it_stays_within_its_memory(
@@ -143,10 +143,10 @@
         ports = start_fleet_daemon(world, processes, tmp_path)
         assert await submit(ports['callers'], '00000000000000a1')
         pid = processes.find_pid(FLEET_DAEMON)
-        growth, descriptors = await press(kind, ports[listener], pid)
+        growth, descriptors = await measure_growth(kind, ports[listener], pid)
         assert processes.is_running(FLEET_DAEMON)
         assert growth < GROWTH_BYTES
-        assert descriptors < CROWDS[kind].clients + OWN_DESCRIPTORS
+        assert descriptors < CLIENT_GROUPS[kind].clients + OWN_DESCRIPTORS
         assert await submit(ports['callers'], '00000000000000a2')
 
     async def test_connections_leave_descriptors_for_other_uses(
@@ -156,14 +156,16 @@
             ports = start_fleet_daemon(world, processes, tmp_path)
         assert await submit(ports['callers'], '00000000000000a1')
         pid = processes.find_pid(FLEET_DAEMON)
-        _, descriptors = await press('connections', ports['callers'], pid)
+        _, descriptors = await measure_growth(
+            'connections', ports['callers'], pid
+        )
         assert processes.is_running(FLEET_DAEMON)
         assert descriptors <= DESCRIPTORS - FREE_DESCRIPTORS
         assert await submit(ports['callers'], '00000000000000a2')
 
 
 class TestOtherDaemon:
-    """``verbenapostd`` keeps its memory under each crowd."""
+    """``verbenapostd`` keeps its memory under each group of clients."""
 
     @pytest.mark.parametrize(('kind', 'listener'), OTHER_CASES)
     async def test_it_stays_within_its_memory(
@@ -172,8 +174,8 @@
         ports = start_other_daemon(processes, tmp_path)
         assert await check_live(ports['callers'])
         pid = processes.find_pid(OTHER_DAEMON)
-        growth, descriptors = await press(kind, ports[listener], pid)
+        growth, descriptors = await measure_growth(kind, ports[listener], pid)
         assert processes.is_running(OTHER_DAEMON)
         assert growth < GROWTH_BYTES
-        assert descriptors < CROWDS[kind].clients + OWN_DESCRIPTORS
+        assert descriptors < CLIENT_GROUPS[kind].clients + OWN_DESCRIPTORS
         assert await check_live(ports['callers'])
