--- a/verbenapost/cli/tenantlog.py
+++ b/verbenapost/cli/tenantlog.py
@@ -79,7 +79,7 @@
                 ExitCode.REFUSED,
                 f'no line {USAGE_EVENT}',
                 'give the logs of all daemons; a tenant has such lines while '
-                'it is at its cap or has work waiting',
+                'it is at its cap, has work waiting or had a job refused',
             )
         if as_json:
             return json.dumps(rows, indent=2)
--- a/verbenapost/coordination/scheduling/demandforecast.py
+++ b/verbenapost/coordination/scheduling/demandforecast.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Collection
 from typing import Final, final
 
 #: Seconds of each of the two spans whose rates are compared.
@@ -73,7 +73,7 @@
         self._peak_at = -math.inf
 
     def predict(
-        self, arrivals: Iterable[Arrival], now: float, lead: float
+        self, arrivals: Collection[Arrival], now: float, lead: float
     ) -> float:
         """Return the expected rate, 0 unless the rate rises.
 
@@ -103,7 +103,7 @@
             self._peak_at = now
 
 
-def _measure(arrivals: Iterable[Arrival], first: float, last: float) -> _Span:
+def _measure(arrivals: Collection[Arrival], first: float, last: float) -> _Span:
     """Return the jobs and work after one time and up to another."""
     found = [row.core_seconds for row in arrivals if first < row.at <= last]
     return _Span(len(found), sum(found) / SPAN_SECONDS)
--- a/verbenapost/coordination/scheduling/interference.py
+++ b/verbenapost/coordination/scheduling/interference.py
@@ -50,8 +50,8 @@
 #: have been reported late.
 MAX_REPORT_GAP: Final = 2.0
 
-#: Reports with named images that are observed per second; others are skipped.
-#: 5,200 workers send 10,400, and each costs the leader some 70 us.
+#: Reports with named images that are observed per second; others are skipped,
+#: so that the reports of a large fleet leave the leader its time for planning.
 REPORTS_PER_SECOND: Final = 600
 
 
--- a/verbenapost/state/configurationchanges.py
+++ b/verbenapost/state/configurationchanges.py
@@ -36,8 +36,8 @@
     if before.tenants is None or after.tenants is None:
         yield from _compare(
             'tenants',
-            _tell(before.tenants),
-            _tell(after.tenants),
+            _describe_presence(before.tenants),
+            _describe_presence(after.tenants),
         )
     yield from _compare_rows(
         'tenants', before.tenants or {}, after.tenants or {}
@@ -52,7 +52,9 @@
         old = before.get(key)
         new = after.get(key)
         if old is None or new is None:
-            yield from _compare(path, _tell(old), _tell(new))
+            yield from _compare(
+                path, _describe_presence(old), _describe_presence(new)
+            )
         elif isinstance(old, Tenant):
             yield from _compare_tenants(path, old, new)
         else:
@@ -88,7 +90,7 @@
     yield ConfigurationChange(path, _show(before), _show(after))
 
 
-def _tell(value: Any) -> str:
+def _describe_presence(value: Any) -> str:
     return _ABSENT if value is None else _PRESENT
 
 
