--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -13,7 +13,6 @@
 from verbenapost.coordination.scheduling.jobs import (
     StepRun,
     TaskState,
-    count_waiting,
 )
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
@@ -236,6 +235,6 @@
 
 def estimate_work(pool_state: PoolState, step: StepRun) -> float:
     """Return the seconds that a step's waiting tasks run in total."""
-    waiting = count_waiting(step)
+    waiting = step.count_waiting()
     seconds = pool_state.run_times.estimate(step.job.spec.route)
     return waiting * seconds
--- a/verbenapost/coordination/scheduling/quotas.py
+++ b/verbenapost/coordination/scheduling/quotas.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
-from verbenapost.coordination.scheduling.jobs import StepRun, count_waiting
+from verbenapost.coordination.scheduling.jobs import StepRun
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.state.resources import Resources
 from verbenapost.state.tenants import TenantTerms
@@ -156,18 +156,18 @@
         self,
         stored: TenantTerms,
         size: Resources,
-        pledged: Resources = _NOTHING,
+        reserved: Resources = _NOTHING,
     ) -> int:
         """Return how many tasks of one size a tenant may start now.
 
         :param stored: terms that are stored with the tenant's job.
         :param size: declared size of each task.
-        :param pledged: size of the tenant's tasks for which capacity is
+        :param reserved: size of the tenant's tasks for which capacity is
             reserved.
         """
         cap = self.find_terms(stored).cap
         return _count_startable(
-            self.read_use(stored.name).plus(pledged), size, cap
+            self.read_use(stored.name).plus(reserved), size, cap
         )
 
 
@@ -189,7 +189,7 @@
 
         :param step: the step, after those that start before it.
         """
-        waiting = count_waiting(step)
+        waiting = step.count_waiting()
         tenant = step.job.spec.tenant
         if tenant is None or not waiting:
             return waiting
--- a/verbenapost/coordination/scheduling/tenantbacklog.py
+++ b/verbenapost/coordination/scheduling/tenantbacklog.py
@@ -14,7 +14,7 @@
     estimate_work,
     find_backlog,
 )
-from verbenapost.coordination.scheduling.jobs import StepRun, count_waiting
+from verbenapost.coordination.scheduling.jobs import StepRun
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.quotas import StartableTasks
@@ -117,7 +117,7 @@
             continue
         weight = pool_state.gate.find_weight(step.job.spec.tenant)
         share = shares.setdefault(step.job.tenant_name, _Share(weight))
-        share.waiting += count_waiting(step)
+        share.waiting += step.count_waiting()
         share.startable += startable.count(step)
     return shares
 
