Planning: a tenant's gang that waits for the cap goes before its younger tasks

Cause: a gang that needs more than one task's share of the cap was skipped, and younger tasks of its tenant took what each ended run freed. Change: later steps of the tenant in that pool wait while such a gang can start at some time. Result: a test that failed before passes; a gang that can never fit holds nothing back.

--- a/verbenapost/coordination/scheduling/planning.py
+++ b/verbenapost/coordination/scheduling/planning.py
@@ -158,7 +158,10 @@
             return waiting
         for task in waiting[startable:]:
             self._pool_state.reservations.release(task)
-        return [] if step.spec.gang else waiting[:startable]
+        if step.spec.gang:
+            self._quota.yield_to_gang(step)
+            return []
+        return waiting[:startable]
 
     def _place_isolated(
         self,
--- a/verbenapost/coordination/scheduling/roundquota.py
+++ b/verbenapost/coordination/scheduling/roundquota.py
@@ -9,7 +9,11 @@
 from verbenapost.coordination.scheduling.jobs import StepRun, Task
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
-from verbenapost.coordination.scheduling.quotas import UNLIMITED, TenantUsage
+from verbenapost.coordination.scheduling.quotas import (
+    UNLIMITED,
+    TenantUsage,
+    may_ever_start,
+)
 
 
 class RoundQuota:
@@ -28,6 +32,8 @@
             self._gate.begin_round(moment)
         # Tasks for which capacity is reserved in this round, by tenant.
         self._reserved = TenantUsage()
+        # Tenants whose later steps leave their cap to a gang that waits for it.
+        self._yielding: set[str] = set()
 
     def prune_reservations(self) -> None:
         """Remove reservations that have ended or whose tenant is at its cap."""
@@ -67,10 +73,27 @@
         stored = step.job.spec.tenant
         if stored is None:
             return UNLIMITED
+        if stored.name in self._yielding:
+            return 0
         return self._gate.count_startable(
             stored, step.spec.size, self._reserved.read(stored.name)
         )
 
+    def yield_to_gang(self, step: StepRun) -> None:
+        """Start no later step of a tenant before a gang that waits for the cap.
+
+        Small tasks would take what each ended run frees, and the gang would
+        never start. One that can never start keeps nothing from the others.
+
+        :param step: the gang's step.
+        """
+        stored = step.job.spec.tenant
+        if stored is None:
+            return
+        cap = self._gate.find_terms(stored).cap
+        if may_ever_start(step.spec.size, len(step.tasks), cap):
+            self._yielding.add(stored.name)
+
     def note_reserved(self, tasks: Iterable[Task]) -> None:
         """Count those of the tasks for which capacity is reserved."""
         for task in filter(self._pool_state.reservations.is_reserved, tasks):
--- a/verbenapost/coordination/scheduling/tests/test_quotas.py
+++ b/verbenapost/coordination/scheduling/tests/test_quotas.py
@@ -213,6 +213,19 @@
         end_run(pool_state, first)
         assert len(plan(pool_state)) == 3
 
+    @pytest.mark.parametrize(('members', 'starts'), [(3, 0), (4, 1)])
+    def test_younger_tasks_leave_the_cap_to_it(self, members, starts):
+        """They would take what each ended run frees; it must be able to fit."""
+        pool_state = make_pool()
+        add_job(pool_state, StepSpec(2, SMALL), tenant=LIMITED)
+        first, _ = start_all(pool_state)
+        gang = StepSpec(members, SMALL, gang=True)
+        add_job(pool_state, gang, job='b' * 16, now=1, tenant=LIMITED)
+        younger = StepSpec(1, SMALL)
+        add_job(pool_state, younger, job='c' * 16, now=2, tenant=LIMITED)
+        end_run(pool_state, first)
+        assert len(plan(pool_state)) == starts
+
     def test_its_search_for_workers_leaves_no_use_behind(self):
         pool_state = make_pool(workers=1)
         gang = StepSpec(5, SMALL, gang=True)
--- a/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
+++ b/verbenapost/coordination/scheduling/tests/test_tenantadmission.py
@@ -118,12 +118,12 @@
         assert all(bucket.take(job, 2, now) for job, now in told.items())
 
     def test_steps_that_are_not_open_yet_are_in_nobodys_way(self):
-        desk = Desk()
+        pool = PoolAdmission()
         first = StepSpec(1, SMALL)
         second = StepSpec(1, SMALL, after=(0,))
-        add_job(desk.pool_state, first, second, tenant=OTHER)
-        plan(desk.pool_state)
-        assert desk.ask(TenantTerms('nobody', 0)).reason is None
+        add_job(pool.pool_state, first, second, tenant=OTHER)
+        plan(pool.pool_state)
+        assert pool.ask(TenantTerms('nobody', 0)).reason is None
 
 
 class TestArrivingJobs:
@@ -179,10 +179,10 @@
 
     def test_it_refuses_nobody_else_as_its_tasks_end(self):
         """A tenant at its cap is below it for a moment after each end."""
-        desk = self.make_desk()
-        end_run(desk.pool_state, desk.running[0])
-        assert estimate_wait(desk.pool_state, 0, Moment(0, 0)) < 2
-        assert desk.ask(OTHER).reason is None
+        pool = self.make_capped_pool()
+        end_run(pool.pool_state, pool.running[0])
+        assert estimate_wait(pool.pool_state, 0, Moment(0, 0)) < 2
+        assert pool.ask(OTHER).reason is None
 
     def test_it_refuses_nobody_else(self):
         pool = self.make_capped_pool()
