--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from typing import Final, final
 
-from verbenapost.coordination.scheduling.jobs import StepRun, TaskState
+from verbenapost.coordination.scheduling.jobs import StepRun
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.poolstate import PoolState
 from verbenapost.coordination.scheduling.workers import compute_booking
@@ -136,10 +136,10 @@
     Tasks of tenants at their caps have no turn.
     """
     return sum(
-        task.state is TaskState.WAITING
+        step.count_waiting()
         for job in pool_state.list_open_jobs()
         if not pool_state.gate.is_capped(job.spec.tenant)
-        for task in job.tasks()
+        for step in job.steps()
     )
 
 
@@ -166,7 +166,7 @@
             continue
         if not cores:
             return math.inf
-        work = estimate_work(pool_state, step) * step.spec.size.cpu
+        work = estimate_run_seconds(pool_state, step) * step.spec.size.cpu
         wait += work / cores
     return wait
 
@@ -232,8 +232,7 @@
     return step.due_at
 
 
-def estimate_work(pool_state: PoolState, step: StepRun) -> float:
+def estimate_run_seconds(pool_state: PoolState, step: StepRun) -> float:
     """Return the seconds that a step's waiting tasks run in total."""
-    waiting = sum(task.state is TaskState.WAITING for task in step.tasks)
     seconds = pool_state.run_times.estimate(step.job.spec.route)
-    return waiting * seconds
+    return step.count_waiting() * seconds
--- a/verbenapost/coordination/scheduling/jobs.py
+++ b/verbenapost/coordination/scheduling/jobs.py
@@ -142,6 +142,10 @@
         """Return whether a task waits to start."""
         return any(task.state is TaskState.WAITING for task in self.tasks)
 
+    def count_waiting(self) -> int:
+        """Return the number of tasks that wait to start."""
+        return sum(task.state is TaskState.WAITING for task in self.tasks)
+
     def is_open(self) -> bool:
         """Return whether all prerequisite steps are complete."""
         occurrence_steps = self.job.occurrences[self.occurrence]
--- a/verbenapost/coordination/scheduling/placement.py
+++ b/verbenapost/coordination/scheduling/placement.py
@@ -161,7 +161,8 @@
     partners: Partners,
 ) -> list[Worker] | None:
     chosen: list[Worker] = []
-    # A trial may place nothing, so what it avoids is not counted.
+    # Not all members may fit on these workers, so what the search avoids is
+    # not counted.
     uncounted = Partners(partners.images)
     ranking = WorkerRanking(step, workers, tickets, partners=uncounted)
     for task in tasks:
--- a/verbenapost/coordination/scheduling/tenantbacklog.py
+++ b/verbenapost/coordination/scheduling/tenantbacklog.py
@@ -11,7 +11,7 @@
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.admission import (
-    estimate_work,
+    estimate_run_seconds,
     find_backlog,
 )
 from verbenapost.coordination.scheduling.moment import Moment
@@ -69,7 +69,7 @@
     weights: dict[str, float] = {}
     for step in backlog.steps:
         name = step.job.tenant_name
-        seconds = estimate_work(pool_state, step)
+        seconds = estimate_run_seconds(pool_state, step)
         work[name] = work[name].plus(_multiply(step.spec.size, seconds))
         if not gate.is_capped(step.job.spec.tenant):
             weights[name] = gate.find_weight(step.job.spec.tenant)
--- a/verbenapost/scheduler/tenantstatus.py
+++ b/verbenapost/scheduler/tenantstatus.py
@@ -5,7 +5,6 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from verbenapost.coordination.scheduling.jobs import TaskState
 from verbenapost.coordination.scheduling.moment import Moment
 from verbenapost.coordination.scheduling.tenantadmission import Refusal
 from verbenapost.scheduler.clock import read_moment
@@ -76,9 +75,7 @@
                 stored = step.job.spec.tenant
                 if stored is not None:
                     self._known[stored.name] = stored
-                    waiting[stored.name] += sum(
-                        task.state is TaskState.WAITING for task in step.tasks
-                    )
+                    waiting[stored.name] += step.count_waiting()
         return waiting
 
     def _count_refusals(self) -> set[str]:
