--- a/verbenapost/coordination/scheduling/tenantbacklog.py
+++ b/verbenapost/coordination/scheduling/tenantbacklog.py
@@ -11,7 +11,7 @@
 from typing import Final, final
 
 from verbenapost.coordination.scheduling.admission import (
-    estimate_work,
+    estimate_run_seconds,
     find_backlog,
 )
 from verbenapost.coordination.scheduling.jobs import StepRun
@@ -72,7 +72,7 @@
     work: dict[str, Resources] = collections.defaultdict(Resources)
     for step in backlog.steps:
         name = step.job.tenant_name
-        seconds = estimate_work(pool_state, step)
+        seconds = estimate_run_seconds(pool_state, step)
         work[name] = work[name].plus(_multiply(step.spec.size, seconds))
     free = sum(
         max(0, worker.entry.capacity.cpu - worker.get_committed().cpu)
