Placement: a gang of one rack takes a rack without an interfering image

Cause: a gang that wants one rack took the first rack with capacity, also beside an image that a finding names while another rack was free. Change: racks are tried without the workers of such images first. Result: a test that failed before passes.

--- a/verbenapost/coordination/scheduling/placement.py
+++ b/verbenapost/coordination/scheduling/placement.py
@@ -146,13 +146,29 @@
 ) -> list[Worker] | None:
     """Return a worker for each gang member, or ``None`` unless all fit."""
     if step.spec.same_rack:
-        for rack_workers in group_by_rack(list(workers)).values():
-            found = _place_all(step, tasks, rack_workers, tickets, partners)
+        apart = [row for row in workers if not partners.is_beside(row)]
+        for candidates in (apart, workers):
+            found = _place_in_a_rack(step, tasks, candidates, tickets, partners)
             if found is not None:
                 return found
     return _place_all(step, tasks, workers, tickets, partners)
 
 
+def _place_in_a_rack(
+    step: StepRun,
+    tasks: Sequence[Task],
+    workers: Sequence[Worker],
+    tickets: Tickets | None,
+    partners: Partners,
+) -> list[Worker] | None:
+    """Return workers of one rack, or ``None`` unless all members fit there."""
+    for rack_workers in group_by_rack(list(workers)).values():
+        found = _place_all(step, tasks, rack_workers, tickets, partners)
+        if found is not None:
+            return found
+    return None
+
+
 def _place_all(
     step: StepRun,
     tasks: Sequence[Task],
--- a/verbenapost/coordination/scheduling/tests/test_partners.py
+++ b/verbenapost/coordination/scheduling/tests/test_partners.py
@@ -81,6 +81,12 @@
         assert place(pool_state, 'a', image='maps') == ['w0']
         assert place(pool_state, 'b', image='batch', affinity='r0') == ['w0']
 
+    def test_a_gang_of_one_rack_takes_a_rack_without_a_partner(self):
+        pool_state = make('w0', 'w1')
+        place(pool_state, 'a', image='batch')
+        gang = {'image': 'maps', 'gang': True, 'same_rack': True}
+        assert place(pool_state, 'b', 2, **gang) == ['w1', 'w1']
+
     def test_a_gang_avoids_a_partner(self):
         pool_state = make('w0', 'w1')
         assert place(pool_state, 'a', image='maps') == ['w0']
