Admission: split the estimate of the wait

Cause: the linter's bound on complexity was exceeded by the last change. Change: a generator yields the steps that compete. Result: formatter, linters, types and the tests of admission pass.

--- a/verbenapost/coordination/scheduling/admission.py
+++ b/verbenapost/coordination/scheduling/admission.py
@@ -159,16 +159,11 @@
     :param moment: time of the estimate.
     """
     cores = _count_cores(pool_state, incoming, moment)
+    kinds_known = bool(cores) and not incoming
     wait: float = 0
-    startable = StartableTasks(pool_state.gate)
-    for step in sorted(_find_waiting(pool_state), key=_get_due_time):
+    for step, tasks in _find_competing(pool_state, kinds_known=kinds_known):
         if step.due_at > moment.wall + wait:
             break
-        if cores and not incoming and _is_unschedulable(pool_state, step):
-            continue
-        tasks = startable.count(step)
-        if not tasks:
-            continue
         if not cores:
             return math.inf
         seconds = pool_state.run_times.estimate(step.job.spec.route)
@@ -176,6 +171,24 @@
     return wait
 
 
+def _find_competing(
+    pool_state: PoolState, *, kinds_known: bool
+) -> Iterator[tuple[StepRun, int]]:
+    """Yield the steps that wait, the first due first, and their tasks.
+
+    Only the tasks count that the caps of their tenants let start.
+
+    :param kinds_known: whether only the workers of the pool can run a step.
+    """
+    startable = StartableTasks(pool_state.gate)
+    for step in sorted(_find_waiting(pool_state), key=_get_due_time):
+        if kinds_known and _is_unschedulable(pool_state, step):
+            continue
+        tasks = startable.count(step)
+        if tasks:
+            yield step, tasks
+
+
 def find_backlog(
     pool_state: PoolState, incoming: float, moment: Moment
 ) -> Backlog:
