Pending counts: unknown while the leader can't read submissions

Cause: a leader that is cut off from the store counted from memory, without the jobs that were accepted since.

--- a/verbenapost/scheduler/core.py
+++ b/verbenapost/scheduler/core.py
@@ -133,5 +133,6 @@
                 leader.jobs.find_owner(message.job),
             )
         if isinstance(message, PendingRequest):
-            return PendingResponse(leader.count_pending(message.route))
+            pending = leader.count_pending(message.route)
+            return PendingResponse(pending or 0, known=pending is not None)
         raise ValueError(f'{type(message).__name__} has no answer')
--- a/verbenapost/scheduler/entry.py
+++ b/verbenapost/scheduler/entry.py
@@ -234,7 +234,7 @@
     async def _count_pending(self, route: Route) -> EntryAnswer:
         asked = await self._leader.ask(PendingRequest(route.name))
         now = read_clock()
-        if isinstance(asked, Ok):
+        if isinstance(asked, Ok) and asked.ok_value.known:
             self._pending[route.name] = _PendingCount(
                 asked.ok_value.pending, now
             )
--- a/verbenapost/scheduler/leader.py
+++ b/verbenapost/scheduler/leader.py
@@ -34,6 +34,9 @@
 #: Fraction of the time that rounds may use; the rest is for sending the orders.
 MAX_ROUND_SHARE: Final = 0.2
 
+#: Seconds by which a count of pending jobs may be out of date.
+MAX_PENDING_AGE: Final = 2.0
+
 #: Seconds between two attempts to read the store at takeover.
 RETRY_SECONDS: Final = 0.2
 
@@ -60,6 +63,7 @@
         self._started_at = read_clock()
         self._longest_lease = ports.settings.bounds.hold_seconds
         self._wake = asyncio.Event()
+        self._submitted: PrefixFollower | None = None
         self._tasks = TaskSet(self._give_up)
         self._window = OrderWindow()
 
@@ -145,8 +149,17 @@
         """Write all pending records before the leadership is given up."""
         await self._recorder.flush()
 
-    def count_pending(self, route: str) -> int:
-        """Return how many jobs of a route have not started."""
+    def count_pending(self, route: str) -> int | None:
+        """Return how many jobs of a route have not started.
+
+        :returns: the number, or ``None`` while the store doesn't show this
+            leader which jobs were accepted lately.
+        """
+        submitted = self._submitted
+        if submitted is None:
+            return None
+        if read_clock() - submitted.fresh_at > MAX_PENDING_AGE:
+            return None
         return self._pool_states.count_pending(route)
 
     def check_admission(self, request: AdmissionRequest) -> AdmissionResponse:
@@ -169,7 +182,9 @@
         self._tasks.add(
             self._fleet.record.trim(self._find_shown_vms, self._longest_lease)
         )
-        await self._follow(SUBMITTED_PREFIX, self.jobs.apply_change)
+        self._submitted = await self._follow(
+            SUBMITTED_PREFIX, self.jobs.apply_change
+        )
         await self._follow(WORKER_PREFIX, self._fleet.apply_change)
         self.jobs.inheriting = False
         self.ready = True
@@ -224,7 +239,7 @@
             shown |= self._controller.find_listed_vms()
         return shown
 
-    async def _follow(self, prefix: str, apply: Any) -> None:
+    async def _follow(self, prefix: str, apply: Any) -> PrefixFollower:
         def notify(change: Any) -> None:
             apply(change)
             self._wake.set()
@@ -238,6 +253,7 @@
         if not listed.done():
             # A takeover that can't read the store must fail, not wait.
             following.result()
+        return follower
 
     def _add_essential(self, work: Any) -> asyncio.Task[Any]:
         """Start a task without which this daemon must not lead.
--- a/verbenapost/scheduler/messages.py
+++ b/verbenapost/scheduler/messages.py
@@ -105,9 +105,14 @@
 @register_message(_PENDING_RESPONSE)
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingResponse:
-    """Answer to :class:`PendingRequest`."""
+    """Answer to :class:`PendingRequest`.
+
+    :param pending: number of pending jobs.
+    :param known: whether the leader knows the jobs of the last seconds.
+    """
 
     pending: int
+    known: bool = True
 
 
 @final
