--- a/verbenapost/scheduler/tests/test_authentication.py
+++ b/verbenapost/scheduler/tests/test_authentication.py
@@ -7,6 +7,7 @@
 from structlog.testing import capture_logs
 
 from standins.fleet.configurations import ConfiguredTenant
+from verbenapost.platform.names import CONFIGURATION_KEY
 from verbenapost.protocol.orders import KeyChange, KeyValue
 from verbenapost.scheduler.answers import EntryRequest
 from verbenapost.scheduler.keys import make_cancel_key, make_spec_key
@@ -278,7 +279,7 @@
                 tenants = make_tenants(one=[KEY], two=[KEY])
                 await start(world, 3, tenants=tenants)
             stored = dict(world.store.items)
-            stored.pop('op/config')
+            stored.pop(CONFIGURATION_KEY)
             parts = world.daemons['d0']
             kept = (
                 parts.ports.configuration.current,
@@ -286,8 +287,8 @@
                 vars(parts.core._operator_follower),
                 [item.value for item in stored.values()],
                 EntryRequest('GET', 'h', '/', b'', 0, KEY.encode()),
-                KeyValue('op/config', KEY.encode(), 1),
-                KeyChange('op/config', KEY.encode(), 1),
+                KeyValue(CONFIGURATION_KEY, KEY.encode(), 1),
+                KeyChange(CONFIGURATION_KEY, KEY.encode(), 1),
             )
             return repr((logs, stored, kept))
 
