--- a/review/site3.py
+++ b/review/site3.py
@@ -311,6 +311,13 @@
         self.began = time.monotonic()
         self.lasting = fields.get('lasting', False)
         self.work = fields.get('work_ms', 500) / 1000
+        self.fails_ms = fields.get('fails_ms')
+
+    @property
+    def fails_now(self):
+        """Whether the run fails through its own fault now."""
+        passed = (time.monotonic() - self.began) * 1000
+        return self.fails_ms is not None and passed >= self.fails_ms
 
     @property
     def percent(self):
@@ -423,6 +430,8 @@
             for run in list(self.runs.values()):
                 if self.clock > self.lease:
                     self.end_run(run, 'lapsed')
+                elif run.fails_now:
+                    self.end_run(run, 'failed')
                 elif not run.lasting and run.percent >= 100:
                     self.end_run(run, 'done')
 
