--- a/review/site3.py
+++ b/review/site3.py
@@ -8,7 +8,6 @@
 import asyncio
 import base64
 import bisect
-import collections
 import json
 import os
 import re
@@ -430,7 +429,7 @@
             for run in list(self.runs.values()):
                 if self.clock > self.lease:
                     self.end_run(run, 'lapsed')
-                elif run.fails_now:
+                elif run.fails_now or run.task == self.site.failing:
                     self.end_run(run, 'failed')
                 elif not run.lasting and run.percent >= 100:
                     self.end_run(run, 'done')
@@ -637,7 +636,8 @@
         self.daemons = [Daemon(self, number) for number in range(daemons)]
         self.starts = []
         self.ends = []
-        self.states = collections.defaultdict(list)
+        #: Name of a subtask whose runs fail at once, if any.
+        self.failing = None
         self.client = None
         self._tasks = []
         self._runner = None
